--- /dev/null
+++ b/include/plantaindrift/Forward.h
@@ -0,0 +1,52 @@
+#pragma once
+
+/// \file
+/// \brief Forward declarations of the public types.
+
+#include <cstdint>
+
+namespace plantaindrift {
+
+enum class AgentAction : std::uint8_t;
+enum class AgentReason : std::uint8_t;
+enum class DatagramError : std::uint8_t;
+enum class EntryOutcome : std::uint8_t;
+enum class ErrorKind;
+enum class FlowHash : std::uint64_t;
+enum class MemberRole : std::uint8_t;
+enum class MemberState : std::uint8_t;
+enum class PacketError : std::uint8_t;
+enum class Protocol : std::uint8_t;
+enum class ServiceHash : std::uint64_t;
+
+struct AdmissionLimits;
+struct AgentCounts;
+struct AgentDecision;
+struct AgentOptions;
+struct Configuration;
+struct DatagramKey;
+struct DecodedDatagram;
+struct DrainRules;
+struct Endpoint;
+struct EntryDecision;
+struct EntryOptions;
+struct FlowKey;
+struct InnerPacket;
+struct KeyRing;
+struct LoadReport;
+struct Member;
+struct OwnerNotice;
+struct ParsedPacket;
+struct Redirect;
+struct RouteOption;
+struct Service;
+struct ServiceAddress;
+struct ServiceView;
+struct StoredObject;
+struct ViewTarget;
+
+class AgentPipeline;
+class EntryPipeline;
+class ObjectStore;
+
+} // namespace plantaindrift
--- /dev/null
+++ b/include/plantaindrift/configuration/Configuration.h
@@ -0,0 +1,58 @@
+#pragma once
+
+#include "plantaindrift/base/Types.h"
+
+#include <chrono>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace plantaindrift {
+
+/// \brief An address, port and protocol that callers use for a service.
+struct ServiceAddress {
+    Endpoint endpoint;
+    Protocol protocol { Protocol::Tcp };
+
+    friend auto operator<=>(ServiceAddress const&, ServiceAddress const&) = default;
+};
+
+/// \brief Admission limits of a service at each target.
+struct AdmissionLimits {
+    std::uint32_t connections { 2000 }; ///< open flows per target at weight 100
+    std::uint32_t slots { 7 }; ///< requests served at once per target
+    std::uint32_t queuePerSlot { 0 }; ///< flows that may wait, per slot
+    std::uint32_t huntLimit { 4 }; ///< candidates asked before a first packet is refused
+
+    friend bool operator==(AdmissionLimits const&, AdmissionLimits const&) = default;
+};
+
+/// \brief How a service's targets leave.
+struct DrainRules {
+    std::chrono::seconds deadline { std::chrono::hours { 24 } }; ///< longest wait for open flows
+
+    friend bool operator==(DrainRules const&, DrainRules const&) = default;
+};
+
+/// \brief One declared service.
+struct Service {
+    std::string name;
+    std::vector<ServiceAddress> addresses; ///< sorted
+    std::vector<std::string> targets; ///< names, or prefixes ended by '*', of targets that may serve it; sorted
+    std::vector<std::string> places; ///< places whose targets may serve it; empty means all; sorted
+    bool idempotent { false }; ///< a non-idempotent UDP service is admitted only after a probe
+    AdmissionLimits limits;
+    std::chrono::seconds slowStart { 30 };
+    DrainRules drain;
+
+    friend bool operator==(Service const&, Service const&) = default;
+};
+
+/// \brief Everything that operators declare; services are sorted by name.
+struct Configuration {
+    std::vector<Service> services;
+
+    friend bool operator==(Configuration const&, Configuration const&) = default;
+};
+
+} // namespace plantaindrift
--- /dev/null
+++ b/include/plantaindrift/membership/Member.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include "plantaindrift/base/Types.h"
+
+#include <compare>
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace plantaindrift {
+
+/// \brief What a member record describes.
+enum class MemberRole : std::uint8_t {
+    Entry,
+    Agent
+};
+
+/// \brief State of a member within one incarnation; a later enumerator wins over an earlier one at equal incarnation.
+enum class MemberState : std::uint8_t {
+    Active,
+    Draining, ///< finishes its flows, takes no new ones
+    Suspect, ///< missed heartbeats; still in use
+    Dead, ///< suspicion was not refuted in time
+    Left ///< stopped on purpose; final for this incarnation
+};
+
+/// \brief Lower-case name of a state.
+[[nodiscard]] std::string_view memberStateName(MemberState state) noexcept;
+
+/// \brief One entry or agent as its peers know it. Only the member itself makes new incarnations.
+struct Member {
+    MemberRole role { MemberRole::Agent };
+    std::string name; ///< unique over the system
+    std::string place;
+    std::string service; ///< empty for entries
+    std::uint64_t incarnation { 0 };
+    MemberState state { MemberState::Active };
+    bool draining { false }; ///< kept while Suspect, so that a refutation restores it
+    Endpoint data; ///< UDP endpoint of the packet path
+    Endpoint control; ///< TCP endpoint of control messages
+    std::uint16_t weight { 100 }; ///< relative share; 100 is one full instance
+    std::uint16_t slots { 0 };
+    std::uint32_t connections { 0 };
+
+    friend bool operator==(Member const&, Member const&) = default;
+};
+
+} // namespace plantaindrift
--- /dev/null
+++ b/include/plantaindrift/plantaindrift.h
@@ -0,0 +1,18 @@
+#pragma once
+
+/// \file
+/// \brief Umbrella header of the library.
+
+#include "plantaindrift/Forward.h"
+#include "plantaindrift/agent/AgentPipeline.h"
+#include "plantaindrift/base/Error.h"
+#include "plantaindrift/base/Hash.h"
+#include "plantaindrift/base/Types.h"
+#include "plantaindrift/configuration/Configuration.h"
+#include "plantaindrift/entry/EntryPipeline.h"
+#include "plantaindrift/membership/Member.h"
+#include "plantaindrift/membership/ServiceView.h"
+#include "plantaindrift/packet/Encapsulation.h"
+#include "plantaindrift/packet/InnerPacket.h"
+#include "plantaindrift/packet/RouteOption.h"
+#include "plantaindrift/platform/ObjectStore.h"
