--- /dev/null
+++ b/include/plantaindrift/membership/EntryControl.h
@@ -0,0 +1,95 @@
+#pragma once
+
+#include "plantaindrift/base/Types.h"
+#include "plantaindrift/configuration/ChangeLog.h"
+#include "plantaindrift/membership/Member.h"
+#include "plantaindrift/membership/ServiceView.h"
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <memory>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace plantaindrift {
+
+/// \brief A control message to send; `bytes` is an encoded control.Envelope.
+struct ControlMessage {
+    Endpoint to; ///< control endpoint
+    std::string bytes;
+};
+
+/// \brief Settings of an entry's control logic.
+struct EntryControlOptions {
+    Member self; ///< role Entry
+    std::vector<Endpoint> seeds; ///< control endpoints of other entries from the settings
+    std::uint64_t randomSeed { 1 };
+    std::chrono::milliseconds heartbeat { 1000 };
+    std::uint32_t bytesPerSecond { 3000 }; ///< control budget of this node
+};
+
+/// \brief Membership, gossip, anti-entropy and spread of configuration at an entry.
+///
+/// Does no I/O: messages and time come in, messages and views go out. Not thread-safe.
+class EntryControl {
+public:
+    explicit EntryControl(EntryControlOptions const& options);
+    ~EntryControl();
+    EntryControl(EntryControl const&) = delete;
+    EntryControl& operator=(EntryControl const&) = delete;
+
+    /// \brief Takes an encoded Envelope from a peer; malformed ones are counted and ignored.
+    ///
+    /// \param from  control endpoint of the sender, where replies go
+    void receive(Endpoint from, std::span<std::byte const> bytes, TimePoint now);
+
+    /// \brief Periodic work; call every 100 ms.
+    void tick(TimePoint now);
+
+    /// \brief Messages to send; removes them.
+    [[nodiscard]] std::vector<ControlMessage> takeMessages();
+
+    /// \brief Services whose view changed since the last call, with their new views.
+    [[nodiscard]] std::vector<ServiceView> takeChangedViews();
+
+    /// \brief Takes changes read from the platform; also spreads those that are new.
+    void addChanges(std::span<ConfigurationChange const> changes, TimePoint now);
+
+    /// \brief Takes a snapshot read from the platform.
+    void addSnapshot(std::uint64_t position, Configuration const& configuration, TimePoint now);
+
+    /// \brief The configuration in force and its position.
+    [[nodiscard]] ChangeLog const& changeLog() const noexcept;
+
+    /// \brief True if this entry holds a watch at the platform (2 per place, by hash over live entries).
+    [[nodiscard]] bool isWatcher() const;
+
+    /// \brief True once full state arrived from a peer, or no peer answered for 10 s.
+    [[nodiscard]] bool isCaughtUp(TimePoint now) const noexcept;
+
+    /// \brief Adds records from the platform's announcement objects; older incarnations are ignored.
+    void addMembers(std::span<Member const> members, TimePoint now);
+
+    /// \brief Spreads that this entry leaves; call before the process ends.
+    void leave(TimePoint now);
+
+    [[nodiscard]] std::vector<Member> members() const;
+
+    /// \brief Bytes sent and received since start, and messages that could not be decoded.
+    struct Counts {
+        std::uint64_t sentBytes { 0 };
+        std::uint64_t receivedBytes { 0 };
+        std::uint64_t malformed { 0 };
+        std::uint64_t deferred { 0 }; ///< deltas that waited for the budget
+    };
+    [[nodiscard]] Counts counts() const noexcept;
+
+private:
+    struct State;
+    std::unique_ptr<State> state_;
+};
+
+} // namespace plantaindrift
