PacketLoop: receive, decide and send UDP datagrams in batches

The header is written before the payload in the receive buffer, so that a datagram leaves as one piece without a copy of its payload.

--- /dev/null
+++ b/src/runtime/PacketLoop.h
@@ -0,0 +1,105 @@
+#pragma once
+
+#include "plantaindrift/base/Types.h"
+
+#include "absl/status/statusor.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <memory>
+#include <span>
+
+namespace plantaindrift {
+
+/// \brief What to send for one received datagram; nothing if `to` is unset.
+struct PacketVerdict {
+    Endpoint to;
+    std::span<std::byte const> header; ///< sent before the payload; valid until the next decision
+    std::span<std::byte const> payload; ///< inside the datagram, or valid until the next decision
+};
+
+/// \brief The times that a batch of datagrams is decided with.
+struct PacketTime {
+    TimePoint now;
+    std::uint32_t nowSeconds { 0 }; ///< wall clock, seconds since 1970
+};
+
+/// \brief Decides what a PacketLoop sends for each datagram.
+class PacketFilter {
+public:
+    virtual ~PacketFilter() = default;
+
+    /// \brief Decides one datagram.
+    ///
+    /// \param datagram  the UDP payload
+    /// \param from      its sender
+    /// \param time      read once for the batch
+    [[nodiscard]] virtual PacketVerdict decide(std::span<std::byte const> datagram, Endpoint from, PacketTime const& time) noexcept = 0;
+};
+
+/// \brief Counts since the start of the loop.
+struct PacketLoopCounts {
+    std::uint64_t received { 0 };
+    std::uint64_t oversized { 0 }; ///< longer than PacketLoop::maximumDatagramBytes; dropped before the filter
+    std::uint64_t sent { 0 };
+    std::uint64_t sendFailed { 0 }; ///< the kernel did not take them, for example because the send buffer was full
+    std::uint64_t receiveErrors { 0 };
+};
+
+/// \brief Settings of a loop's socket.
+struct PacketLoopOptions {
+    Endpoint bind; ///< port 0 lets the kernel choose
+    int receiveBufferBytes { 4 << 20 }; ///< of the kernel; limited by net.core.rmem_max
+    int sendBufferBytes { 4 << 20 };
+};
+
+/// \brief Receives, decides and sends UDP datagrams in batches with recvmmsg and sendmmsg.
+///
+/// A header is written into free bytes before the payload in the receive buffer, so that a datagram leaves without a
+/// copy of its payload. All buffers are allocated by open(). Not thread-safe.
+class PacketLoop {
+public:
+    /// \brief Datagrams received and sent by one system call.
+    static constexpr std::size_t batchSize = 64;
+
+    /// \brief Longest datagram that is taken: a 9000-byte packet and its encapsulation.
+    static constexpr std::size_t maximumDatagramBytes = 9216;
+
+    /// \brief Opens and binds a non-blocking UDP socket.
+    [[nodiscard]] static absl::StatusOr<PacketLoop> open(PacketLoopOptions const& options);
+
+    ~PacketLoop();
+    PacketLoop(PacketLoop&& other) noexcept;
+    PacketLoop& operator=(PacketLoop&& other) noexcept;
+
+    /// \brief The socket, for waiting until it is readable.
+    [[nodiscard]] int nativeHandle() const noexcept;
+
+    /// \brief Address and port that the socket is bound to.
+    [[nodiscard]] Endpoint localEndpoint() const noexcept;
+
+    /// \brief Receives at most one batch without waiting, decides each datagram and sends the verdicts.
+    ///
+    /// \returns datagrams received; less than batchSize means that the socket is empty
+    std::size_t runOnce(PacketFilter& filter) noexcept;
+
+    /// \brief Waits until the socket is readable.
+    ///
+    /// \returns false if the timeout passed
+    [[nodiscard]] bool waitReadable(std::chrono::milliseconds timeout) const noexcept;
+
+    /// \brief Sends one datagram that answers no other, for example an owner notice.
+    ///
+    /// \returns false if the kernel did not take it
+    bool send(Endpoint to, std::span<std::byte const> bytes) noexcept;
+
+    [[nodiscard]] PacketLoopCounts counts() const noexcept;
+
+private:
+    struct State;
+    explicit PacketLoop(std::unique_ptr<State> state) noexcept;
+
+    std::unique_ptr<State> state_;
+};
+
+} // namespace plantaindrift
