--- a/src/entry/CandidateTable.cpp
+++ b/src/entry/CandidateTable.cpp
@@ -3,6 +3,9 @@
 #include "plantaindrift/base/Hash.h"
 
 #include <algorithm>
+#include <array>
+#include <cstring>
+#include <functional>
 #include <limits>
 
 namespace plantaindrift {
@@ -12,6 +15,9 @@
     /// Dead ranks that a list keeps room for when live targets alone would fill it.
     constexpr std::size_t reservedDeadRanks = 1;
 
+    /// Targets whose indexes fit one byte.
+    constexpr std::size_t narrowTargets = 256;
+
     std::uint64_t endpointKey(Endpoint endpoint) noexcept
     {
         return (static_cast<std::uint64_t>(endpoint.address) << 16U) | endpoint.port;
@@ -38,7 +44,10 @@
     liveRanks_ = std::min(liveTargets_, maximumCandidates);
     std::size_t const deadRoom = std::max(maximumCandidates - liveRanks_, reservedDeadRanks);
     deadRanks_ = std::min(deadTargets, deadRoom);
-    rows_.resize(buckets_ * stride());
+    hasEqualWeights_ = std::adjacent_find(weights_.begin(), weights_.end(), std::not_equal_to<> {}) == weights_.end();
+    indexBytes_ = endpoints_.size() <= narrowTargets ? 1 : 2;
+    rows_.assign(buckets_ * stride() * indexBytes_, 0);
+    rows_.shrink_to_fit();
     for (std::size_t bucket = 0; bucket < buckets_; ++bucket)
         rankBucket(bucket);
 }
@@ -59,24 +68,53 @@
 
 void CandidateTable::rankBucket(std::size_t bucket)
 {
-    std::span<std::uint16_t> const row = std::span<std::uint16_t> { rows_ }.subspan(bucket * stride(), stride());
-    rankGroup(bucket, 0, liveTargets_, row.first(liveRanks_));
-    rankGroup(bucket, liveTargets_, endpoints_.size(), row.subspan(liveRanks_));
+    std::size_t const row = bucket * stride();
+    rankGroup(bucket, 0, liveTargets_, row, liveRanks_);
+    rankGroup(bucket, liveTargets_, endpoints_.size(), row + liveRanks_, deadRanks_);
 }
 
-void CandidateTable::rankGroup(std::size_t bucket, std::size_t first, std::size_t last, std::span<std::uint16_t> output)
+void CandidateTable::rankGroup(std::size_t bucket, std::size_t first, std::size_t last, std::size_t row, std::size_t ranks)
 {
-    scratch_.clear();
-    for (std::size_t index = first; index < last; ++index) {
-        double const score = rendezvousScore(nameHashes_[index], bucket, weights_[index]);
-        scratch_.push_back({ score, static_cast<std::uint16_t>(index) });
+    // The best ones so far, in order. Most targets of a large service fail the first comparison.
+    std::array<Scored, maximumCandidates> best;
+    std::size_t count = 0;
+    for (std::size_t index = first; index < last && ranks != 0; ++index) {
+        Scored const scored { score(index, bucket), static_cast<std::uint16_t>(index) };
+        if (count == ranks && scored.score <= best[count - 1].score)
+            continue;
+        std::size_t place = count < ranks ? count++ : ranks - 1;
+        for (; place > 0 && best[place - 1].score < scored.score; --place)
+            best[place] = best[place - 1];
+        best[place] = scored;
     }
-    auto const ranksBefore = [](Scored const& left, Scored const& right) {
-        return left.score != right.score ? left.score > right.score : left.index < right.index;
-    };
-    auto const middle = scratch_.begin() + static_cast<std::ptrdiff_t>(output.size());
-    std::partial_sort(scratch_.begin(), middle, scratch_.end(), ranksBefore);
-    std::transform(scratch_.begin(), middle, output.begin(), [](Scored const& scored) { return scored.index; });
+    for (std::size_t rank = 0; rank < count; ++rank)
+        setIndex(row + rank, best[rank].index);
+}
+
+double CandidateTable::score(std::size_t index, std::size_t bucket) const noexcept
+{
+    // With equal weights the score grows with the hash, and the order is found without logarithms. The low bits are cut
+    // off as in rendezvousScore, so that equal scores are the same pairs.
+    if (hasEqualWeights_)
+        return static_cast<double>(mixHash(nameHashes_[index], bucket) >> (64U - std::numeric_limits<double>::digits));
+    return rendezvousScore(nameHashes_[index], bucket, weights_[index]);
+}
+
+void CandidateTable::setIndex(std::size_t position, std::uint16_t index) noexcept
+{
+    if (indexBytes_ == 1)
+        rows_[position] = static_cast<std::uint8_t>(index);
+    else
+        std::memcpy(rows_.data() + position * sizeof(index), &index, sizeof(index));
+}
+
+std::uint16_t CandidateTable::indexAt(std::size_t position) const noexcept
+{
+    if (indexBytes_ == 1)
+        return rows_[position];
+    std::uint16_t index = 0;
+    std::memcpy(&index, rows_.data() + position * sizeof(index), sizeof(index));
+    return index;
 }
 
 void CandidateTable::list(FlowHash flow, DeadTargets dead, RouteOption& route) const noexcept
@@ -85,14 +123,14 @@
     if (rows_.empty())
         return;
     std::size_t const bucket = static_cast<std::uint64_t>(flow) & (buckets_ - 1);
-    std::uint16_t const* const row = rows_.data() + bucket * stride();
+    std::size_t const row = bucket * stride();
     bool const withDead = dead == DeadTargets::AtTail || (dead == DeadTargets::OnlyWithoutLive && liveRanks_ == 0);
     std::size_t const deadCount = withDead ? deadRanks_ : 0;
     std::size_t const liveCount = std::min(liveRanks_, maximumCandidates - deadCount);
     for (std::size_t rank = 0; rank < liveCount; ++rank)
-        route.candidates[rank] = endpoints_[row[rank]];
+        route.candidates[rank] = endpoints_[indexAt(row + rank)];
     for (std::size_t rank = 0; rank < deadCount; ++rank)
-        route.candidates[liveCount + rank] = endpoints_[row[liveRanks_ + rank]];
+        route.candidates[liveCount + rank] = endpoints_[indexAt(row + liveRanks_ + rank)];
     route.candidateCount = static_cast<std::uint8_t>(liveCount + deadCount);
 }
 
--- a/src/entry/CandidateTable.h
+++ b/src/entry/CandidateTable.h
@@ -30,12 +30,15 @@
 /// \brief Precomputed candidate order of one service: bucket -> targets by weighted rendezvous hashing.
 ///
 /// The number of buckets is a constant and not a function of the view, because a flow has the same bucket in two
-/// views, and so the same order of their common targets, only if both have the same number of buckets. A row takes
-/// 2 bytes for each of at most 8 live and 8 dead ranks.
+/// views, and so the same order of their common targets, only if both have the same number of buckets. A row has one
+/// target index, of 1 byte up to 256 targets and of 2 bytes above, for each listed rank.
 class CandidateTable {
 public:
     /// \brief Buckets of a service; a power of two.
-    static constexpr std::size_t defaultBuckets = 4096;
+    ///
+    /// With n targets the share of one deviates by about sqrt(n / buckets): 2% with 7 targets. Four times as many
+    /// buckets halve that and take four times the memory, which at 2,700 services does not fit a node's 256 MB.
+    static constexpr std::size_t defaultBuckets = 16384;
 
     /// \param buckets  a power of two
     explicit CandidateTable(std::size_t buckets = defaultBuckets);
@@ -52,7 +55,7 @@
     [[nodiscard]] TargetStatus status(Endpoint endpoint) const noexcept;
 
     /// \brief Bytes of the rows.
-    [[nodiscard]] std::size_t rowBytes() const noexcept { return rows_.size() * sizeof(std::uint16_t); }
+    [[nodiscard]] std::size_t rowBytes() const noexcept { return rows_.size(); }
 
 private:
     struct Scored {
@@ -63,7 +66,10 @@
     [[nodiscard]] std::size_t stride() const noexcept { return liveRanks_ + deadRanks_; }
     void addTargets(std::span<ViewTarget const> targets, TargetStatus status);
     void rankBucket(std::size_t bucket);
-    void rankGroup(std::size_t bucket, std::size_t first, std::size_t last, std::span<std::uint16_t> output);
+    void rankGroup(std::size_t bucket, std::size_t first, std::size_t last, std::size_t row, std::size_t ranks);
+    [[nodiscard]] double score(std::size_t index, std::size_t bucket) const noexcept;
+    void setIndex(std::size_t position, std::uint16_t index) noexcept;
+    [[nodiscard]] std::uint16_t indexAt(std::size_t position) const noexcept;
 
     std::size_t buckets_;
     std::size_t liveTargets_ { 0 }; ///< live targets have the first indexes
@@ -72,8 +78,9 @@
     std::vector<Endpoint> endpoints_; ///< by target index
     std::vector<std::uint64_t> nameHashes_; ///< by target index
     std::vector<double> weights_; ///< by target index
-    std::vector<std::uint16_t> rows_; ///< target indexes, one row for each bucket
-    std::vector<Scored> scratch_;
+    bool hasEqualWeights_ { true };
+    std::size_t indexBytes_ { 1 };
+    std::vector<std::uint8_t> rows_; ///< target indexes of indexBytes_ each, one row for each bucket
     absl::flat_hash_map<std::uint64_t, TargetStatus> statuses_;
 };
 
--- a/src/entry/EntryPipeline.cpp
+++ b/src/entry/EntryPipeline.cpp
@@ -63,6 +63,15 @@
         *begin = owner;
     }
 
+    /// True if two views rank alike. Draining does not enter, so that a drain rebuilds no table.
+    bool isSameRanking(std::span<ViewTarget const> left, std::span<ViewTarget const> right) noexcept
+    {
+        auto const isSame = [](ViewTarget const& one, ViewTarget const& other) {
+            return one.name == other.name && one.data == other.data && one.weight == other.weight && one.dead == other.dead;
+        };
+        return std::equal(left.begin(), left.end(), right.begin(), right.end(), isSame);
+    }
+
     struct ServiceState {
         ServiceView view;
         CandidateTable table;
@@ -191,9 +200,9 @@
 void EntryPipeline::setView(ServiceView const& view)
 {
     ServiceState& service = state_->stateOf(hashService(view.service));
-    bool const isChanged = service.view.targets != view.targets;
+    bool const isSame = isSameRanking(service.view.targets, view.targets);
     service.view = view;
-    if (isChanged)
+    if (!isSame)
         service.table.rebuild(service.view.targets);
 }
 
