Candidate table: targets without weight rank by name in every view

Cause: a view whose targets all have weight 0 ranked them by hash, a view with one other weight by name, so that two entries could disagree. Ranking by hash is now used for positive equal weights only.

--- a/src/entry/CandidateTable.cpp
+++ b/src/entry/CandidateTable.cpp
@@ -18,6 +18,13 @@
     /// Targets whose indexes fit one byte.
     constexpr std::size_t narrowTargets = 256;
 
+    /// Weight 0 is left out, because the scores of such targets are all equal whatever their hashes.
+    bool haveEqualWeights(std::span<double const> weights) noexcept
+    {
+        bool const isUniform = std::adjacent_find(weights.begin(), weights.end(), std::not_equal_to<> {}) == weights.end();
+        return isUniform && (weights.empty() || weights.front() > 0);
+    }
+
     std::uint64_t endpointKey(Endpoint endpoint) noexcept
     {
         return (static_cast<std::uint64_t>(endpoint.address) << 16U) | endpoint.port;
@@ -44,7 +51,7 @@
     liveRanks_ = std::min(liveTargets_, maximumCandidates);
     std::size_t const deadRoom = std::max(maximumCandidates - liveRanks_, reservedDeadRanks);
     deadRanks_ = std::min(deadTargets, deadRoom);
-    hasEqualWeights_ = std::adjacent_find(weights_.begin(), weights_.end(), std::not_equal_to<> {}) == weights_.end();
+    ranksByHash_ = haveEqualWeights(weights_);
     indexBytes_ = endpoints_.size() <= narrowTargets ? 1 : 2;
     rows_.assign(buckets_ * stride() * indexBytes_, 0);
     rows_.shrink_to_fit();
@@ -95,7 +102,7 @@
 {
     // With equal weights the score grows with the hash, and the order is found without logarithms. The low bits are cut
     // off as in rendezvousScore, so that equal scores are the same pairs.
-    if (hasEqualWeights_)
+    if (ranksByHash_)
         return static_cast<double>(mixHash(nameHashes_[index], bucket) >> (64U - std::numeric_limits<double>::digits));
     return rendezvousScore(nameHashes_[index], bucket, weights_[index]);
 }
--- a/src/entry/CandidateTable.h
+++ b/src/entry/CandidateTable.h
@@ -78,7 +78,7 @@
     std::vector<Endpoint> endpoints_; ///< by target index
     std::vector<std::uint64_t> nameHashes_; ///< by target index
     std::vector<double> weights_; ///< by target index
-    bool hasEqualWeights_ { true };
+    bool ranksByHash_ { true }; ///< all weights are equal, so that the order of hashes is the order of scores
     std::size_t indexBytes_ { 1 };
     std::vector<std::uint8_t> rows_; ///< target indexes of indexBytes_ each, one row for each bucket
     absl::flat_hash_map<std::uint64_t, TargetStatus> statuses_;
--- a/tests/CandidateTableTests.cpp
+++ b/tests/CandidateTableTests.cpp
@@ -99,6 +99,32 @@
     }
 }
 
+// Indexes above 255 do not fit one byte; a cut index would name another target.
+BOOST_AUTO_TEST_CASE(LargeViewsKeepWideIndexes)
+{
+    ServiceView const view = makeView(700);
+    CandidateTable const table = makeTable(view);
+    for (std::size_t bucket = 0; bucket < buckets; bucket += 331) {
+        auto const scoreOf = [bucket](ViewTarget const& target) { return rendezvousScore(hashText(target.name), bucket, target.weight); };
+        Endpoint const expected = std::ranges::max_element(view.targets, {}, scoreOf)->data;
+        BOOST_TEST_REQUIRE((list(table, bucket).front() == expected), "bucket " << bucket);
+    }
+}
+
+// Targets without weight all score 0; two views must still list them in the same order, which is that of their names.
+BOOST_AUTO_TEST_CASE(EqualScoresRankByName)
+{
+    ServiceView view = makeView(5);
+    std::vector<Endpoint> expected;
+    for (ViewTarget& target : view.targets) {
+        target.weight = 0;
+        expected.push_back(target.data);
+    }
+    BOOST_TEST((list(makeTable(view), 9) == expected));
+    view.targets.front().weight = 100;
+    BOOST_TEST((list(makeTable(view), 9) == expected));
+}
+
 // The order is that of the rendezvous scores of base/Hash.h, which the agents also compute.
 BOOST_AUTO_TEST_CASE(OrderFollowsTheScores)
 {
