--- a/src/configuration/JsonObject.cpp
+++ b/src/configuration/JsonObject.cpp
@@ -134,10 +134,10 @@
     }
 }
 
-absl::StatusOr<nlohmann::json> parseJson(std::string_view text)
+absl::StatusOr<nlohmann::json> parseJson(std::string_view text, std::size_t longest)
 {
-    if (text.size() > longestJsonText)
-        return makeError(ErrorKind::InvalidMessage, "the text has " + std::to_string(text.size()) + " bytes; use at most " + std::to_string(longestJsonText));
+    if (text.size() > longest)
+        return makeError(ErrorKind::InvalidMessage, "the text has " + std::to_string(text.size()) + " bytes; use at most " + std::to_string(longest));
     try {
         return nlohmann::json::parse(text);
     } catch (nlohmann::json::parse_error const& problem) {
--- a/src/configuration/JsonObject.h
+++ b/src/configuration/JsonObject.h
@@ -55,7 +55,7 @@
 };
 
 /// \brief Parses a JSON document; errors are InvalidMessage and name the byte.
-[[nodiscard]] absl::StatusOr<nlohmann::json> parseJson(std::string_view text);
+[[nodiscard]] absl::StatusOr<nlohmann::json> parseJson(std::string_view text, std::size_t longest = longestJsonText);
 
 /// \brief Prints JSON with sorted keys; invalid UTF-8 is replaced.
 [[nodiscard]] std::string printJson(nlohmann::json const& value);
