Control logic of entries and agents

Cause: the daemons need membership, gossip, anti-entropy and the spread of the configuration; each part has its own header and no I/O. Seen: compiles; behaviour not tested yet.

--- /dev/null
+++ b/src/membership/CatchUp.cpp
@@ -0,0 +1,145 @@
+#include "membership/CatchUp.h"
+
+#include "configuration/ProtobufConversion.h"
+
+#include <algorithm>
+
+namespace plantaindrift {
+
+void CatchUp::start(TimePoint now, bool members)
+{
+    active_ = true;
+    members_ = members;
+    assembled_ = false;
+    lastProgress_ = now;
+    shards_ = {};
+    busy_.clear();
+}
+
+std::vector<std::pair<Endpoint, control::ShardRequest>> CatchUp::tick(TimePoint now, std::span<Endpoint const> peers, RandomSource& random)
+{
+    std::vector<std::pair<Endpoint, control::ShardRequest>> requests;
+    if (now - lastProgress_ >= patience || peers.empty())
+        active_ = false;
+    if (!active_)
+        return requests;
+    std::vector<std::uint32_t> open = openShards(now);
+    for (Endpoint const peer : idlePeers(now, peers, random)) {
+        if (open.empty() || requests.size() >= maximumRequests)
+            break;
+        control::ShardRequest request;
+        request.set_everything(members_);
+        request.set_services(true);
+        std::size_t const share = std::min(shardsPerRequest, (open.size() + peers.size() - 1) / peers.size());
+        for (std::size_t count = 0; count < std::max<std::size_t>(share, 1) && !open.empty(); ++count) {
+            std::swap(open[random.below(open.size())], open.back());
+            request.add_shards(open.back());
+            shards_[open.back()].askedAt = now;
+            open.pop_back();
+        }
+        busy_[peer] = now + answerTime;
+        requests.emplace_back(peer, std::move(request));
+    }
+    return requests;
+}
+
+std::vector<std::uint32_t> CatchUp::openShards(TimePoint now) const
+{
+    std::vector<std::uint32_t> open;
+    for (std::uint32_t shard = 0; shard < shardCount; ++shard) {
+        bool const waiting = shards_[shard].askedAt && now - *shards_[shard].askedAt < answerTime;
+        if (!shards_[shard].done && !waiting)
+            open.push_back(shard);
+    }
+    return open;
+}
+
+std::vector<Endpoint> CatchUp::idlePeers(TimePoint now, std::span<Endpoint const> peers, RandomSource& random)
+{
+    std::erase_if(busy_, [now](std::pair<Endpoint const, TimePoint> const& peer) { return peer.second <= now; });
+    std::vector<Endpoint> idle;
+    for (Endpoint const peer : peers) {
+        if (!busy_.contains(peer))
+            idle.push_back(peer);
+    }
+    for (std::size_t left = idle.size(); left > 1; --left)
+        std::swap(idle[random.below(left)], idle[left - 1]);
+    return idle;
+}
+
+void CatchUp::take(Endpoint from, control::ShardReply const& reply, TimePoint now)
+{
+    if (!active_ || !reply.with_services())
+        return;
+    // A peer that catches up itself is left alone for one answer time more.
+    if (reply.partial() && members_)
+        busy_[from] = now + answerTime;
+    else
+        busy_.erase(from);
+    std::array<std::vector<Service>, shardCount> services;
+    for (control::Service const& message : reply.services()) {
+        std::optional<Service> service = fromProtobuf(message);
+        if (service)
+            services[shardOf(service->name)].push_back(std::move(*service));
+    }
+    for (std::uint32_t const index : reply.shards()) {
+        if (index >= shardCount || (reply.partial() && members_))
+            continue;
+        Shard& shard = shards_[index];
+        if (shard.position && *shard.position >= reply.position() && shard.done)
+            continue;
+        shard.done = true;
+        shard.position = reply.position();
+        shard.services = std::move(services[index]);
+        lastProgress_ = now;
+    }
+    finishIfDone();
+}
+
+void CatchUp::finishIfDone()
+{
+    bool const all = std::all_of(shards_.begin(), shards_.end(), [](Shard const& shard) { return shard.done; });
+    if (!all)
+        return;
+    askOutdatedAgain();
+}
+
+void CatchUp::askOutdatedAgain()
+{
+    std::uint64_t newest = 0;
+    for (Shard const& shard : shards_)
+        newest = std::max(newest, shard.position.value_or(0));
+    bool outdated = false;
+    for (Shard& shard : shards_) {
+        if (shard.position == newest)
+            continue;
+        // A change arrived between the answers; all parts must be of one position.
+        shard.done = false;
+        shard.askedAt.reset();
+        outdated = true;
+    }
+    members_ = members_ && !outdated;
+    if (outdated)
+        return;
+    active_ = false;
+    complete_ = true;
+    assembled_ = true;
+}
+
+std::optional<CatchUp::Assembled> CatchUp::takeConfiguration()
+{
+    if (!assembled_)
+        return std::nullopt;
+    assembled_ = false;
+    Assembled result;
+    result.position = shards_.front().position.value_or(0);
+    for (Shard& shard : shards_) {
+        for (Service& service : shard.services)
+            result.configuration.services.push_back(std::move(service));
+        shard.services.clear();
+    }
+    std::sort(result.configuration.services.begin(), result.configuration.services.end(), [](Service const& left, Service const& right) { return left.name < right.name; });
+    return result;
+}
+
+} // namespace plantaindrift
--- /dev/null
+++ b/src/membership/CatchUp.h
@@ -0,0 +1,80 @@
+#pragma once
+
+#include "membership/RandomSource.h"
+#include "plantaindrift/configuration/Configuration.h"
+#include "plantaindrift/membership/MemberTable.h"
+
+#include "control.pb.h"
+
+#include <array>
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <span>
+#include <utility>
+#include <vector>
+
+namespace plantaindrift {
+
+/// \brief Fetches full state: different shards from many peers at once.
+class CatchUp {
+public:
+    /// \brief Time after which a shard is asked for at another peer.
+    static constexpr std::chrono::milliseconds answerTime { 1000 };
+
+    /// \brief Time without an answer after which this node goes on with what it has.
+    static constexpr std::chrono::seconds patience { 10 };
+
+    /// \brief Most shards in one request.
+    ///
+    /// While only the seeds are known, the first answers name the peers for the other shards.
+    static constexpr std::size_t shardsPerRequest = 2;
+
+    /// \brief Most requests that wait for an answer at once.
+    static constexpr std::size_t maximumRequests = 64;
+
+    /// \brief Starts to fetch all shards, with the members or the services alone or both.
+    void start(TimePoint now, bool members);
+
+    [[nodiscard]] bool isActive() const noexcept { return active_; }
+
+    /// \brief True once a peer with full state gave every shard.
+    [[nodiscard]] bool isComplete() const noexcept { return complete_; }
+
+    /// \brief Requests to send now; also ends the fetch when nobody answers.
+    [[nodiscard]] std::vector<std::pair<Endpoint, control::ShardRequest>> tick(TimePoint now, std::span<Endpoint const> peers, RandomSource& random);
+
+    /// \brief Takes the shards of an answer.
+    void take(Endpoint from, control::ShardReply const& reply, TimePoint now);
+
+    /// \brief The configuration as of one position, once all shards are there.
+    struct Assembled {
+        std::uint64_t position { 0 };
+        Configuration configuration;
+    };
+    [[nodiscard]] std::optional<Assembled> takeConfiguration();
+
+private:
+    struct Shard {
+        bool done { false };
+        std::optional<TimePoint> askedAt;
+        std::optional<std::uint64_t> position; ///< of the services below
+        std::vector<Service> services;
+    };
+
+    void finishIfDone();
+    void askOutdatedAgain();
+    [[nodiscard]] std::vector<std::uint32_t> openShards(TimePoint now) const;
+    [[nodiscard]] std::vector<Endpoint> idlePeers(TimePoint now, std::span<Endpoint const> peers, RandomSource& random);
+
+    bool active_ { false };
+    bool complete_ { false };
+    bool members_ { true };
+    bool assembled_ { false };
+    TimePoint lastProgress_;
+    std::array<Shard, shardCount> shards_;
+    std::map<Endpoint, TimePoint> busy_; ///< peers not to be asked before this time
+};
+
+} // namespace plantaindrift
--- /dev/null
+++ b/src/membership/ConfigurationSpread.cpp
@@ -0,0 +1,74 @@
+#include "membership/ConfigurationSpread.h"
+
+#include <iterator>
+#include <utility>
+
+namespace plantaindrift {
+
+namespace {
+
+    constexpr std::size_t maximumKnownPeers = 16;
+
+    // A peer that does not answer is forgotten until it is heard again.
+    constexpr int requestsPerPeer = 3;
+
+} // namespace
+
+std::vector<ConfigurationChange> ConfigurationSpread::take(ConfigurationChange const& change)
+{
+    if (change.position <= log_.position())
+        return {};
+    pending_.emplace(change.position, change);
+    std::vector<ConfigurationChange> applied = applyPending();
+    while (pending_.size() > maximumPending)
+        pending_.erase(std::prev(pending_.end()));
+    return applied;
+}
+
+std::vector<ConfigurationChange> ConfigurationSpread::applyPending()
+{
+    std::vector<ConfigurationChange> applied;
+    pending_.erase(pending_.begin(), pending_.upper_bound(log_.position()));
+    while (!pending_.empty() && pending_.begin()->first == log_.position() + 1) {
+        absl::StatusOr<bool> const result = log_.apply(pending_.begin()->second);
+        if (!result.ok())
+            break;
+        applied.push_back(std::move(pending_.begin()->second));
+        pending_.erase(pending_.begin());
+    }
+    return applied;
+}
+
+bool ConfigurationSpread::takeSnapshot(std::uint64_t position, Configuration const& configuration)
+{
+    bool const taken = log_.applySnapshot(position, configuration);
+    applyPending();
+    return taken;
+}
+
+void ConfigurationSpread::notePosition(std::uint64_t position, Endpoint peer)
+{
+    if (position <= log_.position()) {
+        ahead_.erase(peer);
+        return;
+    }
+    if (ahead_.size() < maximumKnownPeers || ahead_.contains(peer))
+        ahead_[peer] = { position, 0 };
+}
+
+std::optional<Endpoint> ConfigurationSpread::dueRequest(TimePoint now)
+{
+    std::erase_if(ahead_, [this](std::pair<Endpoint const, Peer> const& peer) { return peer.second.position <= log_.position() || peer.second.asked >= requestsPerPeer; });
+    bool const waiting = lastRequest_ && now - *lastRequest_ < retryPeriod;
+    if (ahead_.empty() || waiting)
+        return std::nullopt;
+    auto next = ahead_.upper_bound(asked_);
+    if (next == ahead_.end())
+        next = ahead_.begin();
+    asked_ = next->first;
+    ++next->second.asked;
+    lastRequest_ = now;
+    return asked_;
+}
+
+} // namespace plantaindrift
--- a/src/membership/Detector.cpp
+++ b/src/membership/Detector.cpp
@@ -29,6 +29,7 @@
     watch.lastHeard = now;
     watch.interval = interval;
     watch.suspectSince.reset();
+    watch.suspected = 0;
     watch.refuted = 0;
 }
 
--- /dev/null
+++ b/src/membership/MonitorContacts.cpp
@@ -0,0 +1,113 @@
+#include "membership/MonitorContacts.h"
+
+#include "membership/ViewHash.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace plantaindrift {
+
+namespace {
+
+    // Heartbeats without a reply after which an entry is no longer relied on.
+    constexpr int silentHeartbeats = 3;
+
+} // namespace
+
+MonitorContacts::MonitorContacts(std::vector<Endpoint> entries, std::chrono::milliseconds interval, std::uint64_t seed)
+    : entries_(std::move(entries))
+    , interval_(interval)
+    , random_(seed)
+{
+}
+
+std::vector<MonitorContacts::Due> MonitorContacts::takeDue(TimePoint now)
+{
+    dropUnnamed(now);
+    fallBack(now);
+    probe(now);
+    std::vector<Due> due;
+    for (auto& [entry, contact] : contacts_) {
+        if (!contact.lastSent || now - *contact.lastSent >= contact.interval)
+            due.push_back(send(entry, contact, now));
+    }
+    return due;
+}
+
+std::vector<MonitorContacts::Due> MonitorContacts::takeAll(TimePoint now)
+{
+    std::vector<Due> all;
+    for (auto& [entry, contact] : contacts_) {
+        contact.needsRecord = true;
+        all.push_back(send(entry, contact, now));
+    }
+    return all;
+}
+
+void MonitorContacts::noteReply(Endpoint from, std::chrono::milliseconds interval, std::span<Endpoint const> monitors, bool needsRecord, TimePoint now)
+{
+    lastReply_ = now;
+    auto const found = contacts_.find(from);
+    if (found == contacts_.end())
+        return;
+    Contact& contact = found->second;
+    contact.lastReply = now;
+    contact.interval = interval;
+    contact.needsRecord = needsRecord;
+    if (!monitors.empty())
+        contact.named.assign(monitors.begin(), monitors.end());
+    for (Endpoint const monitor : std::vector<Endpoint>(contact.named))
+        add(monitor, now);
+}
+
+void MonitorContacts::add(Endpoint entry, TimePoint now)
+{
+    auto const [position, added] = contacts_.try_emplace(entry);
+    if (added)
+        position->second.interval = interval_;
+    position->second.lastNamed = now;
+}
+
+void MonitorContacts::dropUnnamed(TimePoint now)
+{
+    std::chrono::milliseconds longest = interval_;
+    for (auto const& [entry, contact] : contacts_)
+        longest = std::max(longest, contact.interval);
+    std::erase_if(contacts_, [now, longest](std::pair<Endpoint const, Contact> const& contact) { return now - contact.second.lastNamed > silentHeartbeats * longest; });
+}
+
+void MonitorContacts::fallBack(TimePoint now)
+{
+    std::chrono::milliseconds longest = interval_;
+    for (auto const& [entry, contact] : contacts_)
+        longest = std::max(longest, contact.interval);
+    bool const answered = lastReply_ && now - *lastReply_ <= silentHeartbeats * longest;
+    bool const recent = lastFallBack_ && now - *lastFallBack_ < silentHeartbeats * interval_;
+    if ((answered && !contacts_.empty()) || recent || entries_.empty())
+        return;
+    // The first registration goes to all entries, so that the target is known everywhere at once.
+    std::size_t const count = lastFallBack_ ? std::min(fallbackEntries, entries_.size()) : entries_.size();
+    lastFallBack_ = now;
+    for (std::size_t index = 0; index < count; ++index) {
+        std::swap(entries_[index], entries_[index + random_.below(entries_.size() - index)]);
+        add(entries_[index], now);
+    }
+}
+
+void MonitorContacts::probe(TimePoint now)
+{
+    if (!lastProbe_)
+        lastProbe_ = now;
+    if (now - *lastProbe_ < probePeriod || entries_.empty())
+        return;
+    lastProbe_ = now;
+    add(entries_[random_.below(entries_.size())], now);
+}
+
+MonitorContacts::Due MonitorContacts::send(Endpoint to, Contact& contact, TimePoint now)
+{
+    contact.lastSent = now;
+    return { to, contact.needsRecord, contact.named.empty() ? 0 : monitorsHash(contact.named) };
+}
+
+} // namespace plantaindrift
--- /dev/null
+++ b/src/membership/MonitorContacts.h
@@ -0,0 +1,75 @@
+#pragma once
+
+#include "membership/RandomSource.h"
+#include "plantaindrift/base/Types.h"
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <span>
+#include <vector>
+
+namespace plantaindrift {
+
+/// \brief The entries to which an agent sends heartbeats, and when.
+///
+/// It starts with all entries of the settings. Replies name the monitors; an entry that no reply names any more
+/// gets no further heartbeats. If nobody answers, entries of the settings are tried again.
+class MonitorContacts {
+public:
+    /// \brief Entries of the settings tried at once after the monitors fell silent.
+    static constexpr std::size_t fallbackEntries = 8;
+
+    /// \brief Period of a heartbeat to a random entry of the settings.
+    ///
+    /// It joins two groups of entries that do not know each other, which share no other contact.
+    static constexpr std::chrono::seconds probePeriod { 30 };
+
+    MonitorContacts(std::vector<Endpoint> entries, std::chrono::milliseconds interval, std::uint64_t seed);
+
+    struct Due {
+        Endpoint to;
+        bool withRecord { false };
+        std::uint32_t monitorsHash { 0 }; ///< of the monitors that this entry named last
+    };
+
+    /// \brief Heartbeats to send now.
+    [[nodiscard]] std::vector<Due> takeDue(TimePoint now);
+
+    /// \brief Heartbeats to all current contacts, for a change that must be known at once.
+    [[nodiscard]] std::vector<Due> takeAll(TimePoint now);
+
+    /// \brief Notes a reply.
+    ///
+    /// \param monitors  the monitors it names; empty if they are those named before
+    void noteReply(Endpoint from, std::chrono::milliseconds interval, std::span<Endpoint const> monitors, bool needsRecord, TimePoint now);
+
+    [[nodiscard]] std::size_t size() const noexcept { return contacts_.size(); }
+
+private:
+    struct Contact {
+        std::optional<TimePoint> lastSent;
+        std::optional<TimePoint> lastReply;
+        TimePoint lastNamed;
+        std::chrono::milliseconds interval { 0 };
+        std::vector<Endpoint> named;
+        bool needsRecord { true };
+    };
+
+    void add(Endpoint entry, TimePoint now);
+    void dropUnnamed(TimePoint now);
+    void fallBack(TimePoint now);
+    void probe(TimePoint now);
+    [[nodiscard]] Due send(Endpoint to, Contact& contact, TimePoint now);
+
+    std::vector<Endpoint> entries_;
+    std::chrono::milliseconds interval_;
+    RandomSource random_;
+    std::map<Endpoint, Contact> contacts_;
+    std::optional<TimePoint> lastReply_;
+    std::optional<TimePoint> lastFallBack_;
+    std::optional<TimePoint> lastProbe_;
+};
+
+} // namespace plantaindrift
