--- a/src/membership/MemberTable.cpp
+++ b/src/membership/MemberTable.cpp
@@ -43,7 +43,8 @@
     {
         Member joined = describe(first) < describe(second) ? second : first;
         joined.state = std::max(first.state, second.state);
-        joined.draining = first.draining || second.draining || joined.state == MemberState::Draining;
+        // The flag has no meaning for a tombstone; without it, late drain records leave the tombstone as it is.
+        joined.draining = !isGone(joined) && (first.draining || second.draining || joined.state == MemberState::Draining);
         // A suspect record hides a draining state; the flag keeps it, and the state of a draining member follows the flag.
         if (joined.state == MemberState::Active && joined.draining)
             joined.state = MemberState::Draining;
--- /dev/null
+++ b/tests/CatchUpTests.cpp
@@ -0,0 +1,117 @@
+// Guards against joining entries that do not get full state from peers while the platform is down, or that take
+// too much from one peer.
+
+#include "ControlFleet.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace plantaindrift;
+using namespace plantaindrift::testing;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr std::array<char const*, 4> places { "ratnapura", "kegalle", "balangoda", "embilipitiya" };
+
+void startFleet(ControlFleet& fleet, int entries, int agents, std::uint64_t changes)
+{
+    for (std::uint32_t index = 1; index <= 3; ++index)
+        fleet.seeds.push_back(ControlFleet::endpointOf(index));
+    for (int index = 0; index < entries; ++index)
+        fleet.addEntry("entry-" + std::to_string(index), places[static_cast<std::size_t>(index) % places.size()]);
+    for (int index = 0; index < agents; ++index)
+        fleet.addAgent("agent-" + std::to_string(index), places[static_cast<std::size_t>(index) % places.size()], "service-" + std::to_string(index / 3));
+    BOOST_REQUIRE((fleet.runUntil([&fleet] { return fleet.isConverged(); }, 120s) <= 120s));
+    std::vector<ConfigurationChange> all;
+    for (std::uint64_t position = 1; position <= changes; ++position)
+        all.push_back(makeChange(position, "service-" + std::to_string(position)));
+    for (std::string const& name : fleet.entryNames())
+        fleet.entry(name).addChanges(all, fleet.now());
+    fleet.run(30s);
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(AJoiningEntryGetsFullStateFromPeersWithinTenSeconds)
+{
+    for (double const loss : { 0.0, 0.05 }) {
+        ControlFleet fleet({ 41, loss, 0, 1ms, 20ms });
+        startFleet(fleet, 12, 60, 400);
+        fleet.addEntry("joiner", "kegalle");
+        Duration const passed = fleet.runUntil([&fleet] { return fleet.entry("joiner").isCaughtUp(fleet.now()); }, 10s);
+        BOOST_TEST((passed <= 10s), "loss " << loss);
+        BOOST_TEST(fleet.entry("joiner").changeLog().position() == 400U);
+        BOOST_TEST((fleet.entry("joiner").changeLog().configuration() == fleet.entry("entry-0").changeLog().configuration()));
+        BOOST_TEST((fleet.runUntil([&fleet] { return fleet.isConverged(); }, 10s) <= 10s), "loss " << loss);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(ShardsComeFromManyPeers)
+{
+    ControlFleet fleet({ 42, 0, 0, 1ms, 20ms });
+    startFleet(fleet, 20, 100, 200);
+    std::map<std::string, std::size_t> bytesTo;
+    fleet.observe = [&bytesTo](Member const& from, Member const& to, std::string const& bytes) {
+        if (to.name == "joiner")
+            bytesTo[from.name] += bytes.size();
+    };
+    fleet.addEntry("joiner", "kegalle");
+    fleet.runUntil([&fleet] { return fleet.entry("joiner").isCaughtUp(fleet.now()); }, 10s);
+    std::size_t all = 0;
+    std::size_t most = 0;
+    for (auto const& [name, bytes] : bytesTo) {
+        all += bytes;
+        most = std::max(most, bytes);
+    }
+    BOOST_TEST(bytesTo.size() >= 15U);
+    BOOST_TEST(most * 5 < all);
+}
+
+// A change that is accepted while an entry joins must not leave it with parts of two positions.
+BOOST_AUTO_TEST_CASE(AChangeDuringCatchUpDoesNotMixPositions)
+{
+    ControlFleet fleet({ 43, 0.05, 0, 1ms, 150ms });
+    startFleet(fleet, 10, 20, 300);
+    fleet.addEntry("joiner", "kegalle");
+    for (std::uint64_t position = 301; position <= 330; ++position) {
+        std::vector<ConfigurationChange> const changes { makeChange(position, "service-" + std::to_string(position % 300)) };
+        fleet.entry("entry-1").addChanges(changes, fleet.now());
+        fleet.run(100ms);
+    }
+    BOOST_TEST((fleet.runUntil([&fleet] { return fleet.everyEntryApplied(330); }, 15s) <= 15s));
+    BOOST_TEST((fleet.entry("joiner").changeLog().configuration() == fleet.entry("entry-1").changeLog().configuration()));
+}
+
+BOOST_AUTO_TEST_CASE(AnEntryWithoutPeersIsCaughtUpAtOnce)
+{
+    ControlFleet fleet({ 44, 0, 0, 1ms, 20ms });
+    fleet.addEntry("alone", "kegalle");
+    BOOST_TEST(!fleet.entry("alone").isCaughtUp(fleet.now()));
+    fleet.run(200ms);
+    BOOST_TEST(fleet.entry("alone").isCaughtUp(fleet.now()));
+}
+
+BOOST_AUTO_TEST_CASE(AnEntryWhosePeersAreSilentGoesOnAfterTenSeconds)
+{
+    ControlFleet fleet({ 45, 0, 0, 1ms, 20ms });
+    fleet.seeds = { ControlFleet::endpointOf(200), ControlFleet::endpointOf(201) };
+    fleet.addEntry("alone", "kegalle");
+    fleet.run(9s);
+    BOOST_TEST(!fleet.entry("alone").isCaughtUp(fleet.now()));
+    fleet.run(2s);
+    BOOST_TEST(fleet.entry("alone").isCaughtUp(fleet.now()));
+}
+
+// After a total loss nobody has full state; the entries must not wait for each other for ever.
+BOOST_AUTO_TEST_CASE(AColdFleetStarts)
+{
+    ControlFleet fleet({ 46, 0.02, 0, 1ms, 20ms });
+    for (std::uint32_t index = 1; index <= 3; ++index)
+        fleet.seeds.push_back(ControlFleet::endpointOf(index));
+    for (int index = 0; index < 6; ++index)
+        fleet.addEntry("entry-" + std::to_string(index), "kegalle");
+    fleet.run(11s);
+    for (std::string const& name : fleet.entryNames())
+        BOOST_TEST(fleet.entry(name).isCaughtUp(fleet.now()), name);
+    BOOST_TEST(fleet.isConverged());
+}
