--- /dev/null
+++ b/bench/capacity/Measurements.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include <span>
+#include <string>
+#include <vector>
+
+namespace plantaindrift::bench {
+
+/// \brief Sizes of the two-year fleet (docs/design.md, section 1.5).
+inline constexpr int plannedEntries = 790;
+inline constexpr int plannedTargets = 9000;
+inline constexpr int plannedServices = 2700;
+inline constexpr int plannedPlaces = 8;
+
+/// \brief Encoded sizes of the control messages.
+void measureSizes();
+
+/// \brief Memory of the control logic per target, entry, service and kept change.
+void measureMemory();
+
+/// \brief Bytes and processor time per node in a fleet without events.
+void measureTraffic(std::span<int const> sizes);
+
+/// \brief Cost of a delta, and time from an accepted change to the last entry, with losses and with a cut.
+void measureChanges(std::span<int const> sizes);
+
+/// \brief Time and bytes of an entry that joins while the platform is down.
+void measureJoining(std::span<int const> sizes);
+
+/// \brief A storm of 1,100 joins.
+void measureStorm(std::span<int const> sizes);
+
+/// \brief Prints one key=value line.
+void print(std::string const& key, double value);
+
+/// \brief Fits value = a + b ln(entries), prints the residuals and the value at the planned size.
+void extrapolate(std::string const& key, std::span<int const> sizes, std::span<double const> values);
+
+} // namespace plantaindrift::bench
--- a/include/plantaindrift/base/Types.h
+++ b/include/plantaindrift/base/Types.h
@@ -29,7 +29,8 @@
     std::uint16_t port { 0 };
 
     [[nodiscard]] constexpr bool isSet() const noexcept { return address != 0; }
-    friend constexpr auto operator<=>(Endpoint const&, Endpoint const&) noexcept = default;
+    // clang-tidy takes the zero of a rewritten comparison for a null pointer.
+    friend constexpr auto operator<=>(Endpoint const&, Endpoint const&) noexcept = default; // NOLINT(modernize-use-nullptr)
 };
 
 /// \brief Parses "A.B.C.D:PORT".
--- a/src/membership/CatchUp.cpp
+++ b/src/membership/CatchUp.cpp
@@ -11,15 +11,17 @@
     active_ = true;
     members_ = members;
     assembled_ = false;
+    started_ = now;
     lastProgress_ = now;
     shards_ = {};
     busy_.clear();
+    partial_.clear();
 }
 
 std::vector<std::pair<Endpoint, control::ShardRequest>> CatchUp::tick(TimePoint now, std::span<Endpoint const> peers, RandomSource& random)
 {
     std::vector<std::pair<Endpoint, control::ShardRequest>> requests;
-    if (now - lastProgress_ >= patience || peers.empty())
+    if (isHopeless(now, peers))
         active_ = false;
     if (!active_)
         return requests;
@@ -43,6 +45,12 @@
     return requests;
 }
 
+bool CatchUp::isHopeless(TimePoint now, std::span<Endpoint const> peers) const
+{
+    bool const cold = std::all_of(peers.begin(), peers.end(), [this](Endpoint peer) { return partial_.contains(peer); });
+    return now - lastProgress_ >= patience || peers.empty() || (cold && now - started_ >= coldPatience);
+}
+
 std::vector<std::uint32_t> CatchUp::openShards(TimePoint now) const
 {
     std::vector<std::uint32_t> open;
@@ -72,10 +80,13 @@
     if (!active_ || !reply.with_services())
         return;
     // A peer that catches up itself is left alone for one answer time more.
-    if (reply.partial() && members_)
+    if (reply.partial() && members_) {
         busy_[from] = now + answerTime;
-    else
+        partial_.insert(from);
+    } else {
         busy_.erase(from);
+        partial_.erase(from);
+    }
     std::array<std::vector<Service>, shardCount> services;
     for (control::Service const& message : reply.services()) {
         std::optional<Service> service = fromProtobuf(message);
--- a/src/membership/CatchUp.h
+++ b/src/membership/CatchUp.h
@@ -11,6 +11,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <span>
 #include <utility>
 #include <vector>
@@ -26,6 +27,11 @@
     /// \brief Time without an answer after which this node goes on with what it has.
     static constexpr std::chrono::seconds patience { 10 };
 
+    /// \brief Time after which this node goes on if every peer that it knows is catching up itself.
+    ///
+    /// After a total loss nobody has full state.
+    static constexpr std::chrono::seconds coldPatience { 3 };
+
     /// \brief Most shards in one request.
     ///
     /// While only the seeds are known, the first answers name the peers for the other shards.
@@ -63,6 +69,7 @@
         std::vector<Service> services;
     };
 
+    [[nodiscard]] bool isHopeless(TimePoint now, std::span<Endpoint const> peers) const;
     void finishIfDone();
     void askOutdatedAgain();
     [[nodiscard]] std::vector<std::uint32_t> openShards(TimePoint now) const;
@@ -72,7 +79,9 @@
     bool complete_ { false };
     bool members_ { true };
     bool assembled_ { false };
+    TimePoint started_;
     TimePoint lastProgress_;
+    std::set<Endpoint> partial_; ///< peers that catch up themselves
     std::array<Shard, shardCount> shards_;
     std::map<Endpoint, TimePoint> busy_; ///< peers not to be asked before this time
 };
--- a/src/membership/EntryControl.cpp
+++ b/src/membership/EntryControl.cpp
@@ -90,6 +90,10 @@
     bool onShardRequest(Endpoint from, control::Envelope const& envelope, TimePoint now);
     bool onShardReply(Endpoint from, control::Envelope const& envelope, TimePoint now);
     bool onForeign(Endpoint from, control::Envelope const& envelope, TimePoint now);
+    bool takeAnsweredMembers(Endpoint from, control::ShardReply const& reply, TimePoint now);
+    bool takeAnsweredChanges(Endpoint from, control::ShardReply const& reply);
+    void takeCatchUp(Endpoint from, control::ShardReply const& reply, TimePoint now);
+    [[nodiscard]] std::vector<MemberTable::Record const*> wantedRecords(control::ShardReply const& reply) const;
     [[nodiscard]] static Handler handlerOf(control::Envelope const& envelope) noexcept;
 
     // Records.
@@ -410,33 +414,51 @@
 bool EntryControl::State::onShardReply(Endpoint from, control::Envelope const& envelope, TimePoint now)
 {
     control::ShardReply const& reply = envelope.shard_reply();
-    bool valid = true;
+    bool const shardsExist = std::all_of(reply.shards().begin(), reply.shards().end(), [](std::uint32_t shard) { return shard < shardCount; });
+    if (!shardsExist)
+        return false;
+    bool const members = takeAnsweredMembers(from, reply, now);
+    bool const changes = takeAnsweredChanges(from, reply);
+    takeCatchUp(from, reply, now);
+    return members && changes;
+}
+
+bool EntryControl::State::takeAnsweredMembers(Endpoint from, control::ShardReply const& reply, TimePoint now)
+{
     bool const few = reply.members_size() <= largestSpreadAnswer;
-    Spread const spreadRecords = few && !reply.with_services() ? Spread::Yes : Spread::No;
-    std::vector<std::string> newer;
+    bool const compared = !reply.with_services();
+    bool valid = true;
+    std::vector<MemberTable::Record const*> newer = wantedRecords(reply);
     for (control::Member const& message : reply.members()) {
-        std::optional<MemberTable::Outcome> const outcome = acceptMessage(message, spreadRecords, now);
+        std::optional<MemberTable::Outcome> const outcome = acceptMessage(message, few && compared ? Spread::Yes : Spread::No, now);
         valid = valid && outcome.has_value();
-        if (outcome == MemberTable::Outcome::Older)
-            newer.push_back(message.name());
+        MemberTable::Record const* const record = outcome == MemberTable::Outcome::Older ? table.find(message.name()) : nullptr;
+        if (record != nullptr)
+            newer.push_back(record);
     }
+    if (compared)
+        pushRecords(from, newer, now);
+    if (compared && !few)
+        antiEntropy.hurry(now);
+    return valid;
+}
+
+std::vector<MemberTable::Record const*> EntryControl::State::wantedRecords(control::ShardReply const& reply) const
+{
     std::set<std::uint32_t> const wanted(reply.wanted().begin(), reply.wanted().end());
     std::vector<MemberTable::Record const*> records;
-    for (std::string const& name : newer)
-        records.push_back(table.find(name));
     for (std::uint32_t const shard : reply.shards()) {
-        if (shard >= shardCount)
-            return false;
         for (auto const& [name, record] : table.shard(shard)) {
             if (wanted.contains(nameKey(name)))
                 records.push_back(&record);
         }
     }
-    std::erase(records, nullptr);
-    if (!reply.with_services())
-        pushRecords(from, records, now);
-    if (!few && !reply.with_services())
-        antiEntropy.hurry(now);
+    return records;
+}
+
+bool EntryControl::State::takeAnsweredChanges(Endpoint from, control::ShardReply const& reply)
+{
+    bool valid = true;
     for (control::ConfigurationChange const& message : reply.changes()) {
         std::optional<ConfigurationChange> const change = fromProtobuf(message);
         valid = valid && change.has_value();
@@ -444,6 +466,11 @@
             takeChange(*change);
     }
     spread.notePosition(reply.position(), from);
+    return valid;
+}
+
+void EntryControl::State::takeCatchUp(Endpoint from, control::ShardReply const& reply, TimePoint now)
+{
     catchUp.take(from, reply, now);
     std::optional<CatchUp::Assembled> const assembled = catchUp.takeConfiguration();
     if (assembled)
@@ -451,7 +478,6 @@
     bool const lacksChanges = reply.shards().empty() && reply.changes().empty() && reply.position() > spread.log().position();
     if (lacksChanges && !catchUp.isActive())
         catchUp.start(now, false);
-    return valid;
 }
 
 // ---- records ----
@@ -517,12 +543,10 @@
         else
             monitors.removeEntry(after.name);
     }
-    if (after.name != self.name) {
-        if (isLive(after))
-            monitors.addMember(after.name);
-        else
-            monitors.removeMember(after.name);
-    }
+    if (isLive(after))
+        monitors.addMember(after.name);
+    else
+        monitors.removeMember(after.name);
     noteView(before, after);
 }
 
--- a/src/membership/MemberTable.cpp
+++ b/src/membership/MemberTable.cpp
@@ -77,7 +77,7 @@
     Member const joined = normal.incarnation > record.member.incarnation ? normal : join(record.member, normal);
     if (joined == record.member)
         return { joined == normal ? Outcome::Same : Outcome::Older, std::nullopt };
-    Merge const merge { Outcome::Changed, record.member };
+    Merge merge { Outcome::Changed, record.member };
     replace(record, joined, isGone(*merge.before) && isGone(joined) ? record.goneSince : goneSince);
     return merge;
 }
