Agents' copies of declarations serve while the log is empty

Cause: after a loss of all entries during a platform outage no entry had a configuration (docs/design.md, section 3.1). The copies stay in force until the log reaches the newest of them.

--- a/include/plantaindrift/membership/EntryControl.h
+++ b/include/plantaindrift/membership/EntryControl.h
@@ -62,8 +62,17 @@
     void addSnapshot(std::uint64_t position, Configuration const& configuration, TimePoint now);
 
     /// \brief The configuration in force and its position.
+    ///
+    /// After a loss of all entries while the platform is away, it consists of the copies that agents keep; its
+    /// position is then the newest of theirs, and above completePosition().
     [[nodiscard]] ChangeLog const& changeLog() const noexcept;
 
+    /// \brief Position up to which the log is complete; what follows it is to be read from the platform.
+    [[nodiscard]] std::uint64_t completePosition() const noexcept;
+
+    /// \brief Changes whenever the configuration in force does, which may happen at an unchanged position.
+    [[nodiscard]] std::uint64_t configurationVersion() const noexcept;
+
     /// \brief True if this entry holds a watch at the platform (2 per place, by hash over live entries).
     [[nodiscard]] bool isWatcher() const;
 
--- a/src/membership/AgentControl.cpp
+++ b/src/membership/AgentControl.cpp
@@ -56,6 +56,7 @@
     std::optional<Service> service;
     std::uint32_t serviceHashValue { 0 };
     bool serviceChanged { false };
+    bool sendsService { false }; ///< a monitor lacks the declaration
     std::uint64_t position { 0 };
     std::map<std::string, double> peerLoads;
     std::optional<TimePoint> lastReply;
@@ -90,6 +91,7 @@
     lastReply = now;
     std::chrono::milliseconds const told { reply.interval_ms() };
     contacts.noteReply(from, std::clamp(told, options.heartbeat, std::max(options.heartbeat, longestInterval)), monitors, reply.need_record(), now);
+    sendsService = reply.need_service();
     bool const members = takeMembers(reply, now);
     bool const declaration = takeService(reply);
     if (reply.refute_incarnation() >= std::max<std::uint64_t>(self.incarnation, 1))
@@ -209,6 +211,8 @@
         heartbeat.set_state(static_cast<control::State>(self.state));
         heartbeat.set_monitors_hash(one.monitorsHash);
         heartbeat.set_service_hash(serviceHashValue);
+        if (sendsService && service)
+            toProtobuf(*service, *heartbeat.mutable_service());
         if (one.withRecord)
             toProtobuf(self, std::chrono::seconds { 0 }, *heartbeat.mutable_record());
         outbox.send(one.to, envelope);
--- a/src/membership/ConfigurationSpread.cpp
+++ b/src/membership/ConfigurationSpread.cpp
@@ -1,5 +1,6 @@
 #include "membership/ConfigurationSpread.h"
 
+#include <algorithm>
 #include <iterator>
 #include <utility>
 
@@ -36,16 +37,61 @@
         applied.push_back(std::move(pending_.begin()->second));
         pending_.erase(pending_.begin());
     }
+    if (!applied.empty())
+        noteLog();
     return applied;
 }
 
 bool ConfigurationSpread::takeSnapshot(std::uint64_t position, Configuration const& configuration)
 {
     bool const taken = log_.applySnapshot(position, configuration);
+    if (taken)
+        noteLog();
     applyPending();
     return taken;
 }
 
+void ConfigurationSpread::noteLog()
+{
+    ++version_;
+    if (usesCopies() || copies_.empty())
+        return;
+    copies_.clear();
+    copiesPosition_ = 0;
+    fromCopies_ = ChangeLog {};
+}
+
+bool ConfigurationSpread::wantsCopy(std::uint64_t position, std::string_view service) const
+{
+    if (position == 0 || log_.position() > 0)
+        return false;
+    auto const known = copies_.find(service);
+    return known == copies_.end() || known->second.position < position;
+}
+
+bool ConfigurationSpread::takeCopy(std::uint64_t position, Service const& service)
+{
+    if (!wantsCopy(position, service.name))
+        return false;
+    Copy& copy = copies_[service.name];
+    copiesChanged_ = copiesChanged_ || copy.service != service;
+    copy = { position, service };
+    copiesPosition_ = std::max(copiesPosition_, position);
+    return true;
+}
+
+void ConfigurationSpread::refreshCopies()
+{
+    if (!std::exchange(copiesChanged_, false) || copies_.empty())
+        return;
+    Configuration configuration;
+    for (auto const& [name, copy] : copies_)
+        configuration.services.push_back(copy.service);
+    fromCopies_ = ChangeLog {};
+    fromCopies_.applySnapshot(copiesPosition_, configuration);
+    ++version_;
+}
+
 void ConfigurationSpread::notePosition(std::uint64_t position, Endpoint peer)
 {
     if (position <= log_.position()) {
--- a/src/membership/EntryControl.cpp
+++ b/src/membership/EntryControl.cpp
@@ -138,6 +138,7 @@
     // Configuration.
     void spreadChanges(std::span<ConfigurationChange const> applied);
     void takeChange(ConfigurationChange const& change);
+    bool takeCopy(std::uint64_t position, control::Service const& message);
     void pushChangesTo(Endpoint to, std::uint64_t after);
 
     void refreshNeighbours();
@@ -224,6 +225,8 @@
     if (heartbeat.has_record() && !acceptHeartbeatRecord(heartbeat, now))
         return false;
     acceptHeartbeatState(heartbeat, now);
+    if (heartbeat.has_service() && !takeCopy(heartbeat.position(), heartbeat.service()))
+        return false;
     control::Envelope answer;
     *answer.mutable_heartbeat_reply() = makeReply(heartbeat, now);
     outbox.send(from, answer);
@@ -265,6 +268,7 @@
     if (record->member.role == MemberRole::Agent) {
         addView(record->member, heartbeat, now, reply);
         addService(record->member, heartbeat, reply);
+        reply.set_need_service(heartbeat.service_hash() != 0 && spread.wantsCopy(heartbeat.position(), record->member.service));
         if (heartbeat.position() > spread.log().position())
             antiEntropy.hurry(now);
     }
@@ -302,7 +306,7 @@
 
 void EntryControl::State::addService(Member const& record, control::Heartbeat const& heartbeat, control::HeartbeatReply& reply) const
 {
-    Service const* const service = findService(spread.log().configuration(), record.service);
+    Service const* const service = findService(spread.inForce().configuration(), record.service);
     if (service == nullptr || heartbeat.position() > spread.log().position())
         return;
     if (heartbeat.service_hash() != serviceHash(*service))
@@ -363,6 +367,8 @@
         takeChange(*change);
         spread.notePosition(change->position, from);
     }
+    for (control::ServiceCopy const& copy : envelope.gossip().copies())
+        valid = takeCopy(copy.position(), copy.service()) && valid;
     return valid;
 }
 
@@ -403,7 +409,9 @@
     else
         reply.mutable_shards()->CopyFrom(request.shards());
     if (request.services())
-        answerServices(spread.log(), request, reply);
+        answerServices(spread.inForce(), request, reply);
+    if (request.services() && spread.log().position() == 0)
+        reply.set_copies_position(spread.copiesPosition());
     if (request.changes())
         answerChanges(spread.log(), request, reply);
     answers.take(static_cast<double>(reply.ByteSizeLong()));
@@ -471,6 +479,10 @@
 
 void EntryControl::State::takeCatchUp(Endpoint from, control::ShardReply const& reply, TimePoint now)
 {
+    if (reply.copies_position() > 0) {
+        for (control::Service const& copy : reply.services())
+            takeCopy(reply.copies_position(), copy);
+    }
     catchUp.take(from, reply, now);
     std::optional<CatchUp::Assembled> const assembled = catchUp.takeConfiguration();
     if (assembled)
@@ -740,6 +752,22 @@
     spreadChanges(spread.take(change));
 }
 
+bool EntryControl::State::takeCopy(std::uint64_t position, control::Service const& message)
+{
+    std::optional<Service> const service = fromProtobuf(message);
+    if (!service)
+        return false;
+    if (!spread.takeCopy(position, *service)) {
+        gossip.noteDuplicateCopy(service->name);
+        return true;
+    }
+    control::ServiceCopy copy;
+    copy.set_position(position);
+    *copy.mutable_service() = message;
+    gossip.push(copy, table.entries().size());
+    return true;
+}
+
 void EntryControl::State::spreadChanges(std::span<ConfigurationChange const> applied)
 {
     if (applied.empty())
@@ -822,6 +850,7 @@
     if (!state_->lastTick)
         state_->start(now);
     state_->noticePause(now);
+    state_->spread.refreshCopies();
     state_->updateWatches(now);
     state_->detect(now);
     state_->expire(now);
@@ -862,7 +891,17 @@
 
 ChangeLog const& EntryControl::changeLog() const noexcept
 {
-    return state_->spread.log();
+    return state_->spread.inForce();
+}
+
+std::uint64_t EntryControl::completePosition() const noexcept
+{
+    return state_->spread.log().position();
+}
+
+std::uint64_t EntryControl::configurationVersion() const noexcept
+{
+    return state_->spread.version();
 }
 
 bool EntryControl::isWatcher() const
--- a/src/membership/Gossip.cpp
+++ b/src/membership/Gossip.cpp
@@ -24,11 +24,17 @@
         return ' ' + std::to_string(position);
     }
 
+    [[nodiscard]] std::string copyKeyOf(std::string_view service)
+    {
+        return "  " + std::string(service);
+    }
+
     struct BodyWriter {
         control::Gossip& gossip;
 
         void operator()(control::Member const& member) const { *gossip.add_members() = member; }
         void operator()(control::ConfigurationChange const& change) const { *gossip.add_changes() = change; }
+        void operator()(control::ServiceCopy const& copy) const { *gossip.add_copies() = copy; }
     };
 
 } // namespace
@@ -61,6 +67,15 @@
     pushItem(keyOf(change.position()), Urgency::Configuration, std::move(item));
 }
 
+void Gossip::push(control::ServiceCopy const& copy, std::size_t entries)
+{
+    Item item;
+    item.body = copy;
+    item.bytes = copy.ByteSizeLong() + framingBytes;
+    item.remaining = transmissions(entries);
+    pushItem(copyKeyOf(copy.service().name()), Urgency::Arrival, std::move(item));
+}
+
 void Gossip::pushItem(std::string key, Urgency urgency, Item item)
 {
     auto const old = ranks_.find(key);
@@ -82,6 +97,11 @@
     reduce(keyOf(position));
 }
 
+void Gossip::noteDuplicateCopy(std::string_view service)
+{
+    reduce(copyKeyOf(service));
+}
+
 void Gossip::reduce(std::string_view key)
 {
     auto const rank = ranks_.find(key);
--- a/src/membership/Gossip.h
+++ b/src/membership/Gossip.h
@@ -50,12 +50,18 @@
     /// \brief Queues a change of the configuration.
     void push(control::ConfigurationChange const& change, std::size_t entries);
 
+    /// \brief Queues a copy of a declaration.
+    void push(control::ServiceCopy const& copy, std::size_t entries);
+
     /// \brief Notes that another entry sent the same record, which needs one transmission less from here.
     void noteDuplicate(std::string_view member);
 
     /// \brief Notes that another entry sent the same change.
     void noteDuplicate(std::uint64_t position);
 
+    /// \brief Notes that another entry sent the same copy.
+    void noteDuplicateCopy(std::string_view service);
+
     /// \brief True if a round is due and something waits.
     [[nodiscard]] bool isDue(TimePoint now) const noexcept;
 
@@ -81,7 +87,7 @@
 
     struct Item {
         std::string key;
-        std::variant<control::Member, control::ConfigurationChange> body;
+        std::variant<control::Member, control::ConfigurationChange, control::ServiceCopy> body;
         std::size_t bytes { 0 };
         int remaining { 0 };
         bool deferred { false };
--- a/tests/ConfigurationSpreadTests.cpp
+++ b/tests/ConfigurationSpreadTests.cpp
@@ -219,3 +219,54 @@
     for (auto const& [name, number] : slots)
         BOOST_TEST(number == 39U, name);
 }
+
+// All entries are replaced while the platform is away: the agents' copies are the only ones left.
+BOOST_AUTO_TEST_CASE(AgentsCopiesServeWhenAllEntriesAreReplacedWithoutThePlatform)
+{
+    ControlFleet fleet({ 38, 0.05, 0, 1ms, 20ms });
+    startFleet(fleet, 6);
+    constexpr int services = 5;
+    for (int index = 0; index < 3 * services; ++index)
+        fleet.addAgent("agent-" + std::to_string(index), places[0], "service-" + std::to_string(index % services));
+    PlatformLog platform;
+    fleet.afterStep = [&] { platform.serve(fleet); };
+    fleet.run(10s);
+    for (int change = 0; change < 12; ++change)
+        platform.append("service-" + std::to_string(change % services));
+    fleet.run(15s);
+    Configuration const declared = fleet.entry("entry-0").changeLog().configuration();
+    platform.available = false;
+    std::vector<Member> old;
+    for (std::string const& name : fleet.entryNames())
+        old.push_back(fleet.self(name));
+    for (Member const& member : old)
+        fleet.kill(member.name);
+    fleet.run(5s);
+    fleet.restartAt(old);
+    auto const allHaveIt = [&] {
+        std::vector<std::string> const names = fleet.entryNames();
+        return std::all_of(names.begin(), names.end(), [&](std::string const& name) { return fleet.entry(name).changeLog().configuration() == declared; });
+    };
+    BOOST_TEST((fleet.runUntil(allHaveIt, 30s) <= 30s));
+    BOOST_TEST(fleet.entry("entry-0-next").completePosition() == 0U);
+    BOOST_TEST(fleet.entry("entry-0-next").changeLog().position() == 12U);
+
+    // An entry that joins now gets the copies from its peers.
+    fleet.addEntry("joiner", places[1]);
+    BOOST_TEST((fleet.runUntil(allHaveIt, 20s) <= 20s));
+
+    // The platform returns and is read from the start: nothing may revert while the log is shorter than the copies.
+    int reverts = 0;
+    fleet.afterStep = [&] {
+        for (std::string const& name : fleet.entryNames())
+            reverts += fleet.entry(name).changeLog().configuration() == declared ? 0 : 1;
+    };
+    for (std::size_t position = 0; position < platform.changes.size(); ++position) {
+        fleet.entry("entry-1-next").addChanges(std::span(platform.changes).subspan(position, 1), fleet.now());
+        fleet.run(500ms);
+    }
+    fleet.run(15s);
+    BOOST_TEST(reverts == 0);
+    for (std::string const& name : fleet.entryNames())
+        BOOST_TEST(fleet.entry(name).completePosition() == 12U, name);
+}
