bench-forward: separate sender and receiver threads

Cause: one thread that both sent to the loop and received from it was as busy as the loop, so that its own speed limited the rate, and larger datagrams slowed it too. The line also prints packets for each second of processor time, which other work on the machine disturbs less than packets a second.

--- a/bench/forward/main.cpp
+++ b/bench/forward/main.cpp
@@ -1,6 +1,6 @@
 // Packets per second of an entry's receive-decide-send loop against a bare receive-and-send loop with the same system
-// calls, in one run. A thread of its own feeds the loop over loopback and counts what comes back; a fixed number of
-// datagrams is in flight, so that nothing is lost to full buffers. The two kinds of loop alternate, and the ratio of
+// calls, in one run. Two threads send to the loop over loopback and receive from it; a fixed number of datagrams is in
+// flight, so that nothing is lost to full buffers. The two kinds of loop alternate, and the ratio of
 // each pair of turns is printed with their median.
 
 #include "../common/Workload.h"
@@ -22,7 +22,7 @@
 DEFINE_uint32(turn_milliseconds, 700, "length of one turn");
 DEFINE_uint32(payload_bytes, 200, "payload of the inner TCP packets");
 DEFINE_uint32(flows, 100000, "flows that the packets belong to");
-DEFINE_uint32(in_flight, 256, "datagrams on their way at once");
+DEFINE_uint32(in_flight, 512, "datagrams on their way at once");
 
 using namespace plantaindrift;
 
@@ -180,76 +180,99 @@
     std::array<std::byte, maximumHeaderBytes + PacketLoop::maximumDatagramBytes> buffer_ {};
 };
 
-/// Feeds the loop under test from a thread of its own until stopped.
+/// Sends datagrams to the loop under test and receives what it sends, each in a thread of its own, so that the loop and
+/// not its peer limits the rate.
 class Feeder {
 public:
     Feeder()
-        : loop_(openLoop())
+        : source_(openLoop())
+        , sink_(openLoop())
     {
         std::size_t const size = workload::geneveBytes + workload::tcpIpBytes + FLAGS_payload_bytes;
+        datagrams_.reserve(FLAGS_flows);
         for (std::uint32_t flow = 0; flow < FLAGS_flows; ++flow) {
             datagrams_.emplace_back(size);
             workload::writeDatagram(flow, false, datagrams_.back());
         }
     }
 
-    [[nodiscard]] Endpoint endpoint() const { return loop_.localEndpoint(); }
+    [[nodiscard]] Endpoint sink() const { return sink_.localEndpoint(); }
 
     void start(Endpoint to)
     {
         stop_ = false;
-        thread_ = std::thread { [this, to] { run(to); } };
+        sent_ = 0;
+        returned_ = 0;
+        sourceThread_ = std::thread { [this, to] { runSource(to); } };
+        sinkThread_ = std::thread { [this] { runSink(); } };
     }
 
     void stop()
     {
         stop_ = true;
-        thread_.join();
+        sourceThread_.join();
+        sinkThread_.join();
     }
 
 private:
-    class Sink : public PacketFilter {
+    class Counter : public PacketFilter {
     public:
         PacketVerdict decide(std::span<std::byte const>, Endpoint, PacketTime const&) noexcept override { return {}; }
     };
 
-    void run(Endpoint to)
+    void runSink()
     {
-        Sink sink;
-        std::uint64_t inFlight = 0;
+        Counter counter;
         while (!stop_) {
-            std::uint64_t const back = loop_.runOnce(sink);
-            inFlight -= std::min(inFlight, back);
-            if (back == 0 && inFlight == FLAGS_in_flight && !loop_.waitReadable(std::chrono::milliseconds { 20 }))
-                inFlight = 0; // what has not come back by now is lost
-            sendBurst(to, FLAGS_in_flight - inFlight);
-            inFlight = FLAGS_in_flight;
+            std::size_t const received = sink_.runOnce(counter);
+            returned_ += received;
+            if (received == 0)
+                (void)sink_.waitReadable(std::chrono::milliseconds { 1 });
         }
     }
 
-    void sendBurst(Endpoint to, std::uint64_t count)
+    void runSource(Endpoint to)
+    {
+        std::chrono::steady_clock::time_point lastProgress = std::chrono::steady_clock::now();
+        while (!stop_) {
+            std::uint64_t const inFlight = sent_ - std::min<std::uint64_t>(sent_, returned_);
+            if (inFlight + PacketLoop::batchSize <= FLAGS_in_flight) {
+                sendBurst(to);
+                lastProgress = std::chrono::steady_clock::now();
+            } else if (std::chrono::steady_clock::now() - lastProgress > std::chrono::milliseconds { 20 }) {
+                sent_ = returned_; // what has not come back by now is lost
+            } else {
+                std::this_thread::yield();
+            }
+        }
+    }
+
+    void sendBurst(Endpoint to)
     {
         sockaddr_in address = toSocketAddress(to);
         std::array<iovec, PacketLoop::batchSize> vectors;
         std::array<mmsghdr, PacketLoop::batchSize> messages {};
-        for (std::uint64_t sent = 0; sent < count;) {
-            std::size_t const burst = std::min<std::size_t>(count - sent, messages.size());
-            for (std::size_t index = 0; index < burst; ++index) {
-                next_ = (next_ + 1) % datagrams_.size();
-                vectors[index] = { datagrams_[next_].data(), datagrams_[next_].size() };
-                messages[index].msg_hdr = { &address, sizeof(address), &vectors[index], 1, nullptr, 0, 0 };
-            }
-            if (sendmmsg(loop_.nativeHandle(), messages.data(), static_cast<unsigned>(burst), 0) < 0)
-                std::perror("sendmmsg");
-            sent += burst;
+        for (std::size_t index = 0; index < messages.size(); ++index) {
+            next_ = (next_ + 1) % datagrams_.size();
+            vectors[index] = { datagrams_[next_].data(), datagrams_[next_].size() };
+            messages[index].msg_hdr = { &address, sizeof(address), &vectors[index], 1, nullptr, 0, 0 };
         }
+        int const sent = sendmmsg(source_.nativeHandle(), messages.data(), PacketLoop::batchSize, 0);
+        if (sent < 0)
+            std::perror("sendmmsg");
+        else
+            sent_ += static_cast<std::uint64_t>(sent);
     }
 
-    PacketLoop loop_;
+    PacketLoop source_;
+    PacketLoop sink_;
     std::vector<std::vector<std::byte>> datagrams_;
     std::size_t next_ { 0 };
+    std::uint64_t sent_ { 0 }; ///< used by the source's thread only while that runs
+    std::atomic<std::uint64_t> returned_ { 0 };
     std::atomic<bool> stop_ { false };
-    std::thread thread_;
+    std::thread sourceThread_;
+    std::thread sinkThread_;
 };
 
 struct Turn {
@@ -319,9 +342,9 @@
         cpuRatios.push_back(entryTurns.back().packetsPerCpuSecond / bareTurns.back().packetsPerCpuSecond);
     }
     auto const [lowest, highest] = std::minmax_element(ratios.begin(), ratios.end());
-    std::printf("case=forward calls=%s payload_bytes=%u turns=%u bare_pps=%.0f entry_pps=%.0f ratio=%.3f ratio_lowest=%.3f ratio_highest=%.3f cpu_ratio=%.3f bare_busy=%.2f entry_busy=%.2f\n",
+    std::printf("case=forward calls=%s payload_bytes=%u turns=%u bare_pps=%.0f entry_pps=%.0f ratio=%.3f ratio_lowest=%.3f ratio_highest=%.3f cpu_ratio=%.3f bare_per_cpu_second=%.0f entry_per_cpu_second=%.0f bare_busy=%.2f entry_busy=%.2f\n",
         name, FLAGS_payload_bytes, FLAGS_turns, medianOf(bareTurns, &Turn::packetsPerSecond), medianOf(entryTurns, &Turn::packetsPerSecond), median(ratios), *lowest, *highest,
-        median(cpuRatios), medianOf(bareTurns, &Turn::busy), medianOf(entryTurns, &Turn::busy));
+        median(cpuRatios), medianOf(bareTurns, &Turn::packetsPerCpuSecond), medianOf(entryTurns, &Turn::packetsPerCpuSecond), medianOf(bareTurns, &Turn::busy), medianOf(entryTurns, &Turn::busy));
 }
 
 } // namespace
@@ -331,10 +354,10 @@
     gflags::ParseCommandLineFlags(&argumentCount, &arguments, true);
     Feeder feeder;
     PacketLoop loop = openLoop();
-    BareBatches bareBatches { loop, feeder.endpoint() };
-    EntryBatches entryBatches { loop, feeder.endpoint() };
+    BareBatches bareBatches { loop, feeder.sink() };
+    EntryBatches entryBatches { loop, feeder.sink() };
     measurePair("recvmmsg_sendmmsg", loop, feeder, bareBatches, entryBatches);
-    Singles bareSingles { loop, feeder.endpoint(), false };
-    Singles entrySingles { loop, feeder.endpoint(), true };
+    Singles bareSingles { loop, feeder.sink(), false };
+    Singles entrySingles { loop, feeder.sink(), true };
     measurePair("recvfrom_sendto", loop, feeder, bareSingles, entrySingles);
 }
