--- a/bench/packet/main.cpp
+++ b/bench/packet/main.cpp
@@ -203,6 +203,27 @@
     std::printf("case=table_lookup buckets=%zu targets=7 ns_per_lookup=%.1f checksum=%lu\n", buckets, meter.nanoseconds() / static_cast<double>(FLAGS_packets), sum);
 }
 
+/// The alternative to a table: all targets are scored with each packet's own hash.
+void measureDirectRanking(std::size_t targets)
+{
+    std::vector<std::uint64_t> nameHashes;
+    nameHashes.reserve(targets);
+    for (ViewTarget const& target : workload::makeView(targets, firstAgent).targets)
+        nameHashes.push_back(hashText(target.name));
+    std::vector<std::pair<double, std::size_t>> scored(targets);
+    std::size_t const ranks = std::min(targets, maximumCandidates);
+    std::uint64_t const packets = FLAGS_packets / targets;
+    std::uint64_t sum = 0;
+    Meter const meter;
+    for (std::uint64_t packet = 0; packet < packets; ++packet) {
+        for (std::size_t index = 0; index < targets; ++index)
+            scored[index] = { -rendezvousScore(nameHashes[index], mixHash(packet, 3), 100), index };
+        std::partial_sort(scored.begin(), scored.begin() + static_cast<std::ptrdiff_t>(ranks), scored.end());
+        sum += scored.front().second;
+    }
+    std::printf("case=direct_ranking targets=%zu ns_per_lookup=%.1f checksum=%lu\n", targets, meter.nanoseconds() / static_cast<double>(packets), sum);
+}
+
 /// Model of a set-associative cache without owners, for hit rates of other shapes than FlowCache's.
 class CacheModel {
 public:
@@ -284,8 +305,10 @@
             measureTable(buckets, targets, false);
         measureLookup(buckets);
     }
-    for (std::size_t const targets : { 7, 100, 500 })
+    for (std::size_t const targets : { 7, 100, 500 }) {
         measureTable(CandidateTable::defaultBuckets, targets, true);
+        measureDirectRanking(targets);
+    }
 }
 
 void measureCaches()
