--- a/standins/platform/PlatformServer.cpp
+++ b/standins/platform/PlatformServer.cpp
@@ -89,7 +89,7 @@
         nlohmann::json list = nlohmann::json::array();
         for (StoredObject const& object : objects)
             list.push_back({ { "key", object.key }, { "value", object.value }, { "version", object.version } });
-        return nlohmann::json { { "objects", std::move(list) } }.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+        return nlohmann::json::object({ { "objects", std::move(list) } }).dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
     }
 
     std::uint16_t statusOf(WriteResult result, std::uint16_t done)
