Parser: refuse table headers without a key before the TOML library sees them

Cause: toml++ assumes a key after '['; on '[*' its parser asserts in debug builds and has undefined behaviour in release builds. Conclusion: the check runs before toml::parse, because the format needs no key outside ASCII and no line that starts with a nested list.

--- a/src/configuration/Parser.cpp
+++ b/src/configuration/Parser.cpp
@@ -60,6 +60,41 @@
         return shown;
     }
 
+    bool isKeyStart(char character) noexcept
+    {
+        return character == '_' || character == '-' || character == '"' || character == '\'' || isName(std::string_view(&character, 1));
+    }
+
+    // Finds a table header without a key. The TOML library assumes that there is one: its behaviour is undefined otherwise. Lines
+    // of arrays and texts can look like headers too, but no key of this format accepts nested lists or line breaks.
+    std::optional<toml::source_position> findLineWithoutKey(std::string_view text)
+    {
+        constexpr std::string_view blanks = " \t";
+        constexpr std::string_view byteOrderMark = "\xEF\xBB\xBF";
+        if (text.starts_with(byteOrderMark))
+            text.remove_prefix(byteOrderMark.size());
+        std::uint32_t line = 0;
+        while (!text.empty()) {
+            ++line;
+            std::size_t const length = std::min(text.find('\n'), text.size());
+            std::string_view const content = text.substr(0, length);
+            text.remove_prefix(std::min(length + 1, text.size()));
+            std::size_t column = std::min(content.find_first_not_of(blanks), content.size());
+            if (column == content.size())
+                continue;
+            // The library skips blanks outside ASCII as well, so a header could follow them.
+            if (static_cast<unsigned char>(content[column]) >= 0x80U)
+                return toml::source_position { line, static_cast<std::uint32_t>(column + 1) };
+            if (content[column] != '[')
+                continue;
+            column += content.substr(column).starts_with("[[") ? 2 : 1;
+            column = std::min(content.find_first_not_of(blanks, column), content.size());
+            if (column == content.size() || !isKeyStart(content[column]))
+                return toml::source_position { line, static_cast<std::uint32_t>(column + 1) };
+        }
+        return std::nullopt;
+    }
+
     std::optional<ServiceAddress> parseServiceAddress(std::string_view text)
     {
         std::size_t const slash = text.find('/');
@@ -83,6 +118,11 @@
         {
             if (text.size() > longestFile)
                 return makeError(ErrorKind::InvalidSettings, file_ + ":1:1: file has " + std::to_string(text.size()) + " bytes; use at most " + std::to_string(longestFile));
+            std::optional<toml::source_position> const header = findLineWithoutKey(text);
+            if (header) {
+                report({ *header, *header, nullptr }, "syntax", "has no key here", "write keys in ASCII and a table header as [[service]]");
+                return error();
+            }
             try {
                 document_ = toml::parse(text, file_);
             } catch (toml::parse_error const& problem) {
