--- a/bench/capacity/Fleet.cpp
+++ b/bench/capacity/Fleet.cpp
@@ -91,6 +91,7 @@
 void ProportionalFleet::declareServices()
 {
     std::vector<ConfigurationChange> changes;
+    changes.reserve(static_cast<std::size_t>(services()));
     for (int index = 0; index < services(); ++index)
         changes.push_back(testing::makeChange(static_cast<std::uint64_t>(index) + 1, serviceName(index)));
     for (std::string const& name : fleet_.entryNames())
--- a/bench/capacity/FleetMeasurements.cpp
+++ b/bench/capacity/FleetMeasurements.cpp
@@ -3,6 +3,8 @@
 #include "Fleet.h"
 
 #include <algorithm>
+#include <array>
+#include <map>
 #include <memory>
 
 namespace plantaindrift::bench {
@@ -163,30 +165,62 @@
     extrapolate("joining_s", sizes, times);
 }
 
+namespace {
+
+    // First byte of an encoded envelope: number of the body's field.
+    constexpr std::array<char const*, 8> kindNames { "none", "heartbeat", "heartbeat_reply", "gossip", "digest_request", "shard_request", "shard_reply", "load_share" };
+
+    using KindBytes = std::map<std::string, double>;
+
+    void countKinds(ControlFleet& fleet, KindBytes& bytes)
+    {
+        fleet.observe = [&bytes](Member const& from, Member const& to, std::string const& message) {
+            std::string const kind = kindNames[static_cast<unsigned char>(message.front()) >> 3U];
+            if (from.role == MemberRole::Entry)
+                bytes["sent_" + kind] += static_cast<double>(message.size());
+            if (to.role == MemberRole::Entry)
+                bytes["received_" + kind] += static_cast<double>(message.size());
+        };
+    }
+
+    void addStormTargets(ProportionalFleet& fleet, int joins)
+    {
+        // The joining targets bring services of their own, in the planned proportion.
+        int const services = joins * plannedServices / plannedTargets;
+        for (int index = 0; index < joins; ++index) {
+            std::string const service = "storm-" + std::to_string(1000 + index % services);
+            fleet.control().addAgent("storm-target-" + std::to_string(10000 + index), ProportionalFleet::placeOf(index), service, 1'700'000'000'000);
+        }
+    }
+
+} // namespace
+
 void measureStorm(std::span<int const> sizes)
 {
     for (int const entries : sizes) {
         ProportionalFleet fleet(entries, { 8, 0, 0, 1ms, 20ms });
         fleet.settle();
         fleet.declareServices();
+        KindBytes bytes;
+        countKinds(fleet.control(), bytes);
         constexpr int joins = 1100;
-        for (int index = 0; index < joins; ++index)
-            fleet.addTarget(fleet.targets() + index, 1'700'000'000'000);
-        double mostSent = 0;
-        double mostReceived = 0;
-        double meanSent = 0;
-        int windows = 0;
-        while (!fleet.control().isConverged() && windows < 180) {
-            ProportionalFleet::Rates const rates = fleet.runAndCount(10s);
+        addStormTargets(fleet, joins);
+        ProportionalFleet::Rates const first = fleet.runAndCount(60s);
+        printRates("storm_first_minute_entry", entries, first.entry);
+        for (auto const& [kind, sum] : bytes)
+            print(suffix("storm_first_minute_" + kind + "_per_s", entries), sum / entries / 60);
+        int seconds = 60;
+        double mostSent = first.entry.mostSent;
+        double mostReceived = first.entry.mostReceived;
+        while (!fleet.control().isConverged() && seconds < 1800) {
+            ProportionalFleet::Rates const rates = fleet.runAndCount(60s);
             mostSent = std::max(mostSent, rates.entry.mostSent);
             mostReceived = std::max(mostReceived, rates.entry.mostReceived);
-            meanSent = std::max(meanSent, rates.entry.sent);
-            ++windows;
+            seconds += 60;
         }
-        print(suffix("storm_converged_s", entries), windows * 10);
-        print(suffix("storm_entry_sent_per_s_most", entries), mostSent);
-        print(suffix("storm_entry_received_per_s_most", entries), mostReceived);
-        print(suffix("storm_entry_sent_per_s_mean", entries), meanSent);
+        print(suffix("storm_converged_s", entries), seconds);
+        print(suffix("storm_minute_sent_per_s_most", entries), mostSent);
+        print(suffix("storm_minute_received_per_s_most", entries), mostReceived);
     }
 }
 
--- a/src/membership/AgentControl.cpp
+++ b/src/membership/AgentControl.cpp
@@ -86,7 +86,7 @@
             return false;
         monitors.push_back(*endpoint);
     }
-    if (reply.refute_incarnation() > maximumIncarnation || static_cast<std::size_t>(reply.monitors_size()) > MonitorContacts::fallbackEntries)
+    if (reply.refute_incarnation() > maximumIncarnation || static_cast<std::size_t>(reply.monitors_size()) > MonitorContacts::maximumNamed)
         return false;
     lastReply = now;
     std::chrono::milliseconds const told { reply.interval_ms() };
--- a/src/membership/EntryControl.cpp
+++ b/src/membership/EntryControl.cpp
@@ -2,6 +2,7 @@
 
 #include "configuration/ProtobufConversion.h"
 #include "membership/AntiEntropy.h"
+#include "membership/BudgetGovernor.h"
 #include "membership/CatchUp.h"
 #include "membership/ConfigurationSpread.h"
 #include "membership/Gossip.h"
@@ -116,6 +117,7 @@
     void addRefutation(Member const& record, control::Heartbeat const& heartbeat, control::HeartbeatReply& reply) const;
     void addMonitors(control::Heartbeat const& heartbeat, control::HeartbeatReply& reply) const;
     void addView(Member const& record, control::Heartbeat const& heartbeat, TimePoint now, control::HeartbeatReply& reply);
+    [[nodiscard]] bool needsList(std::string_view agent, std::uint32_t reported, std::uint32_t own);
     void addService(Member const& record, control::Heartbeat const& heartbeat, control::HeartbeatReply& reply) const;
     [[nodiscard]] std::chrono::milliseconds heartbeatInterval() const;
     [[nodiscard]] std::chrono::milliseconds nextInterval(std::string_view member) const;
@@ -162,10 +164,12 @@
     Detector detector;
     Gossip gossip;
     TokenBucket answers;
+    BudgetGovernor governor;
     AntiEntropy antiEntropy;
     CatchUp catchUp;
     ConfigurationSpread spread;
     std::map<Endpoint, Contact> heartbeats;
+    std::map<std::string, std::uint32_t, std::less<>> reportedViews; ///< of agents whose view differed
     std::set<std::string> changedServices;
     bool neighboursOutdated { true };
     std::optional<TimePoint> lastTick;
@@ -181,6 +185,7 @@
     , neighbours(given.self)
     , gossip(given.bytesPerSecond * gossipShare)
     , answers(given.bytesPerSecond * answerShare, given.bytesPerSecond * answerShare * std::chrono::duration<double>(answerBurst).count())
+    , governor(given.bytesPerSecond)
     , antiEntropy(random.next())
 {
     self.role = MemberRole::Entry;
@@ -297,13 +302,30 @@
     ServiceView const view = table.view(record.service);
     reply.set_fingerprint(view.fingerprint);
     answers.refill(now);
-    if (heartbeat.fingerprint() == viewHash(view) || !answers.canTake(0))
+    if (!needsList(record.name, heartbeat.fingerprint(), viewHash(view)) || !answers.canTake(0))
         return;
     for (MemberTable::Record const* const peer : table.ofService(record.service))
         toProtobuf(peer->member, MemberTable::tombstoneAge(*peer, now), *reply.add_members());
     answers.take(static_cast<double>(reply.ByteSizeLong()));
 }
 
+bool EntryControl::State::needsList(std::string_view agent, std::uint32_t reported, std::uint32_t own)
+{
+    auto const last = reportedViews.find(agent);
+    bool const repeated = last != reportedViews.end() && last->second == reported;
+    if (reported == own) {
+        if (last != reportedViews.end())
+            reportedViews.erase(last);
+        return false;
+    }
+    std::vector<std::string> const names = monitors.monitorsOf(agent);
+    if (std::find(names.begin(), names.end(), self.name) == names.end())
+        return false;
+    reportedViews.insert_or_assign(std::string(agent), reported);
+    // The first monitor sends the list; another one only if the agent still lacks it at its next heartbeat.
+    return repeated || names.front() == self.name;
+}
+
 void EntryControl::State::addService(Member const& record, control::Heartbeat const& heartbeat, control::HeartbeatReply& reply) const
 {
     Service const* const service = findService(spread.inForce().configuration(), record.service);
@@ -378,7 +400,7 @@
     if (static_cast<std::size_t>(request.digests_size()) != shardCount)
         return false;
     std::vector<std::uint32_t> shards = differingShards(table, request);
-    if (!shards.empty()) {
+    if (!shards.empty() && governor.allows()) {
         control::Envelope answer;
         *answer.mutable_shard_request() = antiEntropy.makeRequest(table, shards);
         if (static_cast<std::size_t>(answer.shard_request().shards_size()) < shards.size())
@@ -627,8 +649,10 @@
 void EntryControl::State::updateWatches(TimePoint now)
 {
     MonitorSelection::Changes const changes = monitors.takeChanges();
-    for (std::string const& name : changes.lost)
+    for (std::string const& name : changes.lost) {
         detector.unwatch(name);
+        reportedViews.erase(name);
+    }
     for (std::string const& name : changes.gained)
         detector.watch(name, now, std::max(options.heartbeat, heartbeatInterval()));
 }
@@ -681,7 +705,7 @@
     refreshNeighbours();
     std::vector<Endpoint> const chosen = neighbours.choose(random);
     std::vector<ControlMessage> batches;
-    gossip.round(now, chosen, batches);
+    gossip.round(now, governor.allows() ? Urgency::Suspicion : Urgency::Departure, chosen, batches);
     outbox.send(std::move(batches));
     counts.deferred = gossip.deferred();
 }
@@ -689,7 +713,7 @@
 void EntryControl::State::compare(TimePoint now)
 {
     refreshNeighbours();
-    if (antiEntropy.takeDue(now))
+    if (governor.allows() && antiEntropy.takeDue(now))
         sendDigests(neighbours.randomPeer(random));
     if (antiEntropy.takeReconnectDue(now))
         reconnect();
@@ -850,6 +874,7 @@
     if (!state_->lastTick)
         state_->start(now);
     state_->noticePause(now);
+    state_->governor.update(state_->counts.sentBytes, state_->counts.receivedBytes, !state_->catchUp.isActive(), now);
     state_->spread.refreshCopies();
     state_->updateWatches(now);
     state_->detect(now);
--- a/src/membership/Gossip.cpp
+++ b/src/membership/Gossip.cpp
@@ -119,12 +119,12 @@
     return !items_.empty() && (!lastRound_ || now - *lastRound_ >= roundPeriod);
 }
 
-void Gossip::round(TimePoint now, std::span<Endpoint const> neighbours, std::vector<ControlMessage>& messages)
+void Gossip::round(TimePoint now, Urgency least, std::span<Endpoint const> neighbours, std::vector<ControlMessage>& messages)
 {
     lastRound_ = now;
     bucket_.refill(now);
     for (Endpoint const neighbour : neighbours) {
-        std::string bytes = fillBatch();
+        std::string bytes = fillBatch(least);
         if (bytes.empty())
             break;
         messages.push_back({ neighbour, std::move(bytes) });
@@ -132,7 +132,7 @@
     countDeferred();
 }
 
-std::string Gossip::fillBatch()
+std::string Gossip::fillBatch(Urgency least)
 {
     control::Envelope envelope;
     BodyWriter const writer { *envelope.mutable_gossip() };
@@ -140,7 +140,7 @@
     std::vector<std::string> sent;
     for (auto const& [rank, item] : items_) {
         bool const fits = filled == 0 || filled + item.bytes <= batchBytes;
-        if (!fits || !canSend(rank, item))
+        if (!fits || rank.urgency < least || !canSend(rank, item))
             break;
         std::visit(writer, item.body);
         filled += item.bytes;
--- a/src/membership/Gossip.h
+++ b/src/membership/Gossip.h
@@ -66,7 +66,9 @@
     [[nodiscard]] bool isDue(TimePoint now) const noexcept;
 
     /// \brief The batches of one round.
-    void round(TimePoint now, std::span<Endpoint const> neighbours, std::vector<ControlMessage>& messages);
+    ///
+    /// \param least  deltas of less urgency wait
+    void round(TimePoint now, Urgency least, std::span<Endpoint const> neighbours, std::vector<ControlMessage>& messages);
 
     /// \brief Deltas that waited for the budget.
     [[nodiscard]] std::uint64_t deferred() const noexcept { return deferred_; }
@@ -95,7 +97,7 @@
 
     void pushItem(std::string key, Urgency urgency, Item item);
     void reduce(std::string_view key);
-    [[nodiscard]] std::string fillBatch();
+    [[nodiscard]] std::string fillBatch(Urgency least);
     [[nodiscard]] bool canSend(Rank const& rank, Item const& item) const noexcept;
     void countDeferred();
 
--- a/src/membership/MonitorContacts.cpp
+++ b/src/membership/MonitorContacts.cpp
@@ -57,15 +57,19 @@
     if (!monitors.empty())
         contact.named.assign(monitors.begin(), monitors.end());
     for (Endpoint const monitor : std::vector<Endpoint>(contact.named))
-        add(monitor, now);
+        add(monitor, now).onTrial = false;
+    // An entry of the settings that is no monitor has done its part with the names.
+    if (contact.onTrial && !contact.named.empty() && !needsRecord)
+        contacts_.erase(found);
 }
 
-void MonitorContacts::add(Endpoint entry, TimePoint now)
+MonitorContacts::Contact& MonitorContacts::add(Endpoint entry, TimePoint now)
 {
     auto const [position, added] = contacts_.try_emplace(entry);
     if (added)
         position->second.interval = interval_;
     position->second.lastNamed = now;
+    return position->second;
 }
 
 void MonitorContacts::dropUnnamed(TimePoint now)
@@ -85,8 +89,7 @@
     bool const recent = lastFallBack_ && now - *lastFallBack_ < silentHeartbeats * interval_;
     if ((answered && !contacts_.empty()) || recent || entries_.empty())
         return;
-    // The first registration goes to all entries, so that the target is known everywhere at once.
-    std::size_t const count = lastFallBack_ ? std::min(fallbackEntries, entries_.size()) : entries_.size();
+    std::size_t const count = std::min(fallbackEntries, entries_.size());
     lastFallBack_ = now;
     for (std::size_t index = 0; index < count; ++index) {
         std::swap(entries_[index], entries_[index + random_.below(entries_.size() - index)]);
--- a/src/membership/MonitorContacts.h
+++ b/src/membership/MonitorContacts.h
@@ -14,12 +14,19 @@
 
 /// \brief The entries to which an agent sends heartbeats, and when.
 ///
-/// It starts with all entries of the settings. Replies name the monitors; an entry that no reply names any more
-/// gets no further heartbeats. If nobody answers, entries of the settings are tried again.
+/// It starts with entries of the settings, a few at a time until one answers. Replies name the monitors; an entry
+/// that no reply names any more gets no further heartbeats. If nobody answers, entries of the settings are tried
+/// again.
 class MonitorContacts {
 public:
-    /// \brief Entries of the settings tried at once after the monitors fell silent.
-    static constexpr std::size_t fallbackEntries = 8;
+    /// \brief Entries of the settings tried at once, at the start and after the monitors fell silent.
+    ///
+    /// All agents may have the same short list in their settings: more tries at once would load its entries with
+    /// every registration of the fleet.
+    static constexpr std::size_t fallbackEntries = 3;
+
+    /// \brief Most monitors that a reply may name.
+    static constexpr std::size_t maximumNamed = 8;
 
     /// \brief Period of a heartbeat to a random entry of the settings.
     ///
@@ -55,9 +62,10 @@
         std::chrono::milliseconds interval { 0 };
         std::vector<Endpoint> named;
         bool needsRecord { true };
+        bool onTrial { true }; ///< from the settings; named by no reply yet
     };
 
-    void add(Endpoint entry, TimePoint now);
+    Contact& add(Endpoint entry, TimePoint now);
     void dropUnnamed(TimePoint now);
     void fallBack(TimePoint now);
     void probe(TimePoint now);
--- a/src/membership/TokenBucket.h
+++ b/src/membership/TokenBucket.h
@@ -34,6 +34,9 @@
     /// \brief Pays; the balance may become negative.
     void take(double bytes) noexcept { tokens_ -= bytes; }
 
+    /// \brief Forgives what exceeds a debt.
+    void limitDebt(double bytes) noexcept { tokens_ = std::max(tokens_, -bytes); }
+
     [[nodiscard]] double burstBytes() const noexcept { return burstBytes_; }
 
 private:
--- a/src/membership/WatcherSelection.cpp
+++ b/src/membership/WatcherSelection.cpp
@@ -19,6 +19,7 @@
     if (ranked.size() > watchersPerPlace)
         ranked.resize(watchersPerPlace);
     std::vector<std::string> names;
+    names.reserve(ranked.size());
     for (std::pair<std::uint64_t, std::string> const& candidate : ranked)
         names.push_back(candidate.second);
     return names;
--- a/tests/ControlFleet.h
+++ b/tests/ControlFleet.h
@@ -321,12 +321,12 @@
 
     void collect(Node& node)
     {
-        std::vector<ControlMessage> messages = node.entry ? node.entry->takeMessages() : node.agent->takeMessages();
-        for (ControlMessage& message : messages)
-            post(node.self, std::move(message));
+        std::vector<ControlMessage> const messages = node.entry ? node.entry->takeMessages() : node.agent->takeMessages();
+        for (ControlMessage const& message : messages)
+            post(node.self, message);
     }
 
-    void post(Member const& from, ControlMessage message)
+    void post(Member const& from, ControlMessage const& message)
     {
         auto const name = byEndpoint_.find(message.to);
         if (name == byEndpoint_.end())
--- a/tests/ControlMessageTests.cpp
+++ b/tests/ControlMessageTests.cpp
@@ -83,6 +83,12 @@
     return kinds;
 }
 
+void flipBit(std::string& bytes, RandomSource& random)
+{
+    char& byte = bytes[random.below(bytes.size())];
+    byte = static_cast<char>(static_cast<unsigned char>(byte) ^ (1U << random.below(8)));
+}
+
 control::Envelope gossipOf(control::Member const& member)
 {
     control::Envelope envelope;
@@ -194,7 +200,7 @@
         for (auto const& [kind, message] : messages) {
             std::string spoiled = message;
             for (int flip = 0; flip < 3; ++flip)
-                spoiled[random.below(spoiled.size())] ^= static_cast<char>(1U << random.below(8));
+                flipBit(spoiled, random);
             fleet.deliver("entry-0", ControlFleet::endpointOf(99), bytesOf(spoiled));
             fleet.deliver("agent-0", ControlFleet::endpointOf(99), bytesOf(spoiled));
         }
