--- a/bench/capacity/FleetMeasurements.cpp
+++ b/bench/capacity/FleetMeasurements.cpp
@@ -224,4 +224,81 @@
     }
 }
 
+namespace {
+
+    /// \brief Time to agreement, and the highest rates of an entry in a minute.
+    struct Recovery {
+        int seconds { 0 };
+        double mostSent { 0 };
+        double mostReceived { 0 };
+    };
+
+    template <typename Predicate>
+    Recovery recover(ProportionalFleet& fleet, Predicate isDone)
+    {
+        constexpr std::chrono::seconds stretch { 20 };
+        Recovery recovery;
+        while (!isDone() && recovery.seconds < 1800) {
+            ProportionalFleet::Rates const rates = fleet.runAndCount(stretch);
+            recovery.mostSent = std::max(recovery.mostSent, rates.entry.mostSent);
+            recovery.mostReceived = std::max(recovery.mostReceived, rates.entry.mostReceived);
+            recovery.seconds += static_cast<int>(stretch.count());
+        }
+        return recovery;
+    }
+
+    void printRecovery(std::string const& name, int entries, Recovery const& recovery)
+    {
+        print(suffix(name + "_converged_s", entries), recovery.seconds);
+        print(suffix(name + "_sent_per_s_most", entries), recovery.mostSent);
+        print(suffix(name + "_received_per_s_most", entries), recovery.mostReceived);
+    }
+
+    bool isOnFirstSide(Member const& member)
+    {
+        return member.place <= "place-3";
+    }
+
+    // True if every entry of the first side has no live record of the second.
+    bool isSeparated(ControlFleet& fleet)
+    {
+        for (std::string const& name : fleet.entryNames()) {
+            bool const first = isOnFirstSide(fleet.self(name));
+            for (Member const& member : fleet.live(name)) {
+                if (isOnFirstSide(member) != first)
+                    return false;
+            }
+        }
+        return true;
+    }
+
+} // namespace
+
+void measureOutages(std::span<int const> sizes)
+{
+    for (int const entries : sizes) {
+        ProportionalFleet fleet(entries, { 9, 0, 0, 1ms, 20ms });
+        fleet.settle();
+        fleet.declareServices();
+        ControlFleet& control = fleet.control();
+        auto const agree = [&control] { return control.isConverged(); };
+        std::vector<Member> lost;
+        for (int index = 0; index < fleet.targets(); ++index) {
+            if (control.self(ProportionalFleet::targetName(index)).place == "place-1")
+                lost.push_back(control.self(ProportionalFleet::targetName(index)));
+        }
+        for (Member const& member : lost)
+            control.kill(member.name);
+        printRecovery("place_lost", entries, recover(fleet, agree));
+        for (Member const& member : lost)
+            control.addAgent(member.name, member.place, member.service, 1);
+        printRecovery("place_back", entries, recover(fleet, agree));
+        control.cut(isOnFirstSide);
+        printRecovery("regions_cut", entries, recover(fleet, [&control] { return isSeparated(control); }));
+        control.cut({});
+        printRecovery("regions_rejoined", entries, recover(fleet, agree));
+        print(suffix("outage_targets", entries), static_cast<double>(lost.size()));
+    }
+}
+
 } // namespace plantaindrift::bench
--- a/bench/capacity/Main.cpp
+++ b/bench/capacity/Main.cpp
@@ -10,7 +10,7 @@
 
 DEFINE_bool(exact, false, "print only figures that do not depend on the machine");
 DEFINE_string(sizes, "10,50,200", "numbers of entries of the measured fleets");
-DEFINE_string(only, "", "one section: sizes, memory, operations, traffic, changes, joining, storm");
+DEFINE_string(only, "", "one section: sizes, memory, operations, traffic, changes, joining, storm, outages");
 
 namespace plantaindrift::bench {
 
@@ -51,6 +51,8 @@
             measureJoining(sizes);
         if (isWanted("storm"))
             measureStorm(sizes);
+        if (isWanted("outages"))
+            measureOutages(sizes);
     }
 
 } // namespace
--- a/bench/capacity/Measurements.h
+++ b/bench/capacity/Measurements.h
@@ -33,6 +33,9 @@
 /// \brief A storm of 1,100 joins.
 void measureStorm(std::span<int const> sizes);
 
+/// \brief A place is lost and returns at once; half of the places are cut off for two minutes and return.
+void measureOutages(std::span<int const> sizes);
+
 /// \brief Prints one key=value line.
 void print(std::string const& key, double value);
 
--- a/include/plantaindrift/membership/MemberTable.h
+++ b/include/plantaindrift/membership/MemberTable.h
@@ -13,6 +13,7 @@
 #include <set>
 #include <string>
 #include <string_view>
+#include <unordered_map>
 #include <vector>
 
 namespace plantaindrift {
@@ -43,6 +44,7 @@
     struct Record {
         Member member;
         std::uint32_t version { 0 }; ///< hash of the whole record
+        std::uint32_t base { 0 }; ///< hash of the record without incarnation, state and draining
         TimePoint goneSince; ///< when it became dead or left
     };
 
@@ -72,6 +74,9 @@
 
     [[nodiscard]] Record const* find(std::string_view name) const;
 
+    /// \brief The record with this name key and base, if there is one.
+    [[nodiscard]] Record const* findBase(std::uint32_t key, std::uint32_t base) const;
+
     /// \brief Age of a tombstone; 0 for other records.
     [[nodiscard]] static std::chrono::seconds tombstoneAge(Record const& record, TimePoint now) noexcept;
 
@@ -104,6 +109,7 @@
 
     std::array<Shard, shardCount> shards_;
     std::array<std::uint32_t, shardCount> digests_ {};
+    std::unordered_multimap<std::uint32_t, Record const*> byBase_;
     std::map<std::string_view, Record const*> entries_;
     std::map<std::string, std::set<std::string_view>, std::less<>> services_;
     std::set<std::pair<TimePoint, std::string_view>> tombstones_;
--- a/src/membership/EntryControl.cpp
+++ b/src/membership/EntryControl.cpp
@@ -64,6 +64,18 @@
         return gone && flags && first.service == second.service && first.data == second.data && first.place == second.place;
     }
 
+    // True if the records differ in incarnation and state alone.
+    [[nodiscard]] bool isSameMember(std::optional<Member> const& before, Member const& after)
+    {
+        if (!before)
+            return false;
+        Member same = *before;
+        same.incarnation = after.incarnation;
+        same.state = after.state;
+        same.draining = after.draining;
+        return same == after;
+    }
+
     [[nodiscard]] Service const* findService(Configuration const& configuration, std::string_view name)
     {
         std::vector<Service> const& services = configuration.services;
@@ -107,7 +119,8 @@
     void announceSelf(TimePoint now);
     void noteChange(std::optional<Member> const& before, Member const& after);
     void noteView(std::optional<Member> const& before, Member const& after);
-    void spreadRecord(std::string_view name, TimePoint now);
+    void spreadRecord(std::string_view name, bool compact, TimePoint now);
+    bool acceptState(control::StateDelta const& delta, TimePoint now);
     void pushRecords(Endpoint to, std::span<MemberTable::Record const* const> records, TimePoint now);
 
     // Heartbeats of others.
@@ -379,6 +392,8 @@
         if (outcome == MemberTable::Outcome::Same)
             gossip.noteDuplicate(message.name());
     }
+    for (control::StateDelta const& delta : envelope.gossip().states())
+        valid = acceptState(delta, now) && valid;
     for (control::ConfigurationChange const& message : envelope.gossip().changes()) {
         std::optional<ConfigurationChange> const change = fromProtobuf(message);
         valid = valid && change.has_value();
@@ -533,9 +548,10 @@
     MemberTable::Merge const merge = table.merge(member, now, age);
     if (merge.outcome != MemberTable::Outcome::Changed)
         return merge.outcome;
-    noteChange(merge.before, table.find(member.name)->member);
+    MemberTable::Record const& record = *table.find(member.name);
+    noteChange(merge.before, record.member);
     if (spreadRecordToo == Spread::Yes)
-        spreadRecord(member.name, now);
+        spreadRecord(member.name, isSameMember(merge.before, record.member), now);
     return merge.outcome;
 }
 
@@ -563,7 +579,7 @@
     MemberTable::Merge const merge = table.merge(self, now);
     if (merge.outcome == MemberTable::Outcome::Changed)
         noteChange(merge.before, self);
-    spreadRecord(self.name, now);
+    spreadRecord(self.name, isSameMember(merge.before, self), now);
     for (Endpoint const monitor : monitorEndpoints(self.name))
         sendHeartbeat(monitor, true);
 }
@@ -594,12 +610,39 @@
     }
 }
 
-void EntryControl::State::spreadRecord(std::string_view name, TimePoint now)
+void EntryControl::State::spreadRecord(std::string_view name, bool compact, TimePoint now)
+{
+    MemberTable::Record const& record = *table.find(name);
+    control::Member whole;
+    toProtobuf(record.member, MemberTable::tombstoneAge(record, now), whole);
+    // A delta carries no age, so an older tombstone goes as a whole record.
+    if (!compact || whole.tombstone_age_s() > 0) {
+        gossip.push(whole, table.entries().size());
+        return;
+    }
+    control::StateDelta delta;
+    delta.set_key(nameKey(name));
+    delta.set_base(record.base);
+    delta.set_state(whole.state());
+    delta.set_draining(whole.draining());
+    delta.set_incarnation(whole.incarnation());
+    gossip.push(name, delta, whole, table.entries().size());
+}
+
+bool EntryControl::State::acceptState(control::StateDelta const& delta, TimePoint now)
 {
-    MemberTable::Record const* const record = table.find(name);
-    control::Member message;
-    toProtobuf(record->member, MemberTable::tombstoneAge(*record, now), message);
-    gossip.push(message, table.entries().size());
+    if (!control::State_IsValid(delta.state()) || delta.incarnation() > maximumIncarnation)
+        return false;
+    MemberTable::Record const* const record = table.findBase(delta.key(), delta.base());
+    if (record == nullptr)
+        return true;
+    Member member = record->member;
+    member.state = static_cast<MemberState>(delta.state());
+    member.draining = delta.draining();
+    member.incarnation = delta.incarnation();
+    if (accept(member, std::chrono::seconds { 0 }, Spread::Yes, now) == MemberTable::Outcome::Same)
+        gossip.noteDuplicate(member.name);
+    return true;
 }
 
 void EntryControl::State::pushRecords(Endpoint to, std::span<MemberTable::Record const* const> records, TimePoint now)
--- a/src/membership/Gossip.cpp
+++ b/src/membership/Gossip.cpp
@@ -11,11 +11,11 @@
     // Tag and length of a delta inside a batch, and of the batch inside the envelope.
     constexpr std::size_t framingBytes = 4;
 
-    [[nodiscard]] Urgency urgencyOf(control::Member const& member) noexcept
+    [[nodiscard]] Urgency urgencyOf(control::State state) noexcept
     {
-        if (member.state() == control::STATE_SUSPECT)
+        if (state == control::STATE_SUSPECT)
             return Urgency::Suspicion;
-        return member.state() == control::STATE_ACTIVE ? Urgency::Arrival : Urgency::Departure;
+        return state == control::STATE_ACTIVE ? Urgency::Arrival : Urgency::Departure;
     }
 
     // Keys of changes start with a character that member names cannot contain.
@@ -35,6 +35,7 @@
         void operator()(control::Member const& member) const { *gossip.add_members() = member; }
         void operator()(control::ConfigurationChange const& change) const { *gossip.add_changes() = change; }
         void operator()(control::ServiceCopy const& copy) const { *gossip.add_copies() = copy; }
+        void operator()(control::StateDelta const& delta) const { *gossip.add_states() = delta; }
     };
 
 } // namespace
@@ -55,7 +56,22 @@
     item.body = member;
     item.bytes = member.ByteSizeLong() + framingBytes;
     item.remaining = transmissions(entries);
-    pushItem(member.name(), urgencyOf(member), std::move(item));
+    pushItem(member.name(), urgencyOf(member.state()), std::move(item));
+}
+
+void Gossip::push(std::string_view member, control::StateDelta const& delta, control::Member const& whole, std::size_t entries)
+{
+    auto const queued = ranks_.find(member);
+    bool const unknownToSome = queued != ranks_.end() && std::holds_alternative<control::Member>(items_.at(queued->second).body);
+    if (unknownToSome) {
+        push(whole, entries);
+        return;
+    }
+    Item item;
+    item.body = delta;
+    item.bytes = delta.ByteSizeLong() + framingBytes;
+    item.remaining = transmissions(entries);
+    pushItem(std::string(member), urgencyOf(delta.state()), std::move(item));
 }
 
 void Gossip::push(control::ConfigurationChange const& change, std::size_t entries)
--- a/src/membership/Gossip.h
+++ b/src/membership/Gossip.h
@@ -52,6 +52,9 @@
     /// \brief Queues a record; it replaces an older record of the same member.
     void push(control::Member const& member, std::size_t entries);
 
+    /// \brief Queues the new state of a record that others have; a whole record in the queue stays a whole record.
+    void push(std::string_view member, control::StateDelta const& delta, control::Member const& whole, std::size_t entries);
+
     /// \brief Queues a change of the configuration.
     void push(control::ConfigurationChange const& change, std::size_t entries);
 
@@ -94,7 +97,7 @@
 
     struct Item {
         std::string key;
-        std::variant<control::Member, control::ConfigurationChange, control::ServiceCopy> body;
+        std::variant<control::Member, control::ConfigurationChange, control::ServiceCopy, control::StateDelta> body;
         std::size_t bytes { 0 };
         int remaining { 0 };
         std::optional<TimePoint> since; ///< first round in which it was queued
--- a/src/membership/MemberTable.cpp
+++ b/src/membership/MemberTable.cpp
@@ -38,6 +38,15 @@
         return static_cast<std::uint32_t>(hash >> 32U);
     }
 
+    [[nodiscard]] std::uint32_t baseOf(Member const& member)
+    {
+        Member base = member;
+        base.state = MemberState::Active;
+        base.draining = false;
+        base.incarnation = 0;
+        return versionOf(base);
+    }
+
     // Joins two records of one incarnation; the result does not depend on the order.
     [[nodiscard]] Member join(Member const& first, Member const& second)
     {
@@ -85,7 +94,7 @@
 MemberTable::Merge MemberTable::insert(Member const& member, TimePoint goneSince)
 {
     Record& record = shards_[shardOf(member.name)][member.name];
-    record = { member, versionOf(member), goneSince };
+    record = { member, versionOf(member), baseOf(member), goneSince };
     link(record);
     ++size_;
     return { Outcome::Changed, std::nullopt };
@@ -96,6 +105,7 @@
     unlink(record);
     record.member = member;
     record.version = versionOf(member);
+    record.base = baseOf(member);
     record.goneSince = goneSince;
     link(record);
 }
@@ -103,6 +113,7 @@
 void MemberTable::link(Record const& record)
 {
     Member const& member = record.member;
+    byBase_.emplace(record.base, &record);
     if (member.role == MemberRole::Entry)
         entries_[member.name] = &record;
     else
@@ -116,6 +127,8 @@
 void MemberTable::unlink(Record const& record)
 {
     Member const& member = record.member;
+    auto const [first, last] = byBase_.equal_range(record.base);
+    byBase_.erase(std::find_if(first, last, [&record](std::pair<std::uint32_t const, Record const*> const& known) { return known.second == &record; }));
     if (member.role == MemberRole::Entry) {
         entries_.erase(member.name);
     } else {
@@ -166,6 +179,13 @@
     return found == shard.end() ? nullptr : &found->second;
 }
 
+MemberTable::Record const* MemberTable::findBase(std::uint32_t key, std::uint32_t base) const
+{
+    auto const [first, last] = byBase_.equal_range(base);
+    auto const found = std::find_if(first, last, [key](std::pair<std::uint32_t const, Record const*> const& known) { return nameKey(known.second->member.name) == key; });
+    return found == last ? nullptr : found->second;
+}
+
 std::chrono::seconds MemberTable::tombstoneAge(Record const& record, TimePoint now) noexcept
 {
     if (!isGone(record.member) || now < record.goneSince)
