--- a/include/plantaindrift/Forward.h
+++ b/include/plantaindrift/Forward.h
@@ -57,8 +57,11 @@
 class AgentControl;
 class AgentPipeline;
 class ChangeLog;
+class Detector;
 class EntryControl;
 class EntryPipeline;
+class MemberTable;
+class MonitorSelection;
 class ObjectStore;
 
 } // namespace plantaindrift
