--- a/bench/capacity/Operations.cpp
+++ b/bench/capacity/Operations.cpp
@@ -45,7 +45,7 @@
         {
             control_.tick(now_);
             std::vector<Member> members;
-            members.reserve(static_cast<std::size_t>(entries + targets));
+            members.reserve(static_cast<std::size_t>(entries) + static_cast<std::size_t>(targets));
             for (int index = 1; index < entries; ++index)
                 members.push_back(ProportionalFleet::member(MemberRole::Entry, index));
             for (int index = 0; index < targets; ++index)
