--- a/include/plantaindrift/Forward.h
+++ b/include/plantaindrift/Forward.h
@@ -65,8 +65,11 @@
 class ChangeLog;
 class ChangeStore;
 class Declaration;
+class Detector;
 class EntryControl;
 class EntryPipeline;
+class MemberTable;
+class MonitorSelection;
 class ObjectStore;
 class ServiceDeclaration;
 
--- a/src/membership/EntryControl.cpp
+++ b/src/membership/EntryControl.cpp
@@ -2,6 +2,7 @@
 
 #include "configuration/ProtobufConversion.h"
 #include "membership/AntiEntropy.h"
+#include "membership/BudgetGovernor.h"
 #include "membership/CatchUp.h"
 #include "membership/ConfigurationSpread.h"
 #include "membership/Gossip.h"
@@ -63,6 +64,18 @@
         return gone && flags && first.service == second.service && first.data == second.data && first.place == second.place;
     }
 
+    // True if the records differ in incarnation and state alone.
+    [[nodiscard]] bool isSameMember(std::optional<Member> const& before, Member const& after)
+    {
+        if (!before)
+            return false;
+        Member same = *before;
+        same.incarnation = after.incarnation;
+        same.state = after.state;
+        same.draining = after.draining;
+        return same == after;
+    }
+
     [[nodiscard]] Service const* findService(Configuration const& configuration, std::string_view name)
     {
         std::vector<Service> const& services = configuration.services;
@@ -106,7 +119,8 @@
     void announceSelf(TimePoint now);
     void noteChange(std::optional<Member> const& before, Member const& after);
     void noteView(std::optional<Member> const& before, Member const& after);
-    void spreadRecord(std::string_view name, TimePoint now);
+    void spreadRecord(std::string_view name, bool compact, TimePoint now);
+    bool acceptState(control::StateDelta const& delta, TimePoint now);
     void pushRecords(Endpoint to, std::span<MemberTable::Record const* const> records, TimePoint now);
 
     // Heartbeats of others.
@@ -116,6 +130,7 @@
     void addRefutation(Member const& record, control::Heartbeat const& heartbeat, control::HeartbeatReply& reply) const;
     void addMonitors(control::Heartbeat const& heartbeat, control::HeartbeatReply& reply) const;
     void addView(Member const& record, control::Heartbeat const& heartbeat, TimePoint now, control::HeartbeatReply& reply);
+    [[nodiscard]] bool needsList(std::string_view agent, std::uint32_t reported, std::uint32_t own);
     void addService(Member const& record, control::Heartbeat const& heartbeat, control::HeartbeatReply& reply) const;
     [[nodiscard]] std::chrono::milliseconds heartbeatInterval() const;
     [[nodiscard]] std::chrono::milliseconds nextInterval(std::string_view member) const;
@@ -162,10 +177,12 @@
     Detector detector;
     Gossip gossip;
     TokenBucket answers;
+    BudgetGovernor governor;
     AntiEntropy antiEntropy;
     CatchUp catchUp;
     ConfigurationSpread spread;
     std::map<Endpoint, Contact> heartbeats;
+    std::map<std::string, std::uint32_t, std::less<>> reportedViews; ///< of agents whose view differed
     std::set<std::string> changedServices;
     bool neighboursOutdated { true };
     std::optional<TimePoint> lastTick;
@@ -181,6 +198,7 @@
     , neighbours(given.self)
     , gossip(given.bytesPerSecond * gossipShare)
     , answers(given.bytesPerSecond * answerShare, given.bytesPerSecond * answerShare * std::chrono::duration<double>(answerBurst).count())
+    , governor(given.bytesPerSecond)
     , antiEntropy(random.next())
 {
     self.role = MemberRole::Entry;
@@ -297,13 +315,30 @@
     ServiceView const view = table.view(record.service);
     reply.set_fingerprint(view.fingerprint);
     answers.refill(now);
-    if (heartbeat.fingerprint() == viewHash(view) || !answers.canTake(0))
+    if (!needsList(record.name, heartbeat.fingerprint(), viewHash(view)) || !answers.canTake(0))
         return;
     for (MemberTable::Record const* const peer : table.ofService(record.service))
         toProtobuf(peer->member, MemberTable::tombstoneAge(*peer, now), *reply.add_members());
     answers.take(static_cast<double>(reply.ByteSizeLong()));
 }
 
+bool EntryControl::State::needsList(std::string_view agent, std::uint32_t reported, std::uint32_t own)
+{
+    auto const last = reportedViews.find(agent);
+    bool const repeated = last != reportedViews.end() && last->second == reported;
+    if (reported == own) {
+        if (last != reportedViews.end())
+            reportedViews.erase(last);
+        return false;
+    }
+    std::vector<std::string> const names = monitors.monitorsOf(agent);
+    if (std::find(names.begin(), names.end(), self.name) == names.end())
+        return false;
+    reportedViews.insert_or_assign(std::string(agent), reported);
+    // The first monitor sends the list; another one only if the agent still lacks it at its next heartbeat.
+    return repeated || names.front() == self.name;
+}
+
 void EntryControl::State::addService(Member const& record, control::Heartbeat const& heartbeat, control::HeartbeatReply& reply) const
 {
     Service const* const service = findService(spread.inForce().configuration(), record.service);
@@ -357,6 +392,8 @@
         if (outcome == MemberTable::Outcome::Same)
             gossip.noteDuplicate(message.name());
     }
+    for (control::StateDelta const& delta : envelope.gossip().states())
+        valid = acceptState(delta, now) && valid;
     for (control::ConfigurationChange const& message : envelope.gossip().changes()) {
         std::optional<ConfigurationChange> const change = fromProtobuf(message);
         valid = valid && change.has_value();
@@ -378,7 +415,7 @@
     if (static_cast<std::size_t>(request.digests_size()) != shardCount)
         return false;
     std::vector<std::uint32_t> shards = differingShards(table, request);
-    if (!shards.empty()) {
+    if (!shards.empty() && governor.allows()) {
         control::Envelope answer;
         *answer.mutable_shard_request() = antiEntropy.makeRequest(table, shards);
         if (static_cast<std::size_t>(answer.shard_request().shards_size()) < shards.size())
@@ -511,9 +548,10 @@
     MemberTable::Merge const merge = table.merge(member, now, age);
     if (merge.outcome != MemberTable::Outcome::Changed)
         return merge.outcome;
-    noteChange(merge.before, table.find(member.name)->member);
+    MemberTable::Record const& record = *table.find(member.name);
+    noteChange(merge.before, record.member);
     if (spreadRecordToo == Spread::Yes)
-        spreadRecord(member.name, now);
+        spreadRecord(member.name, isSameMember(merge.before, record.member), now);
     return merge.outcome;
 }
 
@@ -541,7 +579,7 @@
     MemberTable::Merge const merge = table.merge(self, now);
     if (merge.outcome == MemberTable::Outcome::Changed)
         noteChange(merge.before, self);
-    spreadRecord(self.name, now);
+    spreadRecord(self.name, isSameMember(merge.before, self), now);
     for (Endpoint const monitor : monitorEndpoints(self.name))
         sendHeartbeat(monitor, true);
 }
@@ -572,12 +610,39 @@
     }
 }
 
-void EntryControl::State::spreadRecord(std::string_view name, TimePoint now)
+void EntryControl::State::spreadRecord(std::string_view name, bool compact, TimePoint now)
 {
-    MemberTable::Record const* const record = table.find(name);
-    control::Member message;
-    toProtobuf(record->member, MemberTable::tombstoneAge(*record, now), message);
-    gossip.push(message, table.entries().size());
+    MemberTable::Record const& record = *table.find(name);
+    control::Member whole;
+    toProtobuf(record.member, MemberTable::tombstoneAge(record, now), whole);
+    // A delta carries no age, so an older tombstone goes as a whole record.
+    if (!compact || whole.tombstone_age_s() > 0) {
+        gossip.push(whole, table.entries().size());
+        return;
+    }
+    control::StateDelta delta;
+    delta.set_key(nameKey(name));
+    delta.set_base(record.base);
+    delta.set_state(whole.state());
+    delta.set_draining(whole.draining());
+    delta.set_incarnation(whole.incarnation());
+    gossip.push(name, delta, whole, table.entries().size());
+}
+
+bool EntryControl::State::acceptState(control::StateDelta const& delta, TimePoint now)
+{
+    if (!control::State_IsValid(delta.state()) || delta.incarnation() > maximumIncarnation)
+        return false;
+    MemberTable::Record const* const record = table.findBase(delta.key(), delta.base());
+    if (record == nullptr)
+        return true;
+    Member member = record->member;
+    member.state = static_cast<MemberState>(delta.state());
+    member.draining = delta.draining();
+    member.incarnation = delta.incarnation();
+    if (accept(member, std::chrono::seconds { 0 }, Spread::Yes, now) == MemberTable::Outcome::Same)
+        gossip.noteDuplicate(member.name);
+    return true;
 }
 
 void EntryControl::State::pushRecords(Endpoint to, std::span<MemberTable::Record const* const> records, TimePoint now)
@@ -627,8 +692,10 @@
 void EntryControl::State::updateWatches(TimePoint now)
 {
     MonitorSelection::Changes const changes = monitors.takeChanges();
-    for (std::string const& name : changes.lost)
+    for (std::string const& name : changes.lost) {
         detector.unwatch(name);
+        reportedViews.erase(name);
+    }
     for (std::string const& name : changes.gained)
         detector.watch(name, now, std::max(options.heartbeat, heartbeatInterval()));
 }
@@ -681,7 +748,7 @@
     refreshNeighbours();
     std::vector<Endpoint> const chosen = neighbours.choose(random);
     std::vector<ControlMessage> batches;
-    gossip.round(now, chosen, batches);
+    gossip.round(now, governor.allows() ? Urgency::Suspicion : Urgency::Departure, chosen, batches);
     outbox.send(std::move(batches));
     counts.deferred = gossip.deferred();
 }
@@ -689,7 +756,7 @@
 void EntryControl::State::compare(TimePoint now)
 {
     refreshNeighbours();
-    if (antiEntropy.takeDue(now))
+    if (governor.allows() && antiEntropy.takeDue(now))
         sendDigests(neighbours.randomPeer(random));
     if (antiEntropy.takeReconnectDue(now))
         reconnect();
@@ -850,6 +917,7 @@
     if (!state_->lastTick)
         state_->start(now);
     state_->noticePause(now);
+    state_->governor.update(state_->counts.sentBytes, state_->counts.receivedBytes, !state_->catchUp.isActive(), now);
     state_->spread.refreshCopies();
     state_->updateWatches(now);
     state_->detect(now);
--- a/src/membership/Gossip.h
+++ b/src/membership/Gossip.h
@@ -38,6 +38,11 @@
     /// \brief Time over which unused allowance accumulates.
     static constexpr std::chrono::seconds burst { 10 };
 
+    /// \brief Time after which an unsent delta is dropped; comparisons carry it further without duplicates.
+    ///
+    /// Without it, 2,300 joins kept the gossip of 200 entries at its limit for 20 minutes after all knew them.
+    static constexpr std::chrono::seconds lifetime { 30 };
+
     /// \param bytesPerSecond  the share of the node's budget for gossip
     explicit Gossip(double bytesPerSecond);
 
@@ -47,6 +52,9 @@
     /// \brief Queues a record; it replaces an older record of the same member.
     void push(control::Member const& member, std::size_t entries);
 
+    /// \brief Queues the new state of a record that others have; a whole record in the queue stays a whole record.
+    void push(std::string_view member, control::StateDelta const& delta, control::Member const& whole, std::size_t entries);
+
     /// \brief Queues a change of the configuration.
     void push(control::ConfigurationChange const& change, std::size_t entries);
 
@@ -66,7 +74,9 @@
     [[nodiscard]] bool isDue(TimePoint now) const noexcept;
 
     /// \brief The batches of one round.
-    void round(TimePoint now, std::span<Endpoint const> neighbours, std::vector<ControlMessage>& messages);
+    ///
+    /// \param least  deltas of less urgency wait
+    void round(TimePoint now, Urgency least, std::span<Endpoint const> neighbours, std::vector<ControlMessage>& messages);
 
     /// \brief Deltas that waited for the budget.
     [[nodiscard]] std::uint64_t deferred() const noexcept { return deferred_; }
@@ -87,17 +97,19 @@
 
     struct Item {
         std::string key;
-        std::variant<control::Member, control::ConfigurationChange, control::ServiceCopy> body;
+        std::variant<control::Member, control::ConfigurationChange, control::ServiceCopy, control::StateDelta> body;
         std::size_t bytes { 0 };
         int remaining { 0 };
+        std::optional<TimePoint> since; ///< first round in which it was queued
         bool deferred { false };
     };
 
     void pushItem(std::string key, Urgency urgency, Item item);
     void reduce(std::string_view key);
-    [[nodiscard]] std::string fillBatch();
+    [[nodiscard]] std::string fillBatch(Urgency least);
     [[nodiscard]] bool canSend(Rank const& rank, Item const& item) const noexcept;
     void countDeferred();
+    void dropOld(TimePoint now);
 
     TokenBucket bucket_;
     std::map<Rank, Item> items_;
