Agent pipeline: admission, pass notes, claims and load estimate

Rules A1 to A11 as a table of filters over flow table, pass notes, view state and admission. The settle window of 10 s is shorter than the 63 s in which a SYN is retransmitted, so an agent without 70 s of memory probes up to the first candidate that has it.

--- /dev/null
+++ b/src/agent/AgentPipeline.cpp
@@ -0,0 +1,774 @@
+#include "plantaindrift/agent/AgentPipeline.h"
+
+#include "agent/Admission.h"
+#include "agent/FlowRanking.h"
+#include "agent/FlowTable.h"
+#include "agent/PassNotes.h"
+#include "agent/ViewState.h"
+#include "plantaindrift/base/Hash.h"
+
+#include <algorithm>
+#include <array>
+
+namespace plantaindrift {
+
+namespace {
+
+    constexpr std::array<std::string_view, 9> reasonNames {
+        "none", "wrong_service", "unknown_flow", "hop_limit", "all_full", "unsettled", "notes_full", "paused", "recovering"
+    };
+
+    constexpr std::size_t flowsPerConnection = 2; // Closing flows stay in the table.
+    constexpr double referenceWeight = 100;
+
+    constexpr std::chrono::seconds finishedHold { 60 };
+    constexpr std::chrono::seconds resetHold { 5 };
+    constexpr std::chrono::seconds udpIdle { 60 };
+
+    // A filling table forgets closing flows sooner: 2,000 connections with requests of 50 ms leave more flows in 60 s
+    // than the table holds. Only late packets of a finished flow are lost by that.
+    constexpr std::chrono::seconds pressedHold { 2 };
+
+    // A handshake that brings no data in this time belongs to a connection that waits.
+    constexpr std::chrono::seconds handshakeProgress { 1 };
+
+    // The answer to a UDP request does not pass the agent; the next load report takes over from here.
+    constexpr std::chrono::milliseconds udpProgress { 200 };
+
+    // A note to an agent that the view does not know within this time points to an agent that died while joining.
+    constexpr std::chrono::seconds unknownOwnerTime { 10 };
+
+    // A UDP caller that was refused may try again from the same port.
+    constexpr std::chrono::seconds udpRefusalTime { 5 };
+
+    constexpr std::chrono::seconds redirectLease { 60 };
+    constexpr std::chrono::seconds redirectRenewal { 20 };
+    constexpr std::size_t redirectTargets = 2;
+
+    // Scores computed per tick while looking for displaced flows; 20,000 take about half a millisecond.
+    constexpr std::size_t scoresPerTick = 20000;
+    constexpr std::size_t slotsPerTick = 4096;
+
+    // The notes are swept once in 6.4 s.
+    constexpr std::size_t sweepSteps = 64;
+
+    std::uint64_t claimRank(FlowHash flow, Endpoint claimant) noexcept
+    {
+        std::uint64_t const place = (static_cast<std::uint64_t>(claimant.address) << 16U) | claimant.port;
+        return mixHash(static_cast<std::uint64_t>(flow), place);
+    }
+
+    std::size_t indexOf(std::span<Endpoint const> endpoints, Endpoint endpoint) noexcept
+    {
+        auto const place = std::find(endpoints.begin(), endpoints.end(), endpoint);
+        return static_cast<std::size_t>(place - endpoints.begin());
+    }
+
+    // One packet on its way through the filters.
+    struct Passage {
+        InnerPacket const& packet;
+        TimePoint now;
+        RouteOption route;
+        AgentDecision decision;
+        PassNote* note { nullptr };
+        bool first { false }; // may open a flow
+        bool strict { false }; // must not be admitted twice, even after a crash
+        bool inOrder { false }; // came along the candidate list, not by a note
+        bool memoryGap { false }; // earlier copies may be known further along the list only
+    };
+
+} // namespace
+
+std::string_view agentReasonName(AgentReason reason) noexcept
+{
+    return reasonNames[static_cast<std::size_t>(reason)];
+}
+
+struct AgentPipeline::State {
+    using Filter = bool (State::*)(Passage&) noexcept;
+
+    static std::array<Filter, 9> const filters;
+
+    AgentOptions options;
+    ViewState view;
+    FlowTable flows;
+    PassNotes notes;
+    Admission admission;
+    Service service;
+    AgentCounts counts;
+    std::optional<TimePoint> lastReconciliation;
+    TimePoint viewChanged;
+    std::uint32_t reconciliations { 0 };
+    std::size_t redirectCursor { 0 };
+    std::size_t flowLimit { 0 };
+
+    State(AgentOptions const& agentOptions, TimePoint now)
+        : options(agentOptions)
+        , view(agentOptions.name, agentOptions.self, now)
+        , notes(agentOptions.noteEntries)
+        , admission(agentOptions.coldStart, now)
+        , viewChanged(now)
+    {
+    }
+
+    [[nodiscard]] FlowCounts flowCounts() const noexcept
+    {
+        return { flows.openCount(), flows.inProgressCount(), flows.size() >= flows.limit() };
+    }
+
+    void resizeFlows()
+    {
+        ViewTarget const* const self = view.self();
+        double const weight = self != nullptr ? self->weight : referenceWeight;
+        admission.setWeight(static_cast<std::uint16_t>(weight));
+        std::size_t const limit = static_cast<std::size_t>(service.limits.connections * weight / referenceWeight) * flowsPerConnection;
+        if (limit != flowLimit)
+            flows.resize(limit);
+        flowLimit = limit;
+    }
+
+    // Outcomes. Each ends the passage.
+
+    static bool finish(Passage& passage, AgentAction action, AgentReason reason) noexcept
+    {
+        passage.decision.action = action;
+        passage.decision.reason = reason;
+        return true;
+    }
+
+    static bool drop(Passage& passage, AgentReason reason) noexcept
+    {
+        return finish(passage, AgentAction::Drop, reason);
+    }
+
+    static bool deliver(Passage& passage) noexcept
+    {
+        // A2: the entry learns the owner when its first choice was another agent.
+        if (passage.route.hops > 0 && passage.route.entry.isSet())
+            passage.decision.notice = OwnerNotice { passage.route.entry, passage.packet.flow };
+        return finish(passage, AgentAction::Deliver, AgentReason::None);
+    }
+
+    static bool passTo(Passage& passage, Endpoint to, std::size_t position) noexcept
+    {
+        passage.route.hops = static_cast<std::uint8_t>(passage.route.hops + 1);
+        passage.route.position = static_cast<std::uint8_t>(position);
+        passage.decision.to = to;
+        passage.decision.route = passage.route;
+        return finish(passage, AgentAction::Pass, AgentReason::None);
+    }
+
+    // Notes.
+
+    bool putNote(Passage& passage, NoteKind kind, Endpoint owner, Duration lifetime) noexcept
+    {
+        PassNote note;
+        note.flow = passage.packet.flow;
+        note.expires = passage.now + lifetime;
+        note.owner = owner;
+        note.sequence = passage.packet.sequence;
+        note.kind = kind;
+        note.strict = passage.strict;
+        passage.note = notes.put(note);
+        return passage.note != nullptr;
+    }
+
+    [[nodiscard]] bool isOwnClaim(PassNote const* note) const noexcept
+    {
+        return note != nullptr && note->kind == NoteKind::Claimed && note->owner == options.self;
+    }
+
+    // The next candidate that is neither this agent nor the claimant; the candidate count at the end of the list.
+    [[nodiscard]] std::size_t nextCandidate(RouteOption const& route, std::size_t from) const noexcept
+    {
+        std::size_t index = from;
+        while (index < route.candidateCount && (route.candidates[index] == options.self || route.candidates[index] == route.claimant))
+            ++index;
+        return std::min<std::size_t>(index, route.candidateCount);
+    }
+
+    // Filters. Each returns true if it decided.
+
+    // A1
+    bool checkService(Passage& passage) noexcept
+    {
+        return passage.route.service != options.service && drop(passage, AgentReason::WrongService);
+    }
+
+    // A2
+    bool deliverKnown(Passage& passage) noexcept
+    {
+        Flow* const flow = flows.find(passage.packet.flow);
+        if (flow == nullptr)
+            return false;
+        if (passage.packet.syn && flow->isClosing()) {
+            if (!admission.isAccepting()) {
+                flows.erase(*flow);
+                return false;
+            }
+            flows.reopen(*flow);
+            flow->hasPayload = false;
+        }
+        trackPacket(*flow, passage);
+        return deliver(passage);
+    }
+
+    void trackPacket(Flow& flow, Passage const& passage) noexcept
+    {
+        InnerPacket const& packet = passage.packet;
+        flow.lastPacket = passage.now;
+        if (packet.rst || packet.fin) {
+            flows.close(flow, packet.rst ? FlowState::Reset : FlowState::Finished);
+            return;
+        }
+        if (packet.payloadBytes > 0) {
+            flow.lastPayload = passage.now;
+            flow.hasPayload = true;
+            flows.setInProgress(flow, !flow.isClosing());
+            return;
+        }
+        // A bare acknowledgement after the request acknowledges the answer, because a caller acknowledges only data.
+        if (flow.hasPayload && !packet.syn)
+            flows.setInProgress(flow, false);
+    }
+
+    bool dropPaused(Passage& passage) noexcept
+    {
+        return passage.first && view.isPaused(passage.now) && drop(passage, AgentReason::Paused);
+    }
+
+    // A10: an unknown flow may be one that the table lacks until it is rebuilt.
+    bool dropRecovering(Passage& passage) noexcept
+    {
+        return passage.first && !admission.isRecovered() && drop(passage, AgentReason::Recovering);
+    }
+
+    // A3, A8
+    bool followNote(Passage& passage) noexcept
+    {
+        passage.note = notes.find(passage.packet.flow, passage.now);
+        if (passage.note == nullptr)
+            return false;
+        orphanUnknownOwner(passage);
+        PassNote& note = *passage.note;
+        bool const points = note.kind == NoteKind::Passed || note.kind == NoteKind::Claimed || note.kind == NoteKind::Redirected;
+        if (!passage.first)
+            return points && note.owner != options.self && passAlong(passage, note.owner);
+        if (note.kind == NoteKind::Refused)
+            return refuseAgain(passage);
+        if (note.kind == NoteKind::Orphaned) {
+            passage.memoryGap = true;
+            return false;
+        }
+        if (note.owner == options.self)
+            return false;
+        return followPointer(passage);
+    }
+
+    void orphanUnknownOwner(Passage& passage) const noexcept
+    {
+        PassNote& note = *passage.note;
+        bool const points = note.kind == NoteKind::Passed || note.kind == NoteKind::Claimed;
+        if (!points || note.strict || note.owner == options.self)
+            return;
+        if (note.expires - passage.now < PassNotes::lifetime - unknownOwnerTime && !view.isLive(note.owner))
+            note.kind = NoteKind::Orphaned;
+    }
+
+    bool refuseAgain(Passage& passage) noexcept
+    {
+        bool const sameAttempt = passage.packet.key.protocol == Protocol::Udp || passage.note->sequence == passage.packet.sequence;
+        if (sameAttempt)
+            return finish(passage, AgentAction::Refuse, AgentReason::AllFull);
+        notes.erase(*passage.note);
+        passage.note = nullptr;
+        return false;
+    }
+
+    bool followPointer(Passage& passage) noexcept
+    {
+        PassNote& note = *passage.note;
+        RouteOption& route = passage.route;
+        if (route.claimant == options.self) {
+            bool const returned = route.returning;
+            route.claimant = {};
+            route.returning = false;
+            // The owner that the note names does not know the flow any more and hands it back.
+            if (!returned && note.kind == NoteKind::Redirected) {
+                notes.erase(note);
+                passage.note = nullptr;
+                return false;
+            }
+        } else if (route.claimant == note.owner) {
+            // The claimant's own probe goes on along the list.
+            passage.memoryGap = true;
+            return false;
+        }
+        if (note.kind != NoteKind::Redirected)
+            note.expires = passage.now + PassNotes::lifetime;
+        return passAlong(passage, note.owner);
+    }
+
+    bool passAlong(Passage& passage, Endpoint owner) noexcept
+    {
+        if (passage.route.hops >= maximumHops) {
+            // Notes that agents with different orders made can form a loop; without this one the next copy gets out.
+            if (passage.first && passage.note->kind != NoteKind::Claimed)
+                passage.note->kind = NoteKind::Orphaned;
+            return drop(passage, AgentReason::HopLimit);
+        }
+        // The position stays, so that the owner sees that the packet came by a note and skipped candidates.
+        return passTo(passage, owner, passage.route.position);
+    }
+
+    // A5, at a candidate that is asked, and at the claimant when the probe returns.
+    bool answerClaim(Passage& passage) noexcept
+    {
+        RouteOption& route = passage.route;
+        if (!passage.first || !route.claimant.isSet())
+            return false;
+        if (route.claimant == options.self) {
+            if (route.returning)
+                return admit(passage);
+            route.claimant = {};
+            return false;
+        }
+        route.returning = false;
+        if (isOwnClaim(passage.note) && claimRank(passage.packet.flow, options.self) < claimRank(passage.packet.flow, route.claimant))
+            return overrule(passage);
+        bool const asked = passage.note == nullptr;
+        if (!putNote(passage, NoteKind::Claimed, route.claimant, PassNotes::lifetime))
+            return drop(passage, AgentReason::NotesFull);
+        // This agent has seen every earlier copy, and none opened a flow: nobody further along knows it.
+        bool const conclusive = asked && passage.inOrder && !passage.strict && view.isSettled(route.viewFingerprint, passage.now);
+        if (conclusive)
+            return returnProbe(passage);
+        return probeNext(passage, route.position + 1U);
+    }
+
+    // Two claims met. The lower rank wins, so that exactly one of them is given up.
+    bool overrule(Passage& passage) noexcept
+    {
+        Endpoint const other = passage.route.claimant;
+        passage.route.claimant = options.self;
+        if (passage.route.hops >= maximumHops)
+            return drop(passage, AgentReason::HopLimit);
+        return passTo(passage, other, passage.route.position);
+    }
+
+    bool returnProbe(Passage& passage) noexcept
+    {
+        RouteOption& route = passage.route;
+        if (route.claimant == options.self)
+            return admit(passage);
+        route.returning = true;
+        return passTo(passage, route.claimant, route.position);
+    }
+
+    bool probeNext(Passage& passage, std::size_t from) noexcept
+    {
+        RouteOption& route = passage.route;
+        std::size_t const next = nextCandidate(route, from);
+        // The last hop is kept for the way back to the claimant.
+        if (route.hops + 1U >= maximumHops)
+            return drop(passage, AgentReason::HopLimit);
+        if (next < route.candidateCount)
+            return passTo(passage, route.candidates[next], next);
+        if (view.isOrderAgreed(route.viewFingerprint, passage.now))
+            return returnProbe(passage);
+        return probeOwnView(passage, std::max<std::size_t>(from, route.candidateCount));
+    }
+
+    // A5: targets that this agent knows, and the entry that ranked the packet does not, may own the flow.
+    bool probeOwnView(Passage& passage, std::size_t from) noexcept
+    {
+        RouteOption& route = passage.route;
+        RankedCandidates const own = rankCandidates(view, passage.packet.flow);
+        std::size_t position = route.candidateCount;
+        for (std::size_t index = 0; index < own.count; ++index) {
+            Endpoint const endpoint = own.endpoints[index];
+            bool const listed = indexOf(route.candidateSpan(), endpoint) < route.candidateCount;
+            if (listed || endpoint == options.self || endpoint == route.claimant)
+                continue;
+            if (position++ >= from)
+                return passTo(passage, endpoint, position - 1);
+        }
+        return returnProbe(passage);
+    }
+
+    // A7
+    bool passLater(Passage& passage) noexcept
+    {
+        if (passage.first)
+            return false;
+        RouteOption& route = passage.route;
+        route.claimant = {};
+        if (route.hops >= maximumHops)
+            return drop(passage, AgentReason::HopLimit);
+        bool const skipped = route.hops == 0 && route.position > 0;
+        std::size_t const from = skipped ? 0 : route.position + 1U;
+        std::size_t const next = nextCandidate(route, from);
+        if (next < route.candidateCount)
+            return passTo(passage, route.candidates[next], next);
+        return passToOwnView(passage, std::max<std::size_t>(from, route.candidateCount));
+    }
+
+    bool passToOwnView(Passage& passage, std::size_t from) noexcept
+    {
+        std::size_t position = passage.route.candidateCount;
+        for (ViewTarget const& target : view.targets()) {
+            bool const listed = indexOf(passage.route.candidateSpan(), target.data) < passage.route.candidateCount;
+            if (listed || target.data == options.self)
+                continue;
+            if (position++ >= from)
+                return passTo(passage, target.data, position - 1);
+        }
+        return drop(passage, AgentReason::UnknownFlow);
+    }
+
+    // An entry's flow cache put this agent ahead of better candidates. Only their notes and flows tell whether another
+    // copy was admitted, so the packet starts again at the first one.
+    bool restartAtFirst(Passage& passage) noexcept
+    {
+        RouteOption& route = passage.route;
+        bool const skipped = route.hops == 0 && route.position > 0 && passage.inOrder;
+        return skipped && !isOwnClaim(passage.note) && passTo(passage, route.candidates[0], 0);
+    }
+
+    bool decideFirst(Passage& passage) noexcept
+    {
+        // A claim is a promise: other agents send copies here, so it is kept even by a full or draining agent.
+        if (isOwnClaim(passage.note))
+            return claim(passage);
+        Willingness const willingness = admission.willingness(flowCounts(), passage.now);
+        if (willingness == Willingness::Full)
+            return hunt(passage);
+        if (willingness == Willingness::AbovePeers && sparesPeers(passage))
+            return hunt(passage);
+        // A4
+        bool const settled = view.isSettled(passage.route.viewFingerprint, passage.now);
+        if (settled && passage.inOrder && !passage.strict && !passage.memoryGap)
+            return admit(passage);
+        return claim(passage);
+    }
+
+    // The load of peers moves a flow only once, and only if somebody else remains.
+    bool sparesPeers(Passage const& passage) noexcept
+    {
+        RouteOption const& route = passage.route;
+        bool const canPass = passage.inOrder && route.hops == 0 && nextCandidate(route, route.position + 1U) < route.candidateCount;
+        return canPass && admission.limits().huntLimit > 1 && !passage.memoryGap && admission.hasPass();
+    }
+
+    // A5, at the claimant.
+    bool claim(Passage& passage) noexcept
+    {
+        std::size_t const from = passage.inOrder ? passage.route.position + 1U : 0U;
+        passage.route.claimant = options.self;
+        passage.route.returning = false;
+        if (!putNote(passage, NoteKind::Claimed, options.self, PassNotes::lifetime))
+            return drop(passage, AgentReason::NotesFull);
+        return probeNext(passage, from);
+    }
+
+    bool admit(Passage& passage) noexcept
+    {
+        Flow* const flow = flows.insert(passage.packet.flow, passage.packet.key.protocol, passage.now);
+        // A11
+        if (flow == nullptr)
+            return drop(passage, AgentReason::AllFull);
+        trackPacket(*flow, passage);
+        flows.setInProgress(*flow, !flow->isClosing());
+        if (PassNote* const note = notes.find(passage.packet.flow, passage.now))
+            notes.erase(*note);
+        admission.noteAdmission();
+        passage.decision.admitted = true;
+        return deliver(passage);
+    }
+
+    // A6
+    bool hunt(Passage& passage) noexcept
+    {
+        RouteOption& route = passage.route;
+        std::size_t const self = indexOf(route.candidateSpan(), options.self);
+        if (self >= route.candidateCount)
+            return handBack(passage);
+        std::size_t const next = nextCandidate(route, self + 1);
+        bool const atEnd = next >= route.candidateCount || route.hops + 1U >= admission.limits().huntLimit;
+        // Passes away from a draining or recovering target are not overload and cost no budget.
+        bool const mayPass = !atEnd && (!admission.isAccepting() || admission.takePass());
+        if (!mayPass)
+            return refuse(passage, next);
+        if (!putNote(passage, NoteKind::Passed, route.candidates[next], PassNotes::lifetime))
+            return drop(passage, AgentReason::NotesFull);
+        return passTo(passage, route.candidates[next], next);
+    }
+
+    // A redirect led here after the flow ended. The first candidate decides afresh and forgets the redirect.
+    bool handBack(Passage& passage) noexcept
+    {
+        RouteOption& route = passage.route;
+        if (route.candidateCount == 0 || route.hops >= maximumHops)
+            return drop(passage, AgentReason::HopLimit);
+        route.claimant = route.candidates[0];
+        return passTo(passage, route.candidates[0], 0);
+    }
+
+    // A refusal is truthful if this agent has seen every earlier copy, or if every candidate was asked.
+    bool refuse(Passage& passage, std::size_t next) noexcept
+    {
+        RouteOption const& route = passage.route;
+        bool const settled = view.isSettled(route.viewFingerprint, passage.now) && !passage.memoryGap;
+        bool const askedAll = next >= route.candidateCount && passage.inOrder && route.hops == route.position && route.candidateCount < maximumCandidates
+            && view.isOrderAgreed(route.viewFingerprint, passage.now);
+        if (!settled && !askedAll)
+            return drop(passage, AgentReason::Unsettled);
+        bool const udp = passage.packet.key.protocol == Protocol::Udp;
+        Duration const lifetime = udp ? Duration(udpRefusalTime) : Duration(PassNotes::lifetime);
+        if (!putNote(passage, NoteKind::Refused, options.self, lifetime))
+            return drop(passage, AgentReason::NotesFull);
+        return finish(passage, AgentAction::Refuse, AgentReason::AllFull);
+    }
+
+    void count(AgentDecision const& decision) noexcept
+    {
+        counts.admitted += decision.admitted ? 1 : 0;
+        counts.delivered += decision.action == AgentAction::Deliver ? 1 : 0;
+        counts.passed += decision.action == AgentAction::Pass ? 1 : 0;
+        counts.refused += decision.action == AgentAction::Refuse ? 1 : 0;
+        if (decision.action == AgentAction::Drop)
+            ++counts.dropped[static_cast<std::size_t>(decision.reason)];
+    }
+
+    // Periodic work.
+
+    void expireFlows(TimePoint now) noexcept
+    {
+        Duration const hold = flows.size() * 2 > flows.limit() ? Duration(pressedHold) : Duration(finishedHold);
+        flows.eraseIf([this, now, hold](Flow& flow) {
+            Duration const idle = now - flow.lastPacket;
+            if (flow.inProgress)
+                expireProgress(flow, now);
+            if (flow.protocol == Protocol::Udp)
+                return idle > udpIdle;
+            if (flow.state == FlowState::Finished)
+                return idle > hold;
+            return flow.state == FlowState::Reset && idle > std::min<Duration>(hold, resetHold);
+        });
+    }
+
+    void expireProgress(Flow& flow, TimePoint now) noexcept
+    {
+        bool const idleUdp = flow.protocol == Protocol::Udp && now - flow.lastPayload > udpProgress;
+        bool const waiting = !flow.hasPayload && now - flow.admitted > handshakeProgress;
+        if (idleUdp || waiting)
+            flows.setInProgress(flow, false);
+    }
+
+    // A9
+    std::size_t writeRedirects(TimePoint now, std::span<Redirect> redirects) noexcept
+    {
+        std::size_t written = 0;
+        std::size_t scores = 0;
+        std::size_t const visits = std::min(slotsPerTick, flows.slotCount());
+        for (std::size_t visit = 0; visit < visits && scores < scoresPerTick; ++visit) {
+            if (written + redirectTargets > redirects.size())
+                break;
+            redirectCursor = redirectCursor + 1 < flows.slotCount() ? redirectCursor + 1 : 0;
+            Flow* const flow = flows.slot(redirectCursor);
+            if (flow == nullptr || flow->isClosing() || !isRedirectDue(*flow, now))
+                continue;
+            flow->lastRedirect = now;
+            RankedCandidates const ranked = rankCandidates(view, flow->hash);
+            scores += ranked.evaluated;
+            written += redirectFlow(*flow, ranked, redirects.subspan(written));
+        }
+        return written;
+    }
+
+    [[nodiscard]] bool isRedirectDue(Flow const& flow, TimePoint now) const noexcept
+    {
+        // Every entry lists all targets of a small service.
+        if (flow.protocol == Protocol::Tcp && view.targets().size() <= maximumCandidates && view.self() != nullptr && !view.self()->dead)
+            return false;
+        return flow.lastRedirect <= viewChanged || now - flow.lastRedirect >= redirectRenewal;
+    }
+
+    // TCP flows are found along the list. A packet of a UDP flow that another agent does not know opens a flow there,
+    // so the first candidate is told of every UDP flow that it does not own.
+    std::size_t redirectFlow(Flow const& flow, RankedCandidates const& ranked, std::span<Redirect> redirects) const noexcept
+    {
+        std::size_t const rank = indexOf({ ranked.endpoints.data(), ranked.count }, options.self);
+        bool const displaced = rank >= ranked.count || (flow.protocol == Protocol::Udp && rank > 0);
+        std::size_t written = 0;
+        for (std::size_t index = 0; displaced && index < std::min({ redirectTargets, rank, ranked.count }); ++index)
+            redirects[written++] = Redirect { ranked.endpoints[index], flow.hash };
+        return written;
+    }
+
+    // Reconciliation.
+
+    void adoptFlow(FlowHash hash, TimePoint now)
+    {
+        Flow* flow = flows.find(hash);
+        if (flow == nullptr) {
+            if (flows.size() >= flows.limit())
+                flows.resize(flows.limit() + flows.limit() / 2 + 1);
+            flow = flows.insert(hash, protocol(), now);
+            flow->lastRedirect = TimePoint::min();
+            if (PassNote* const note = notes.find(hash, now))
+                notes.erase(*note);
+        }
+        // A caller that has sent FIN may wait for its answer longer than a finished flow is kept.
+        if (flow->state == FlowState::Finished)
+            flow->lastPacket = now;
+        flow->listedIn = reconciliations;
+    }
+
+    [[nodiscard]] Protocol protocol() const noexcept
+    {
+        bool const udp = !service.addresses.empty() && service.addresses.front().protocol == Protocol::Udp;
+        return udp ? Protocol::Udp : Protocol::Tcp;
+    }
+
+    // The list was taken after the last reconciliation, so only flows from before that one can be judged by it.
+    void eraseLeaked() noexcept
+    {
+        if (!lastReconciliation.has_value())
+            return;
+        TimePoint const judged = *lastReconciliation;
+        flows.eraseIf([this, judged](Flow const& flow) {
+            return flow.protocol == Protocol::Tcp && !flow.isClosing() && flow.listedIn != reconciliations && flow.admitted < judged;
+        });
+    }
+};
+
+std::array<AgentPipeline::State::Filter, 9> const AgentPipeline::State::filters {
+    &State::checkService,
+    &State::deliverKnown,
+    &State::dropPaused,
+    &State::dropRecovering,
+    &State::followNote,
+    &State::answerClaim,
+    &State::passLater,
+    &State::restartAtFirst,
+    &State::decideFirst,
+};
+
+AgentPipeline::AgentPipeline(AgentOptions const& options, TimePoint now)
+    : state_(std::make_unique<State>(options, now))
+{
+}
+
+AgentPipeline::~AgentPipeline() = default;
+
+AgentDecision AgentPipeline::decide(RouteOption const& route, InnerPacket const& packet, TimePoint now) noexcept
+{
+    Passage passage { packet, now, route, {} };
+    bool const udp = packet.key.protocol == Protocol::Udp;
+    passage.first = udp || packet.syn;
+    passage.strict = udp && !state_->service.idempotent;
+    passage.inOrder = route.position < route.candidateCount && route.candidates[route.position] == state_->options.self;
+    for (State::Filter const filter : State::filters) {
+        if ((state_.get()->*filter)(passage))
+            break;
+    }
+    state_->count(passage.decision);
+    return passage.decision;
+}
+
+void AgentPipeline::setService(Service const& service)
+{
+    state_->service = service;
+    state_->admission.setService(service.limits, service.slowStart);
+    state_->resizeFlows();
+}
+
+void AgentPipeline::setView(ServiceView const& view, TimePoint now)
+{
+    if (view.fingerprint != state_->view.fingerprint())
+        state_->viewChanged = now;
+    std::vector<Endpoint> const gone = state_->view.setView(view, now);
+    state_->resizeFlows();
+    if (gone.empty())
+        return;
+    state_->notes.forEach([&gone](PassNote& note) {
+        // A strict flow may have run at the lost target, so copies of it keep going there and get no answer.
+        bool const lost = !note.strict && note.kind != NoteKind::Refused && std::find(gone.begin(), gone.end(), note.owner) != gone.end();
+        note.kind = lost ? NoteKind::Orphaned : note.kind;
+    });
+}
+
+void AgentPipeline::reconcile(std::span<FlowHash const> openFlows, TimePoint now)
+{
+    ++state_->reconciliations;
+    for (FlowHash const flow : openFlows)
+        state_->adoptFlow(flow, now);
+    state_->eraseLeaked();
+    state_->lastReconciliation = now;
+    if (!state_->admission.isRecovered())
+        state_->view.noteRecovery(now);
+    state_->admission.setRecovered();
+}
+
+void AgentPipeline::setLoadReport(LoadReport const& report, TimePoint now) noexcept
+{
+    state_->admission.setLoadReport(report, state_->flowCounts(), now);
+}
+
+void AgentPipeline::setPeerLoad(std::string_view peer, double busyFraction, TimePoint now)
+{
+    state_->admission.setPeerLoad(peer, busyFraction, now);
+}
+
+void AgentPipeline::setDraining(bool draining) noexcept
+{
+    state_->admission.setDraining(draining);
+}
+
+void AgentPipeline::renewLease(TimePoint now) noexcept
+{
+    state_->view.renewLease(now);
+}
+
+void AgentPipeline::acceptRedirect(FlowHash flow, Endpoint owner, TimePoint now) noexcept
+{
+    if (owner == state_->options.self || state_->flows.find(flow) != nullptr)
+        return;
+    PassNote note;
+    note.flow = flow;
+    note.expires = now + redirectLease;
+    note.owner = owner;
+    note.kind = NoteKind::Redirected;
+    (void)state_->notes.put(note);
+}
+
+std::size_t AgentPipeline::tick(TimePoint now, std::span<Redirect> redirects) noexcept
+{
+    state_->view.tick(now);
+    state_->expireFlows(now);
+    state_->notes.sweep(now, sweepSteps);
+    state_->admission.tick(state_->flowCounts(), now);
+    return state_->writeRedirects(now, redirects);
+}
+
+double AgentPipeline::busyFraction(TimePoint /*now*/) const noexcept
+{
+    return state_->admission.busyFraction();
+}
+
+bool AgentPipeline::isSettled(std::uint32_t fingerprint, TimePoint now) const noexcept
+{
+    return state_->view.isSettled(fingerprint, now);
+}
+
+AgentCounts AgentPipeline::counts() const noexcept
+{
+    AgentCounts counts = state_->counts;
+    counts.openFlows = static_cast<std::uint32_t>(state_->flows.openCount());
+    counts.notes = static_cast<std::uint32_t>(state_->notes.size());
+    counts.estimatedBusy = state_->admission.estimatedBusy(state_->flowCounts());
+    return counts;
+}
+
+} // namespace plantaindrift
