--- a/src/agent/AgentPipeline.cpp
+++ b/src/agent/AgentPipeline.cpp
@@ -26,8 +26,8 @@
     constexpr std::chrono::seconds udpIdle { 60 };
 
     // A filling table forgets closing flows sooner: 2,000 connections with requests of 50 ms leave more flows in 60 s
-    // than the table holds. Only late packets of a finished flow are lost by that.
-    constexpr std::chrono::seconds pressedHold { 2 };
+    // than the table holds. Only late packets of a finished flow are lost by that. Entries rely on 5 s.
+    constexpr std::chrono::seconds pressedHold { 5 };
 
     // A handshake that brings no data in this time belongs to a connection that waits.
     constexpr std::chrono::seconds handshakeProgress { 1 };
@@ -87,7 +87,7 @@
 struct AgentPipeline::State {
     using Filter = bool (State::*)(Passage&) noexcept;
 
-    static std::array<Filter, 9> const filters;
+    static std::array<Filter, 8> const filters;
 
     AgentOptions options;
     ViewState view;
@@ -217,6 +217,7 @@
     {
         InnerPacket const& packet = passage.packet;
         flow.lastPacket = passage.now;
+        flow.confirmed = flow.confirmed || !packet.syn;
         if (packet.rst || packet.fin) {
             flows.close(flow, packet.rst ? FlowState::Reset : FlowState::Finished);
             return;
@@ -374,26 +375,25 @@
             return drop(passage, AgentReason::HopLimit);
         if (next < route.candidateCount)
             return passTo(passage, route.candidates[next], next);
-        if (view.isOrderAgreed(route.viewFingerprint, passage.now))
-            return returnProbe(passage);
-        return probeOwnView(passage, std::max<std::size_t>(from, route.candidateCount));
+        return returnProbe(passage);
     }
 
-    // A5: targets that this agent knows, and the entry that ranked the packet does not, may own the flow.
-    bool probeOwnView(Passage& passage, std::size_t from) noexcept
+    // A5: targets that this agent knows, and the entry that ranked the packet does not, may own the flow. They take the
+    // place of the last candidates if the list is full, which only long hunts reach.
+    void addOwnView(Passage& passage) const noexcept
     {
         RouteOption& route = passage.route;
         RankedCandidates const own = rankCandidates(view, passage.packet.flow);
-        std::size_t position = route.candidateCount;
+        std::size_t replaced = maximumCandidates;
         for (std::size_t index = 0; index < own.count; ++index) {
             Endpoint const endpoint = own.endpoints[index];
-            bool const listed = indexOf(route.candidateSpan(), endpoint) < route.candidateCount;
-            if (listed || endpoint == options.self || endpoint == route.claimant)
+            if (endpoint == options.self || indexOf(route.candidateSpan(), endpoint) < route.candidateCount)
                 continue;
-            if (position++ >= from)
-                return passTo(passage, endpoint, position - 1);
+            if (route.candidateCount < maximumCandidates)
+                route.candidates[route.candidateCount++] = endpoint;
+            else if (replaced > maximumCandidates / 2 && replaced > route.position + 1U)
+                route.candidates[--replaced] = endpoint;
         }
-        return returnProbe(passage);
     }
 
     // A7
@@ -405,34 +405,30 @@
         route.claimant = {};
         if (route.hops >= maximumHops)
             return drop(passage, AgentReason::HopLimit);
-        bool const skipped = route.hops == 0 && route.position > 0;
-        std::size_t const from = skipped ? 0 : route.position + 1U;
-        std::size_t const next = nextCandidate(route, from);
+        std::size_t next = nextCandidate(route, route.position + 1U);
+        if (next >= route.candidateCount)
+            next = listOwnView(route);
         if (next < route.candidateCount)
             return passTo(passage, route.candidates[next], next);
-        return passToOwnView(passage, std::max<std::size_t>(from, route.candidateCount));
+        return drop(passage, AgentReason::UnknownFlow);
     }
 
-    bool passToOwnView(Passage& passage, std::size_t from) noexcept
+    // Adds targets of the own view that were not tried. A full list was tried completely and starts again with others,
+    // once, because the hop limit leaves no room for a third list.
+    // \returns the index of the first one
+    [[nodiscard]] std::size_t listOwnView(RouteOption& route) const noexcept
     {
-        std::size_t position = passage.route.candidateCount;
+        RouteOption const tried = route;
+        bool const isFull = route.candidateCount == maximumCandidates;
+        if (isFull && route.hops < maximumHops / 2)
+            route.candidateCount = 0;
+        std::size_t const first = route.candidateCount;
         for (ViewTarget const& target : view.targets()) {
-            bool const listed = indexOf(passage.route.candidateSpan(), target.data) < passage.route.candidateCount;
-            if (listed || target.data == options.self)
-                continue;
-            if (position++ >= from)
-                return passTo(passage, target.data, position - 1);
+            bool const wasTried = indexOf(tried.candidateSpan(), target.data) < tried.candidateCount;
+            if (!wasTried && target.data != options.self && route.candidateCount < maximumCandidates)
+                route.candidates[route.candidateCount++] = target.data;
         }
-        return drop(passage, AgentReason::UnknownFlow);
-    }
-
-    // An entry's flow cache put this agent ahead of better candidates. Only their notes and flows tell whether another
-    // copy was admitted, so the packet starts again at the first one.
-    bool restartAtFirst(Passage& passage) noexcept
-    {
-        RouteOption& route = passage.route;
-        bool const skipped = route.hops == 0 && route.position > 0 && passage.inOrder;
-        return skipped && !isOwnClaim(passage.note) && passTo(passage, route.candidates[0], 0);
+        return first;
     }
 
     bool decideFirst(Passage& passage) noexcept
@@ -464,6 +460,8 @@
     bool claim(Passage& passage) noexcept
     {
         std::size_t const from = passage.inOrder ? passage.route.position + 1U : 0U;
+        if (!view.isOrderAgreed(passage.route.viewFingerprint, passage.now))
+            addOwnView(passage);
         passage.route.claimant = options.self;
         passage.route.returning = false;
         if (!putNote(passage, NoteKind::Claimed, options.self, PassNotes::lifetime))
@@ -596,7 +594,7 @@
 
     // TCP flows are found along the list. A packet of a UDP flow that another agent does not know opens a flow there,
     // so the first candidate is told of every UDP flow that it does not own.
-    std::size_t redirectFlow(Flow const& flow, RankedCandidates const& ranked, std::span<Redirect> redirects) const noexcept
+    [[nodiscard]] std::size_t redirectFlow(Flow const& flow, RankedCandidates const& ranked, std::span<Redirect> redirects) const noexcept
     {
         std::size_t const rank = indexOf({ ranked.endpoints.data(), ranked.count }, options.self);
         bool const displaced = rank >= ranked.count || (flow.protocol == Protocol::Udp && rank > 0);
@@ -625,25 +623,39 @@
         flow->listedIn = reconciliations;
     }
 
+    bool keepClaim(Flow const& flow, TimePoint now) noexcept
+    {
+        PassNote note;
+        note.flow = flow.hash;
+        note.expires = now + PassNotes::lifetime;
+        note.owner = options.self;
+        note.kind = NoteKind::Claimed;
+        return notes.put(note) != nullptr;
+    }
+
     [[nodiscard]] Protocol protocol() const noexcept
     {
         bool const udp = !service.addresses.empty() && service.addresses.front().protocol == Protocol::Udp;
         return udp ? Protocol::Udp : Protocol::Tcp;
     }
 
-    // The list was taken after the last reconciliation, so only flows from before that one can be judged by it.
-    void eraseLeaked() noexcept
+    // The list was taken after the last reconciliation, so only flows from before that one can be judged by it. The
+    // list may lack half-open connections. The target still answers them, so a claim keeps copies of the SYN here.
+    void eraseLeaked(TimePoint now) noexcept
     {
         if (!lastReconciliation.has_value())
             return;
         TimePoint const judged = *lastReconciliation;
-        flows.eraseIf([this, judged](Flow const& flow) {
-            return flow.protocol == Protocol::Tcp && !flow.isClosing() && flow.listedIn != reconciliations && flow.admitted < judged;
+        flows.eraseIf([this, judged, now](Flow const& flow) noexcept {
+            bool const missing = flow.protocol == Protocol::Tcp && !flow.isClosing() && flow.listedIn != reconciliations;
+            // Entries rely on an owner notice for 4 s after a packet.
+            bool const leaked = missing && flow.admitted < judged && now - flow.lastPacket > resetHold;
+            return leaked && (flow.confirmed || keepClaim(flow, now));
         });
     }
 };
 
-std::array<AgentPipeline::State::Filter, 9> const AgentPipeline::State::filters {
+std::array<AgentPipeline::State::Filter, 8> const AgentPipeline::State::filters {
     &State::checkService,
     &State::deliverKnown,
     &State::dropPaused,
@@ -651,7 +663,6 @@
     &State::followNote,
     &State::answerClaim,
     &State::passLater,
-    &State::restartAtFirst,
     &State::decideFirst,
 };
 
@@ -704,7 +715,7 @@
     ++state_->reconciliations;
     for (FlowHash const flow : openFlows)
         state_->adoptFlow(flow, now);
-    state_->eraseLeaked();
+    state_->eraseLeaked(now);
     state_->lastReconciliation = now;
     if (!state_->admission.isRecovered())
         state_->view.noteRecovery(now);
--- a/src/agent/FlowRanking.cpp
+++ b/src/agent/FlowRanking.cpp
@@ -1,21 +1,15 @@
 #include "agent/FlowRanking.h"
 
+#include "entry/CandidateTable.h"
 #include "plantaindrift/base/Hash.h"
 
 #include <algorithm>
 
 namespace plantaindrift {
 
-namespace {
-
-    // The entries' tables have this many buckets; another value would rank differently from them.
-    constexpr std::uint64_t bucketCount = 1024;
-
-} // namespace
-
 RankedCandidates rankCandidates(ViewState const& view, FlowHash flow) noexcept
 {
-    std::uint64_t const bucket = static_cast<std::uint64_t>(flow) & (bucketCount - 1);
+    std::uint64_t const bucket = static_cast<std::uint64_t>(flow) & (CandidateTable::defaultBuckets - 1);
     RankedCandidates ranked;
     std::array<double, maximumCandidates> scores {};
     std::span<ViewTarget const> const targets = view.targets();
--- a/src/agent/FlowTable.h
+++ b/src/agent/FlowTable.h
@@ -26,6 +26,7 @@
     FlowState state { FlowState::Open };
     Protocol protocol { Protocol::Tcp };
     bool used { false };
+    bool confirmed { false }; ///< the caller sent more than a SYN
     bool hasPayload { false }; ///< the caller sent data
     bool inProgress { false }; ///< a request is on its way, or waits for its answer
 
