--- a/src/agent/AgentPipeline.cpp
+++ b/src/agent/AgentPipeline.cpp
@@ -98,6 +98,7 @@
     AgentCounts counts;
     std::optional<TimePoint> lastReconciliation;
     TimePoint viewChanged;
+    TimePoint recovered;
     std::uint32_t reconciliations { 0 };
     std::size_t redirectCursor { 0 };
     std::size_t flowLimit { 0 };
@@ -238,10 +239,14 @@
         return passage.first && view.isPaused(passage.now) && drop(passage, AgentReason::Paused);
     }
 
-    // A10: an unknown flow may be one that the table lacks until it is rebuilt.
+    // A10: an unknown flow may be one that the table lacks until it is rebuilt. A restart also forgets refusals, so a
+    // copy of a refused datagram is not taken while it may still be on its way; a refused TCP caller has no socket.
     bool dropRecovering(Passage& passage) noexcept
     {
-        return passage.first && !admission.isRecovered() && drop(passage, AgentReason::Recovering);
+        bool const udp = passage.packet.key.protocol == Protocol::Udp;
+        bool const forgetsRefusal = udp && passage.now < recovered + udpRefusalTime;
+        bool const recovering = !admission.isRecovered() || forgetsRefusal;
+        return passage.first && recovering && drop(passage, AgentReason::Recovering);
     }
 
     // A3, A8
@@ -255,6 +260,8 @@
         bool const points = note.kind == NoteKind::Passed || note.kind == NoteKind::Claimed || note.kind == NoteKind::Redirected;
         if (!passage.first)
             return points && note.owner != options.self && passAlong(passage, note.owner);
+        if (note.kind == NoteKind::HalfOpen)
+            return admit(passage);
         if (note.kind == NoteKind::Refused)
             return refuseAgain(passage);
         if (note.kind == NoteKind::Orphaned) {
@@ -623,13 +630,13 @@
         flow->listedIn = reconciliations;
     }
 
-    bool keepClaim(Flow const& flow, TimePoint now) noexcept
+    bool keepHalfOpen(Flow const& flow, TimePoint now) noexcept
     {
         PassNote note;
         note.flow = flow.hash;
         note.expires = now + PassNotes::lifetime;
         note.owner = options.self;
-        note.kind = NoteKind::Claimed;
+        note.kind = NoteKind::HalfOpen;
         return notes.put(note) != nullptr;
     }
 
@@ -640,7 +647,7 @@
     }
 
     // The list was taken after the last reconciliation, so only flows from before that one can be judged by it. The
-    // list may lack half-open connections. The target still answers them, so a claim keeps copies of the SYN here.
+    // list may lack half-open connections. The target still answers them, so a note keeps copies of the SYN here.
     void eraseLeaked(TimePoint now) noexcept
     {
         if (!lastReconciliation.has_value())
@@ -650,7 +657,7 @@
             bool const missing = flow.protocol == Protocol::Tcp && !flow.isClosing() && flow.listedIn != reconciliations;
             // Entries rely on an owner notice for 4 s after a packet.
             bool const leaked = missing && flow.admitted < judged && now - flow.lastPacket > resetHold;
-            return leaked && (flow.confirmed || keepClaim(flow, now));
+            return leaked && (flow.confirmed || keepHalfOpen(flow, now));
         });
     }
 };
@@ -717,8 +724,10 @@
         state_->adoptFlow(flow, now);
     state_->eraseLeaked(now);
     state_->lastReconciliation = now;
-    if (!state_->admission.isRecovered())
+    if (!state_->admission.isRecovered()) {
         state_->view.noteRecovery(now);
+        state_->recovered = now;
+    }
     state_->admission.setRecovered();
 }
 
--- a/src/agent/PassNotes.h
+++ b/src/agent/PassNotes.h
@@ -15,6 +15,7 @@
     Claimed, ///< `owner` claims the flow; this agent itself while its own probe is on the way
     Redirected, ///< `owner` has the flow and renews this note
     Refused, ///< this agent refused the flow
+    HalfOpen, ///< the target answered the SYN, and the handshake is not complete
     Orphaned ///< the agent that the note pointed to is gone; the flow may live further along the list
 };
 
