--- a/src/agent/AgentPipeline.cpp
+++ b/src/agent/AgentPipeline.cpp
@@ -38,8 +38,11 @@
     // A note to an agent that the view does not know within this time points to an agent that died while joining.
     constexpr std::chrono::seconds unknownOwnerTime { 10 };
 
-    // A UDP caller that was refused may try again from the same port.
-    constexpr std::chrono::seconds udpRefusalTime { 5 };
+    // Datagrams older than this are dropped, so no copy of a refused one comes later.
+    constexpr std::chrono::seconds udpRefusalTime { 30 };
+
+    // All agents of a service may restart at once; an idempotent service then pauses for this time only.
+    constexpr std::chrono::seconds idempotentRestartTime { 5 };
 
     constexpr std::chrono::seconds redirectLease { 60 };
     constexpr std::chrono::seconds redirectRenewal { 20 };
@@ -239,14 +242,18 @@
         return passage.first && view.isPaused(passage.now) && drop(passage, AgentReason::Paused);
     }
 
-    // A10: an unknown flow may be one that the table lacks until it is rebuilt. A restart also forgets refusals, so a
-    // copy of a refused datagram is not taken while it may still be on its way; a refused TCP caller has no socket.
+    // A10: an unknown flow may be one that the table lacks until it is rebuilt.
     bool dropRecovering(Passage& passage) noexcept
     {
-        bool const udp = passage.packet.key.protocol == Protocol::Udp;
-        bool const forgetsRefusal = udp && passage.now < recovered + udpRefusalTime;
-        bool const recovering = !admission.isRecovered() || forgetsRefusal;
-        return passage.first && recovering && drop(passage, AgentReason::Recovering);
+        return passage.first && !admission.isRecovered() && drop(passage, AgentReason::Recovering);
+    }
+
+    // A restart forgets refusals, so a copy of a refused datagram is not taken while it may still be on its way. A
+    // refused TCP caller has no socket that could complete the handshake.
+    [[nodiscard]] bool mayHaveRefused(Passage const& passage) const noexcept
+    {
+        bool const restarted = passage.packet.key.protocol == Protocol::Udp && !options.coldStart;
+        return restarted && passage.now < recovered + (passage.strict ? udpRefusalTime : idempotentRestartTime);
     }
 
     // A3, A8
@@ -444,7 +451,7 @@
         if (isOwnClaim(passage.note))
             return claim(passage);
         Willingness const willingness = admission.willingness(flowCounts(), passage.now);
-        if (willingness == Willingness::Full)
+        if (willingness == Willingness::Full || mayHaveRefused(passage))
             return hunt(passage);
         if (willingness == Willingness::AbovePeers && sparesPeers(passage))
             return hunt(passage);
