--- a/src/agent/Admission.cpp
+++ b/src/agent/Admission.cpp
@@ -17,6 +17,9 @@
     // Passes of first packets: one for five admissions and ten a second, so that overload is not multiplied.
     constexpr double passesPerAdmission = 0.2;
     constexpr double passesPerSecond = 10;
+
+    // Passes that only spread load cost one more hop for each packet of a short flow, and the goal is 1.1 hops.
+    constexpr double spreadingPassesPerAdmission = 0.08;
     constexpr double mostPassTokens = 20;
 
     // Load shares and the own load are averaged over this time before they are compared, because the busy slots of
@@ -91,19 +94,23 @@
 {
     double const factor = slowStartFactor(now);
     double const connections = limits_.connections * weight_ / referenceWeight;
-    double const places = slots() * (1 + limits_.queuePerSlot);
+    double const places = slots() * (1 + limits_.queuePerSlot * factor);
     if (!isAccepting() || counts.atBound)
         return Willingness::Full;
     if (static_cast<double>(counts.open) >= std::max(1.0, connections * factor))
         return Willingness::Full;
-    if (estimatedBusy(counts) >= std::max(1.0, places * factor))
+    double const busy = estimatedBusy(counts);
+    if (busy >= places)
         return Willingness::Full;
+    if (busy >= slots())
+        return Willingness::Queueing;
     return isAbovePeers() ? Willingness::AbovePeers : Willingness::Willing;
 }
 
 void Admission::noteAdmission() noexcept
 {
     passTokens_ = std::min(mostPassTokens, passTokens_ + passesPerAdmission);
+    spreadingTokens_ = std::min(mostPassTokens, spreadingTokens_ + spreadingPassesPerAdmission);
 }
 
 bool Admission::takePass() noexcept
@@ -114,6 +121,23 @@
     return true;
 }
 
+bool Admission::takeSpreadingPass() noexcept
+{
+    if (spreadingTokens_ < 1)
+        return false;
+    spreadingTokens_ -= 1;
+    return true;
+}
+
+double Admission::peerLoad(std::string_view name) const noexcept
+{
+    for (PeerLoad const& load : peers_) {
+        if (load.name == name)
+            return load.busyFraction;
+    }
+    return 1;
+}
+
 // The agent's own count is the lower bound, because it lags by nothing. Open flows are the upper bound. A report
 // between the two adds work that the agent does not see.
 double Admission::estimatedBusy(FlowCounts const& counts) const noexcept
--- a/src/agent/Admission.h
+++ b/src/agent/Admission.h
@@ -14,7 +14,8 @@
 /// \brief Whether the agent takes a new flow.
 enum class Willingness : std::uint8_t {
     Willing,
-    AbovePeers, ///< has room, but is busier than its peers
+    AbovePeers, ///< has a free slot, but is busier than its peers
+    Queueing, ///< has room in its queue only
     Full ///< no room, draining, recovering or not healthy
 };
 
@@ -50,7 +51,12 @@
 
     /// \brief Takes one pass of a first packet from the budget. \returns false if it is spent
     [[nodiscard]] bool takePass() noexcept;
-    [[nodiscard]] bool hasPass() const noexcept { return passTokens_ >= 1; }
+
+    /// \brief The same for passes that spread load while this target has room.
+    [[nodiscard]] bool takeSpreadingPass() noexcept;
+
+    /// \brief Load of a peer as last heard; 1 if it is not known.
+    [[nodiscard]] double peerLoad(std::string_view name) const noexcept;
 
     [[nodiscard]] double estimatedBusy(FlowCounts const& counts) const noexcept;
     [[nodiscard]] double busyFraction() const noexcept { return smoothedBusy_; }
@@ -80,6 +86,7 @@
     double smoothedBusy_ { 0 };
     double peerMean_ { 0 };
     double passTokens_ { 0 };
+    double spreadingTokens_ { 0 };
     std::uint16_t weight_ { 100 };
     bool hasReport_ { false };
     bool hasPeers_ { false };
--- a/src/agent/AgentPipeline.cpp
+++ b/src/agent/AgentPipeline.cpp
@@ -48,6 +48,9 @@
     constexpr std::chrono::seconds redirectRenewal { 20 };
     constexpr std::size_t redirectTargets = 2;
 
+    // Candidates compared by load. All are within the list of a copy that comes after a few more targets have joined.
+    constexpr std::size_t comparedCandidates = 3;
+
     // Scores computed per tick while looking for displaced flows; 20,000 take about half a millisecond.
     constexpr std::size_t scoresPerTick = 20000;
     constexpr std::size_t slotsPerTick = 4096;
@@ -354,13 +357,28 @@
         bool const asked = passage.note == nullptr;
         if (!putNote(passage, NoteKind::Claimed, route.claimant, PassNotes::lifetime))
             return drop(passage, AgentReason::NotesFull);
-        // This agent has seen every earlier copy, and none opened a flow: nobody further along knows it.
-        bool const conclusive = asked && passage.inOrder && !passage.strict && view.isSettled(route.viewFingerprint, passage.now);
-        if (conclusive)
+        if (asked && isConclusive(passage))
             return returnProbe(passage);
         return probeNext(passage, route.position + 1U);
     }
 
+    // Earlier copies came here first if all candidates before this one have just joined. This agent remembers none, so
+    // nobody further along knows the flow. An older candidate before this one has lost its notes and may have sent a
+    // copy anywhere.
+    [[nodiscard]] bool isConclusive(Passage const& passage) const noexcept
+    {
+        RouteOption const& route = passage.route;
+        if (!passage.inOrder || passage.strict || !view.isSettled(route.viewFingerprint, passage.now))
+            return false;
+        if (!view.isNewcomer(route.claimant, passage.now))
+            return false;
+        for (std::size_t index = 0; index < route.position; ++index) {
+            if (!view.isNewcomer(route.candidates[index], passage.now))
+                return false;
+        }
+        return true;
+    }
+
     // Two claims met. The lower rank wins, so that exactly one of them is given up.
     bool overrule(Passage& passage) noexcept
     {
@@ -453,8 +471,8 @@
         Willingness const willingness = admission.willingness(flowCounts(), passage.now);
         if (willingness == Willingness::Full || mayHaveRefused(passage))
             return hunt(passage);
-        if (willingness == Willingness::AbovePeers && sparesPeers(passage))
-            return hunt(passage);
+        if (willingness != Willingness::Willing && spreadLoad(passage))
+            return true;
         // A4
         bool const settled = view.isSettled(passage.route.viewFingerprint, passage.now);
         if (settled && passage.inOrder && !passage.strict && !passage.memoryGap)
@@ -462,12 +480,59 @@
         return claim(passage);
     }
 
-    // The load of peers moves a flow only once, and only if somebody else remains.
-    bool sparesPeers(Passage const& passage) noexcept
+    // Load moves a flow only once, and only to a peer that is less busy.
+    bool spreadLoad(Passage& passage) noexcept
+    {
+        RouteOption const& route = passage.route;
+        bool const free = isFreeToChoose(passage) && route.hops == 0 && !passage.strict && admission.limits().huntLimit > 1;
+        if (!free)
+            return false;
+        std::size_t const next = chooseCandidate(passage, route.position + 1U);
+        if (next >= route.candidateCount || loadOf(route.candidates[next]) >= admission.busyFraction())
+            return false;
+        return admission.takeSpreadingPass() && passWithNote(passage, next);
+    }
+
+    // An agent that has seen every copy and knows none may send the flow to any candidate; its note keeps other copies
+    // on the same way. Any other agent keeps the order of the list, in which earlier copies went.
+    [[nodiscard]] bool isFreeToChoose(Passage const& passage) const noexcept
+    {
+        return passage.inOrder && !passage.memoryGap && view.isSettled(passage.route.viewFingerprint, passage.now);
+    }
+
+    [[nodiscard]] double loadOf(Endpoint endpoint) const noexcept
+    {
+        ViewTarget const* const target = view.findEndpoint(endpoint);
+        return target == nullptr ? 1 : admission.peerLoad(target->name);
+    }
+
+    // The least busy of the next candidates that take flows; the candidate count if there is none.
+    [[nodiscard]] std::size_t chooseCandidate(Passage const& passage, std::size_t from) const noexcept
     {
         RouteOption const& route = passage.route;
-        bool const canPass = passage.inOrder && route.hops == 0 && nextCandidate(route, route.position + 1U) < route.candidateCount;
-        return canPass && admission.limits().huntLimit > 1 && !passage.memoryGap && admission.hasPass();
+        std::size_t best = route.candidateCount;
+        double least = 0;
+        std::size_t compared = 0;
+        for (std::size_t index = nextCandidate(route, from); index < route.candidateCount; index = nextCandidate(route, index + 1)) {
+            Endpoint const candidate = route.candidates[index];
+            if (view.isDraining(candidate) || !view.isLive(candidate))
+                continue;
+            double const load = loadOf(candidate);
+            if (best == route.candidateCount || load < least) {
+                best = index;
+                least = load;
+            }
+            if (++compared == comparedCandidates)
+                break;
+        }
+        return best;
+    }
+
+    bool passWithNote(Passage& passage, std::size_t next) noexcept
+    {
+        if (!putNote(passage, NoteKind::Passed, passage.route.candidates[next], PassNotes::lifetime))
+            return drop(passage, AgentReason::NotesFull);
+        return passTo(passage, passage.route.candidates[next], next);
     }
 
     // A5, at the claimant.
@@ -505,15 +570,14 @@
         std::size_t const self = indexOf(route.candidateSpan(), options.self);
         if (self >= route.candidateCount)
             return handBack(passage);
-        std::size_t const next = nextCandidate(route, self + 1);
+        bool const chooses = isFreeToChoose(passage);
+        std::size_t const next = chooses ? chooseCandidate(passage, self + 1) : nextCandidate(route, self + 1);
         bool const atEnd = next >= route.candidateCount || route.hops + 1U >= admission.limits().huntLimit;
         // Passes away from a draining or recovering target are not overload and cost no budget.
         bool const mayPass = !atEnd && (!admission.isAccepting() || admission.takePass());
         if (!mayPass)
             return refuse(passage, next);
-        if (!putNote(passage, NoteKind::Passed, route.candidates[next], PassNotes::lifetime))
-            return drop(passage, AgentReason::NotesFull);
-        return passTo(passage, route.candidates[next], next);
+        return passWithNote(passage, next);
     }
 
     // A redirect led here after the flow ended. The first candidate decides afresh and forgets the redirect.
--- a/src/agent/ViewState.cpp
+++ b/src/agent/ViewState.cpp
@@ -59,6 +59,10 @@
         if (!before.dead && !live && before.data != self_)
             gone.push_back(before.data);
     }
+    std::vector<TimePoint> joined;
+    for (ViewTarget const& target : view.targets)
+        joined.push_back(joinTime(target.name, now));
+    joined_ = std::move(joined);
     view_ = view;
     nameHashes_.clear();
     for (ViewTarget const& target : view_.targets)
@@ -74,6 +78,15 @@
     return gone;
 }
 
+// Targets of the first view may have been there for long.
+TimePoint ViewState::joinTime(std::string_view name, TimePoint now) const noexcept
+{
+    if (view_.targets.empty())
+        return TimePoint {};
+    ViewTarget const* const before = find(name);
+    return before == nullptr ? now : joined_[static_cast<std::size_t>(before - view_.targets.data())];
+}
+
 void ViewState::renewLease(TimePoint now) noexcept
 {
     if (lastReply_.has_value() && now - *lastReply_ > longestReplyGap)
@@ -103,13 +116,34 @@
     return isOrderAgreed(fingerprint, now) && now - memorySince_ >= memoryWindow;
 }
 
-bool ViewState::isLive(Endpoint endpoint) const noexcept
+ViewTarget const* ViewState::findEndpoint(Endpoint endpoint) const noexcept
 {
     for (ViewTarget const& target : view_.targets) {
         if (target.data == endpoint)
-            return !target.dead;
+            return &target;
     }
-    return false;
+    return nullptr;
+}
+
+bool ViewState::isLive(Endpoint endpoint) const noexcept
+{
+    ViewTarget const* const target = findEndpoint(endpoint);
+    return target != nullptr && !target->dead;
+}
+
+bool ViewState::isDraining(Endpoint endpoint) const noexcept
+{
+    ViewTarget const* const target = findEndpoint(endpoint);
+    return target != nullptr && target->draining;
+}
+
+bool ViewState::isNewcomer(Endpoint endpoint, TimePoint now) const noexcept
+{
+    ViewTarget const* const target = findEndpoint(endpoint);
+    if (target == nullptr)
+        return false;
+    TimePoint const joined = joined_[static_cast<std::size_t>(target - view_.targets.data())];
+    return joined != TimePoint {} && now - joined < memoryWindow;
 }
 
 } // namespace plantaindrift
--- a/src/agent/ViewState.h
+++ b/src/agent/ViewState.h
@@ -57,6 +57,15 @@
     /// \brief True if an endpoint belongs to a target that is not dead.
     [[nodiscard]] bool isLive(Endpoint endpoint) const noexcept;
 
+    /// \brief True if a target joined so recently that it cannot have handled a copy of a flow before its claim.
+    [[nodiscard]] bool isNewcomer(Endpoint endpoint, TimePoint now) const noexcept;
+
+    /// \brief True if the view says that a target takes no new flows.
+    [[nodiscard]] bool isDraining(Endpoint endpoint) const noexcept;
+
+    /// \brief The target with this endpoint; null if there is none.
+    [[nodiscard]] ViewTarget const* findEndpoint(Endpoint endpoint) const noexcept;
+
     [[nodiscard]] std::span<ViewTarget const> targets() const noexcept { return view_.targets; }
     [[nodiscard]] std::span<std::uint64_t const> nameHashes() const noexcept { return nameHashes_; }
     [[nodiscard]] std::uint32_t fingerprint() const noexcept { return view_.fingerprint; }
@@ -64,12 +73,14 @@
     [[nodiscard]] ViewTarget const* find(std::string_view name) const noexcept;
 
 private:
+    [[nodiscard]] TimePoint joinTime(std::string_view name, TimePoint now) const noexcept;
     [[nodiscard]] bool mayReorder(ServiceView const& next) const noexcept;
 
     std::string name_;
     Endpoint self_;
     ServiceView view_;
     std::vector<std::uint64_t> nameHashes_;
+    std::vector<TimePoint> joined_; ///< by target index; the epoch for targets of the first view
     TimePoint settledAt_;
     TimePoint memorySince_;
     TimePoint lastTick_;
