--- a/bench/measure/Simulation.h
+++ b/bench/measure/Simulation.h
@@ -85,6 +85,7 @@
         std::int32_t second { -1 }; // another target that opened it
         Micros firstSyn { 0 };
         Micros work { 0 };
+        std::uint32_t nextByte { 2 }; // TCP sequence number of the next data; the SYN has 1
         std::uint32_t pendingSequence { 0 }; // of the reliable packet on its way
         bool pending { false };
         bool established { false };
@@ -101,6 +102,7 @@
         std::uint32_t flow { 0 };
         std::uint32_t sequence { 0 };
         PacketKind kind { PacketKind::Syn };
+        std::uint32_t tcpSequence { 0 };
     };
 
     struct Target {
@@ -680,11 +682,19 @@
 
     void send(std::uint32_t flow, PacketKind kind, std::uint32_t sequence)
     {
-        std::uint32_t const index = storePacket({ {}, flow, sequence, kind });
+        std::uint32_t const index = storePacket({ {}, flow, sequence, kind, tcpSequence(flow, kind) });
         schedule(now_ + run_.deployment.clientLatency + pick(100), Event::AtEntry, pickEntry(), index);
         packets_ += isMeasuring() ? 1 : 0;
     }
 
+    // Data that is sent again gets new bytes here; only the order of sequence numbers matters.
+    std::uint32_t tcpSequence(std::uint32_t flow, PacketKind kind)
+    {
+        std::uint32_t const sequence = kind == PacketKind::Syn ? 1 : flows_[flow].nextByte;
+        flows_[flow].nextByte += kind == PacketKind::Data ? 16 : 0;
+        return sequence;
+    }
+
     std::uint32_t pickEntry()
     {
         for (;;) {
@@ -833,7 +843,7 @@
         inner.flow = flow.hash;
         inner.syn = packet.kind == PacketKind::Syn;
         inner.fin = packet.kind == PacketKind::Finish;
-        inner.sequence = 1;
+        inner.sequence = packet.tcpSequence;
         inner.payloadBytes = packet.kind == PacketKind::Data ? 16 : 0;
         AgentDecision const decision = target.agent->decide(packet.route, inner, nowPoint());
         if (decision.notice.has_value()) {
--- a/src/agent/Admission.cpp
+++ b/src/agent/Admission.cpp
@@ -27,6 +27,9 @@
     constexpr Seconds smoothingTime { 5 };
     constexpr double peerMargin = 0.02;
 
+    // Weight of the newest load report in the average.
+    constexpr double reportShare = 0.2;
+
     // A report that stays the same while the agent's own count changes by this much is not believed.
     constexpr std::size_t frozenReportSpread = 3;
 
@@ -60,7 +63,9 @@
     lastReport_ = now;
     bool const frozen = mostOwn_ - leastOwn_ >= frozenReportSpread;
     double const excess = static_cast<double>(report.busySlots) - static_cast<double>(counts.inProgress);
-    reportExcess_ = frozen ? 0 : std::max(0.0, excess);
+    // A lagging report is above or below the own count by chance; only the average tells of work that is not seen.
+    excess_ = frozen ? 0 : excess_ + reportShare * (excess - excess_);
+    reportExcess_ = std::max(0.0, excess_);
 }
 
 void Admission::setPeerLoad(std::string_view peer, double busyFraction, TimePoint now)
@@ -118,6 +123,8 @@
     if (passTokens_ < 1)
         return false;
     passTokens_ -= 1;
+    // Both kinds of pass cost hops, so full targets leave less for spreading.
+    spreadingTokens_ = std::max(-mostPassTokens, spreadingTokens_ - 1);
     return true;
 }
 
@@ -135,7 +142,7 @@
         if (load.name == name)
             return load.busyFraction;
     }
-    return 1;
+    return peerMean_;
 }
 
 // The agent's own count is the lower bound, because it lags by nothing. Open flows are the upper bound. A report
--- a/src/agent/Admission.h
+++ b/src/agent/Admission.h
@@ -55,7 +55,7 @@
     /// \brief The same for passes that spread load while this target has room.
     [[nodiscard]] bool takeSpreadingPass() noexcept;
 
-    /// \brief Load of a peer as last heard; 1 if it is not known.
+    /// \brief Load of a peer as last heard; the mean of the others if it is not known.
     [[nodiscard]] double peerLoad(std::string_view name) const noexcept;
 
     [[nodiscard]] double estimatedBusy(FlowCounts const& counts) const noexcept;
@@ -82,6 +82,7 @@
     std::uint32_t lastReported_ { 0 };
     std::size_t leastOwn_ { 0 }; ///< own count since the reported value last changed
     std::size_t mostOwn_ { 0 };
+    double excess_ { 0 }; ///< average of reported less own slots
     double reportExcess_ { 0 }; ///< reported slots that own counts do not explain
     double smoothedBusy_ { 0 };
     double peerMean_ { 0 };
--- a/src/agent/AgentPipeline.cpp
+++ b/src/agent/AgentPipeline.cpp
@@ -81,8 +81,21 @@
         bool strict { false }; // must not be admitted twice, even after a crash
         bool inOrder { false }; // came along the candidate list, not by a note
         bool memoryGap { false }; // earlier copies may be known further along the list only
+        bool verified { false }; // an agent that knows every earlier copy found none that opened the flow
     };
 
+    // An agent that knows every earlier copy of a packet, and passes it on, marks it as returning with itself as the
+    // claimant. A probe that returns has the receiver as the claimant.
+    void takeVerification(Passage& passage, Endpoint self) noexcept
+    {
+        RouteOption& route = passage.route;
+        if (!route.returning || route.claimant == self)
+            return;
+        passage.verified = true;
+        route.claimant = {};
+        route.returning = false;
+    }
+
 } // namespace
 
 std::string_view agentReasonName(AgentReason reason) noexcept
@@ -232,11 +245,14 @@
         if (packet.payloadBytes > 0) {
             flow.lastPayload = passage.now;
             flow.hasPayload = true;
+            flow.payloadEnd = packet.sequence + packet.payloadBytes;
             flows.setInProgress(flow, !flow.isClosing());
             return;
         }
-        // A bare acknowledgement after the request acknowledges the answer, because a caller acknowledges only data.
-        if (flow.hasPayload && !packet.syn)
+        // A bare acknowledgement after the request acknowledges the answer, because a caller acknowledges only data. The
+        // one of the handshake may arrive later than the request, by another entry, and has a lower sequence number.
+        bool const afterRequest = static_cast<std::int32_t>(packet.sequence - flow.payloadEnd) >= 0;
+        if (flow.hasPayload && !packet.syn && afterRequest)
             flows.setInProgress(flow, false);
     }
 
@@ -265,6 +281,8 @@
         passage.note = notes.find(passage.packet.flow, passage.now);
         if (passage.note == nullptr)
             return false;
+        // The note is of an earlier copy, so what was found for this one says nothing.
+        passage.verified = false;
         orphanUnknownOwner(passage);
         PassNote& note = *passage.note;
         bool const points = note.kind == NoteKind::Passed || note.kind == NoteKind::Claimed || note.kind == NoteKind::Redirected;
@@ -357,26 +375,24 @@
         bool const asked = passage.note == nullptr;
         if (!putNote(passage, NoteKind::Claimed, route.claimant, PassNotes::lifetime))
             return drop(passage, AgentReason::NotesFull);
-        if (asked && isConclusive(passage))
+        bool const newcomer = view.isNewcomer(route.claimant, passage.now);
+        if (asked && newcomer && !passage.strict && isConclusive(passage))
             return returnProbe(passage);
         return probeNext(passage, route.position + 1U);
     }
 
-    // Earlier copies came here first if all candidates before this one have just joined. This agent remembers none, so
-    // nobody further along knows the flow. An older candidate before this one has lost its notes and may have sent a
-    // copy anywhere.
+    // Earlier copies came here first if all candidates before this one have just joined. An older one has lost its
+    // notes, or is gone, and may have passed a copy to any target. This agent remembers no copy, so nobody knows the flow.
     [[nodiscard]] bool isConclusive(Passage const& passage) const noexcept
     {
         RouteOption const& route = passage.route;
-        if (!passage.inOrder || passage.strict || !view.isSettled(route.viewFingerprint, passage.now))
-            return false;
-        if (!view.isNewcomer(route.claimant, passage.now))
+        if (!passage.inOrder || passage.memoryGap || !view.isSettled(route.viewFingerprint, passage.now))
             return false;
         for (std::size_t index = 0; index < route.position; ++index) {
             if (!view.isNewcomer(route.candidates[index], passage.now))
                 return false;
         }
-        return true;
+        return !view.isAfterDeparted(passage.packet.flow, passage.now);
     }
 
     // Two claims met. The lower rank wins, so that exactly one of them is given up.
@@ -468,23 +484,21 @@
         // A claim is a promise: other agents send copies here, so it is kept even by a full or draining agent.
         if (isOwnClaim(passage.note))
             return claim(passage);
+        passage.verified = passage.verified || isConclusive(passage);
         Willingness const willingness = admission.willingness(flowCounts(), passage.now);
         if (willingness == Willingness::Full || mayHaveRefused(passage))
             return hunt(passage);
         if (willingness != Willingness::Willing && spreadLoad(passage))
             return true;
         // A4
-        bool const settled = view.isSettled(passage.route.viewFingerprint, passage.now);
-        if (settled && passage.inOrder && !passage.strict && !passage.memoryGap)
-            return admit(passage);
-        return claim(passage);
+        return passage.verified && !passage.strict ? admit(passage) : claim(passage);
     }
 
     // Load moves a flow only once, and only to a peer that is less busy.
     bool spreadLoad(Passage& passage) noexcept
     {
         RouteOption const& route = passage.route;
-        bool const free = isFreeToChoose(passage) && route.hops == 0 && !passage.strict && admission.limits().huntLimit > 1;
+        bool const free = passage.verified && passage.inOrder && route.hops == 0 && !passage.strict && admission.limits().huntLimit > 1;
         if (!free)
             return false;
         std::size_t const next = chooseCandidate(passage, route.position + 1U);
@@ -493,20 +507,16 @@
         return admission.takeSpreadingPass() && passWithNote(passage, next);
     }
 
-    // An agent that has seen every copy and knows none may send the flow to any candidate; its note keeps other copies
-    // on the same way. Any other agent keeps the order of the list, in which earlier copies went.
-    [[nodiscard]] bool isFreeToChoose(Passage const& passage) const noexcept
-    {
-        return passage.inOrder && !passage.memoryGap && view.isSettled(passage.route.viewFingerprint, passage.now);
-    }
-
     [[nodiscard]] double loadOf(Endpoint endpoint) const noexcept
     {
         ViewTarget const* const target = view.findEndpoint(endpoint);
         return target == nullptr ? 1 : admission.peerLoad(target->name);
     }
 
-    // The least busy of the next candidates that take flows; the candidate count if there is none.
+    // A verified flow may go to any candidate, and the notes keep other copies on the same way. Any other flow keeps the
+    // order of the list, in which earlier copies went.
+    //
+    // \returns the least busy of the next candidates that take flows; the candidate count if there is none
     [[nodiscard]] std::size_t chooseCandidate(Passage const& passage, std::size_t from) const noexcept
     {
         RouteOption const& route = passage.route;
@@ -532,6 +542,10 @@
     {
         if (!putNote(passage, NoteKind::Passed, passage.route.candidates[next], PassNotes::lifetime))
             return drop(passage, AgentReason::NotesFull);
+        if (passage.verified) {
+            passage.route.claimant = options.self;
+            passage.route.returning = true;
+        }
         return passTo(passage, passage.route.candidates[next], next);
     }
 
@@ -570,11 +584,12 @@
         std::size_t const self = indexOf(route.candidateSpan(), options.self);
         if (self >= route.candidateCount)
             return handBack(passage);
-        bool const chooses = isFreeToChoose(passage);
-        std::size_t const next = chooses ? chooseCandidate(passage, self + 1) : nextCandidate(route, self + 1);
-        bool const atEnd = next >= route.candidateCount || route.hops + 1U >= admission.limits().huntLimit;
+        std::size_t const next = passage.verified ? chooseCandidate(passage, self + 1) : nextCandidate(route, self + 1);
+        // A flow that is not verified is also searched for, which needs the whole list.
+        bool const limited = passage.verified && route.hops + 1U >= admission.limits().huntLimit;
+        bool const atEnd = next >= route.candidateCount || limited || route.hops >= maximumHops;
         // Passes away from a draining or recovering target are not overload and cost no budget.
-        bool const mayPass = !atEnd && (!admission.isAccepting() || admission.takePass());
+        bool const mayPass = !atEnd && (!passage.verified || !admission.isAccepting() || admission.takePass());
         if (!mayPass)
             return refuse(passage, next);
         return passWithNote(passage, next);
@@ -590,14 +605,13 @@
         return passTo(passage, route.candidates[0], 0);
     }
 
-    // A refusal is truthful if this agent has seen every earlier copy, or if every candidate was asked.
+    // A refusal is truthful if no earlier copy opened the flow, or if every candidate was asked.
     bool refuse(Passage& passage, std::size_t next) noexcept
     {
         RouteOption const& route = passage.route;
-        bool const settled = view.isSettled(route.viewFingerprint, passage.now) && !passage.memoryGap;
         bool const askedAll = next >= route.candidateCount && passage.inOrder && route.hops == route.position && route.candidateCount < maximumCandidates
             && view.isOrderAgreed(route.viewFingerprint, passage.now);
-        if (!settled && !askedAll)
+        if (!passage.verified && !askedAll)
             return drop(passage, AgentReason::Unsettled);
         bool const udp = passage.packet.key.protocol == Protocol::Udp;
         Duration const lifetime = udp ? Duration(udpRefusalTime) : Duration(PassNotes::lifetime);
@@ -757,6 +771,7 @@
     bool const udp = packet.key.protocol == Protocol::Udp;
     passage.first = udp || packet.syn;
     passage.strict = udp && !state_->service.idempotent;
+    takeVerification(passage, state_->options.self);
     passage.inOrder = route.position < route.candidateCount && route.candidates[route.position] == state_->options.self;
     for (State::Filter const filter : State::filters) {
         if ((state_.get()->*filter)(passage))
--- a/src/agent/FlowRanking.cpp
+++ b/src/agent/FlowRanking.cpp
@@ -1,6 +1,6 @@
 #include "agent/FlowRanking.h"
 
-#include "entry/CandidateTable.h"
+#include "agent/FlowBucket.h"
 #include "plantaindrift/base/Hash.h"
 
 #include <algorithm>
@@ -9,7 +9,7 @@
 
 RankedCandidates rankCandidates(ViewState const& view, FlowHash flow) noexcept
 {
-    std::uint64_t const bucket = static_cast<std::uint64_t>(flow) & (CandidateTable::defaultBuckets - 1);
+    std::uint64_t const bucket = flowBucket(flow);
     RankedCandidates ranked;
     std::array<double, maximumCandidates> scores {};
     std::span<ViewTarget const> const targets = view.targets();
--- a/src/agent/FlowTable.h
+++ b/src/agent/FlowTable.h
@@ -23,6 +23,7 @@
     TimePoint lastPayload;
     TimePoint lastRedirect;
     std::uint32_t listedIn { 0 }; ///< number of the last reconciliation that listed the flow
+    std::uint32_t payloadEnd { 0 }; ///< TCP sequence number after the caller's last data
     FlowState state { FlowState::Open };
     Protocol protocol { Protocol::Tcp };
     bool used { false };
--- a/src/agent/ViewState.cpp
+++ b/src/agent/ViewState.cpp
@@ -1,5 +1,6 @@
 #include "agent/ViewState.h"
 
+#include "agent/FlowBucket.h"
 #include "plantaindrift/base/Hash.h"
 
 #include <algorithm>
@@ -53,11 +54,14 @@
     if (view.fingerprint != view_.fingerprint)
         settledAt_ = std::max(settledAt_, now + (mayReorder(view) ? memoryWindow : settleWindow));
     std::vector<Endpoint> gone;
+    std::erase_if(departed_, [now](Departed const& target) { return now - target.since >= memoryWindow; });
     for (ViewTarget const& before : view_.targets) {
         ViewTarget const* const after = findTarget(view.targets, before.name);
         bool const live = after != nullptr && !after->dead && after->data == before.data;
-        if (!before.dead && !live && before.data != self_)
+        if (!before.dead && !live && before.data != self_) {
             gone.push_back(before.data);
+            departed_.push_back({ hashText(before.name), before.weight, now });
+        }
     }
     std::vector<TimePoint> joined;
     for (ViewTarget const& target : view.targets)
@@ -137,6 +141,18 @@
     return target != nullptr && target->draining;
 }
 
+bool ViewState::isAfterDeparted(FlowHash flow, TimePoint now) const noexcept
+{
+    ViewTarget const* const own = self();
+    if (departed_.empty() || own == nullptr)
+        return false;
+    std::uint64_t const bucket = flowBucket(flow);
+    double const ownScore = rendezvousScore(nameHashes_[static_cast<std::size_t>(own - view_.targets.data())], bucket, own->weight);
+    return std::any_of(departed_.begin(), departed_.end(), [&](Departed const& target) {
+        return now - target.since < memoryWindow && rendezvousScore(target.nameHash, bucket, target.weight) > ownScore;
+    });
+}
+
 bool ViewState::isNewcomer(Endpoint endpoint, TimePoint now) const noexcept
 {
     ViewTarget const* const target = findEndpoint(endpoint);
--- a/src/agent/ViewState.h
+++ b/src/agent/ViewState.h
@@ -60,6 +60,11 @@
     /// \brief True if a target joined so recently that it cannot have handled a copy of a flow before its claim.
     [[nodiscard]] bool isNewcomer(Endpoint endpoint, TimePoint now) const noexcept;
 
+    /// \brief True if a target that died or left within the memory window ranked before this agent for a flow.
+    ///
+    /// Its notes are gone, and it may have passed the flow to any other target.
+    [[nodiscard]] bool isAfterDeparted(FlowHash flow, TimePoint now) const noexcept;
+
     /// \brief True if the view says that a target takes no new flows.
     [[nodiscard]] bool isDraining(Endpoint endpoint) const noexcept;
 
@@ -73,6 +78,12 @@
     [[nodiscard]] ViewTarget const* find(std::string_view name) const noexcept;
 
 private:
+    struct Departed {
+        std::uint64_t nameHash { 0 };
+        std::uint16_t weight { 0 };
+        TimePoint since;
+    };
+
     [[nodiscard]] TimePoint joinTime(std::string_view name, TimePoint now) const noexcept;
     [[nodiscard]] bool mayReorder(ServiceView const& next) const noexcept;
 
@@ -80,6 +91,7 @@
     Endpoint self_;
     ServiceView view_;
     std::vector<std::uint64_t> nameHashes_;
+    std::vector<Departed> departed_;
     std::vector<TimePoint> joined_; ///< by target index; the epoch for targets of the first view
     TimePoint settledAt_;
     TimePoint memorySince_;
