--- a/bench/measure/Simulation.h
+++ b/bench/measure/Simulation.h
@@ -85,6 +85,7 @@
         std::int32_t second { -1 }; // another target that opened it
         Micros firstSyn { 0 };
         Micros work { 0 };
+        Micros overSince { 0 };
         std::uint32_t nextByte { 2 }; // TCP sequence number of the next data; the SYN has 1
         std::uint32_t pendingSequence { 0 }; // of the reliable packet on its way
         bool pending { false };
@@ -367,6 +368,7 @@
             Target& target = targets_[index];
             if (!target.alive)
                 continue;
+            closeEnded(target);
             target.agent->renewLease(nowPoint());
             for (int share = 0; share < 3; ++share)
                 shareLoad(index);
@@ -377,6 +379,12 @@
             schedule(now_ + secondPeriod, Event::Second);
     }
 
+    // The kernel ends a connection whose last packets were lost.
+    void closeEnded(Target& target)
+    {
+        std::erase_if(target.open, [this](std::uint32_t flow) { return flows_[flow].over && now_ - flows_[flow].overSince > 2 * second; });
+    }
+
     void shareLoad(std::uint32_t index)
     {
         Target& target = targets_[index];
@@ -675,6 +683,7 @@
         if (flow.over)
             return;
         flow.over = true;
+        flow.overSince = now_;
         flow.broken = true;
         ++result_.broken;
         result_.brokenElsewhere += crashed ? 0 : 1;
@@ -876,6 +885,7 @@
         if (flow.over)
             return;
         flow.over = true;
+        flow.overSince = now_;
         flow.refused = true;
         result_.refused += flow.measured ? 1 : 0;
     }
@@ -1014,6 +1024,7 @@
         if (flow.over)
             return;
         flow.over = true;
+        flow.overSince = now_;
         send(event.first, PacketKind::Acknowledgement, 0);
         send(event.first, PacketKind::Finish, 0);
     }
--- a/src/agent/Admission.cpp
+++ b/src/agent/Admission.cpp
@@ -65,7 +65,6 @@
     double const excess = static_cast<double>(report.busySlots) - static_cast<double>(counts.inProgress);
     // A lagging report is above or below the own count by chance; only the average tells of work that is not seen.
     excess_ = frozen ? 0 : excess_ + reportShare * (excess - excess_);
-    reportExcess_ = std::max(0.0, excess_);
 }
 
 void Admission::setPeerLoad(std::string_view peer, double busyFraction, TimePoint now)
@@ -84,7 +83,7 @@
     lastTick_ = now;
     passTokens_ = std::min(mostPassTokens, passTokens_ + passesPerSecond * elapsed.count());
     if (hasReport_ && now - lastReport_ > reportLifetime)
-        reportExcess_ = 0;
+        excess_ = 0;
     double const share = 1 - std::exp(-elapsed.count() / smoothingTime.count());
     smoothedBusy_ += share * (estimatedBusy(counts) / slots() - smoothedBusy_);
     std::erase_if(peers_, [now](PeerLoad const& load) { return now - load.heard > peerLifetime; });
@@ -145,13 +144,14 @@
     return peerMean_;
 }
 
-// The agent's own count is the lower bound, because it lags by nothing. Open flows are the upper bound. A report
-// between the two adds work that the agent does not see.
+// The own count lags by nothing; reports correct it for work that the agent does not see, and for answers whose
+// acknowledgement was lost. Requests of the last second are the lower bound and open flows the upper one.
 double Admission::estimatedBusy(FlowCounts const& counts) const noexcept
 {
     double const own = static_cast<double>(counts.inProgress);
+    double const least = static_cast<double>(std::min(counts.recent, counts.inProgress));
     double const most = std::max(own, static_cast<double>(counts.open));
-    return std::clamp(own + reportExcess_, own, most);
+    return std::clamp(own + excess_, least, most);
 }
 
 double Admission::slots() const noexcept
--- a/src/agent/Admission.h
+++ b/src/agent/Admission.h
@@ -23,6 +23,7 @@
 struct FlowCounts {
     std::size_t open { 0 };
     std::size_t inProgress { 0 };
+    std::size_t recent { 0 }; ///< in progress, with data or admission in the last second
     bool atBound { false };
 };
 
@@ -83,7 +84,6 @@
     std::size_t leastOwn_ { 0 }; ///< own count since the reported value last changed
     std::size_t mostOwn_ { 0 };
     double excess_ { 0 }; ///< average of reported less own slots
-    double reportExcess_ { 0 }; ///< reported slots that own counts do not explain
     double smoothedBusy_ { 0 };
     double peerMean_ { 0 };
     double passTokens_ { 0 };
--- a/src/agent/AgentPipeline.cpp
+++ b/src/agent/AgentPipeline.cpp
@@ -32,6 +32,8 @@
     // A handshake that brings no data in this time belongs to a connection that waits.
     constexpr std::chrono::seconds handshakeProgress { 1 };
 
+    constexpr std::chrono::seconds recentTime { 1 };
+
     // The answer to a UDP request does not pass the agent; the next load report takes over from here.
     constexpr std::chrono::milliseconds udpProgress { 200 };
 
@@ -121,6 +123,7 @@
     std::uint32_t reconciliations { 0 };
     std::size_t redirectCursor { 0 };
     std::size_t flowLimit { 0 };
+    std::size_t recentFlows { 0 };
 
     State(AgentOptions const& agentOptions, TimePoint now)
         : options(agentOptions)
@@ -133,7 +136,7 @@
 
     [[nodiscard]] FlowCounts flowCounts() const noexcept
     {
-        return { flows.openCount(), flows.inProgressCount(), flows.size() >= flows.limit() };
+        return { flows.openCount(), flows.inProgressCount(), recentFlows, flows.size() >= flows.limit() };
     }
 
     void resizeFlows()
@@ -635,10 +638,12 @@
     void expireFlows(TimePoint now) noexcept
     {
         Duration const hold = flows.size() * 2 > flows.limit() ? Duration(pressedHold) : Duration(finishedHold);
+        recentFlows = 0;
         flows.eraseIf([this, now, hold](Flow& flow) {
             Duration const idle = now - flow.lastPacket;
             if (flow.inProgress)
                 expireProgress(flow, now);
+            recentFlows += flow.inProgress && now - flow.lastPayload < recentTime ? 1 : 0;
             if (flow.protocol == Protocol::Udp)
                 return idle > udpIdle;
             if (flow.state == FlowState::Finished)
