--- a/src/agent/Admission.cpp
+++ b/src/agent/Admission.cpp
@@ -63,8 +63,10 @@
     lastReport_ = now;
     bool const frozen = mostOwn_ - leastOwn_ >= frozenReportSpread;
     double const excess = static_cast<double>(report.busySlots) - static_cast<double>(counts.inProgress);
-    // A lagging report is above or below the own count by chance; only the average tells of work that is not seen.
-    excess_ = frozen ? 0 : excess_ + reportShare * (excess - excess_);
+    // A lagging report is above or below the own count by chance; only the average tells of work that is not seen. A
+    // frozen report must not keep a target from admitting; one that is too low is bounded by recent requests.
+    double const believed = frozen ? std::min(0.0, excess) : excess;
+    excess_ += reportShare * (believed - excess_);
 }
 
 void Admission::setPeerLoad(std::string_view peer, double busyFraction, TimePoint now)
