--- a/bench/measure/Simulation.h
+++ b/bench/measure/Simulation.h
@@ -790,7 +790,7 @@
         return rendezvousScore(mixHash(target, 0), static_cast<std::uint64_t>(flow.hash), 100);
     }
 
-    std::int32_t bestRanked(CallerFlow const& flow) const
+    [[nodiscard]] std::int32_t bestRanked(CallerFlow const& flow) const
     {
         auto const best = std::max_element(usable_.begin(), usable_.end(), [&](std::uint32_t left, std::uint32_t right) { return scoreOf(flow, left) < scoreOf(flow, right); });
         return static_cast<std::int32_t>(*best);
--- a/src/agent/Admission.cpp
+++ b/src/agent/Admission.cpp
@@ -103,7 +103,7 @@
     double const places = slots() * (1 + limits_.queuePerSlot * factor);
     if (!isAccepting() || counts.atBound)
         return Willingness::Full;
-    if (static_cast<double>(counts.open) >= std::max(1.0, connections * factor))
+    if (static_cast<double>(counts.open + 1) > std::max(1.0, connections * factor))
         return Willingness::Full;
     double const busy = estimatedBusy(counts);
     if (busy >= places)
