--- /dev/null
+++ b/include/plantaindrift/runtime/Log.h
@@ -0,0 +1,55 @@
+#pragma once
+
+#include <concepts>
+#include <cstdint>
+#include <initializer_list>
+#include <string>
+#include <string_view>
+
+namespace plantaindrift {
+
+/// \brief Severity of a log line, lowest first.
+enum class LogLevel : std::uint8_t {
+    Debug,
+    Info,
+    Warning,
+    Error
+};
+
+/// \brief One key=value pair of a log line.
+struct LogField {
+    std::string key;
+    std::string value;
+
+    LogField(std::string_view fieldKey, std::string_view text);
+    LogField(std::string_view fieldKey, char const* text);
+    LogField(std::string_view fieldKey, bool truth);
+    template <std::integral Number>
+    LogField(std::string_view fieldKey, Number number)
+        : key(fieldKey)
+        , value(std::to_string(number))
+    {
+    }
+    template <std::floating_point Number>
+    LogField(std::string_view fieldKey, Number number)
+        : key(fieldKey)
+        , value(std::to_string(number))
+    {
+    }
+};
+
+/// \brief Quotes a value if it is empty or has characters that would break the key=value form.
+///
+/// Quotes, backslashes and control characters are escaped, so that one event stays one line.
+[[nodiscard]] std::string escapeLogValue(std::string_view value);
+
+/// \brief The line of an event without its time: "level=info event=started name=e1".
+[[nodiscard]] std::string formatLogLine(LogLevel level, std::string_view event, std::initializer_list<LogField> fields);
+
+/// \brief Starts the log; lines go to standard output, or to a file if its path is not empty.
+void startLog(LogLevel lowest, std::string const& file);
+
+/// \brief Writes one event with its time in UTC.
+void logEvent(LogLevel level, std::string_view event, std::initializer_list<LogField> fields = {});
+
+} // namespace plantaindrift
--- /dev/null
+++ b/src/runtime/DaemonCore.cpp
@@ -0,0 +1,182 @@
+#include "runtime/DaemonCore.h"
+
+#include "plantaindrift/base/Error.h"
+
+#include <chrono>
+#include <csignal>
+
+namespace plantaindrift {
+
+namespace {
+
+    constexpr std::chrono::milliseconds tickInterval { 100 };
+
+} // namespace
+
+DaemonCore::DaemonCore(CommonSettings const& settings, FleetKeys keys, Handlers handlers)
+    : settings_(settings)
+    , handlers_(std::move(handlers))
+    , data_(loop_)
+    , control_(loop_, settings.control, std::move(keys), [this](Endpoint from, std::span<std::byte const> bytes) { handlers_.control(from, bytes); })
+    , http_(loop_, settings.http, [this](HttpRequest const& request) { return answer(request); })
+    , stopSignals_(loop_, SIGTERM, SIGINT)
+    , keySignals_(loop_, SIGHUP)
+    , ticker_(loop_)
+{
+}
+
+absl::Status DaemonCore::run()
+{
+    absl::Status const bound = bindAll();
+    if (!bound.ok())
+        return bound;
+    waitForStop();
+    waitForKeys();
+    waitForTick();
+    logEvent(LogLevel::Info, "started", { { "name", settings_.name }, { "place", settings_.place }, { "data", formatEndpoint(settings_.data) }, { "control", formatEndpoint(settings_.control) }, { "http", formatEndpoint(settings_.http) }, { "insecure", settings_.insecure } });
+    loop_.run();
+    logEvent(LogLevel::Info, "ended", { { "name", settings_.name }, { "status", result_.ok() ? "ok" : messageOf(result_) } });
+    return result_;
+}
+
+absl::Status DaemonCore::bindAll()
+{
+    absl::Status status = data_.start(settings_.data, handlers_.datagram);
+    if (status.ok())
+        status = control_.start();
+    if (status.ok())
+        status = http_.start();
+    return status;
+}
+
+void DaemonCore::finish(absl::Status status)
+{
+    if (finished_)
+        return;
+    finished_ = true;
+    result_ = std::move(status);
+    ticker_.cancel();
+    stopSignals_.cancel();
+    keySignals_.cancel();
+    data_.stop();
+    http_.stop();
+    control_.stop();
+    loop_.stop();
+}
+
+void DaemonCore::sendControl(std::vector<ControlMessage> const& messages)
+{
+    for (ControlMessage const& message : messages)
+        control_.send(message.to, message.bytes);
+}
+
+void DaemonCore::waitForStop()
+{
+    stopSignals_.async_wait([this](asio::error_code const& error, int signal) {
+        if (error)
+            return;
+        waitForStop();
+        if (stopping_)
+            return;
+        stopping_ = true;
+        logEvent(LogLevel::Info, "stopping", { { "name", settings_.name }, { "signal", signal } });
+        handlers_.stop();
+    });
+}
+
+void DaemonCore::waitForKeys()
+{
+    keySignals_.async_wait([this](asio::error_code const& error, int) {
+        if (error)
+            return;
+        reloadKeys();
+        waitForKeys();
+    });
+}
+
+void DaemonCore::waitForTick()
+{
+    ticker_.expires_after(tickInterval);
+    ticker_.async_wait([this](asio::error_code const& error) {
+        if (error || finished_)
+            return;
+        TimePoint const now = std::chrono::steady_clock::now();
+        control_.tick(now);
+        handlers_.tick(now);
+        waitForTick();
+    });
+}
+
+void DaemonCore::reloadKeys()
+{
+    absl::StatusOr<FleetKeys> const keys = loadKeys(settings_);
+    absl::Status const status = keys.ok() ? control_.setKeys(*keys) : keys.status();
+    if (!status.ok()) {
+        // A wrong file must not stop a process that works with the keys it has.
+        logEvent(LogLevel::Error, "keys_not_read", { { "file", settings_.keysFile }, { "error", messageOf(status) } });
+        return;
+    }
+    handlers_.keys(keyRing(*keys));
+    if (!keys->empty())
+        logEvent(LogLevel::Info, "keys_read", { { "file", settings_.keysFile }, { "keys", keys->size() }, { "epoch", keys->front().datagram.epoch } });
+}
+
+HttpAnswer DaemonCore::answer(HttpRequest const& request)
+{
+    if (request.method != "GET")
+        return { 405, "only GET is served here\n" };
+    if (request.path == "/metrics")
+        return { 200, metricsText(), "text/plain; version=0.0.4; charset=utf-8" };
+    if (request.path == "/healthz")
+        return { 200, "ok\n" };
+    if (request.path == "/readyz")
+        return handlers_.ready() ? HttpAnswer { 200, "ready\n" } : HttpAnswer { 503, "not ready\n" };
+    return { 404, "see /metrics, /healthz and /readyz\n" };
+}
+
+std::string DaemonCore::metricsText()
+{
+    MetricsPage page;
+    ControlSocketCounts const& control = control_.counts();
+    page.addCounter("plantaindrift_control_messages_total", "Control messages by direction.", { { "direction", "received" } }, static_cast<double>(control.received));
+    page.addCounter("plantaindrift_control_messages_total", "Control messages by direction.", { { "direction", "sent" } }, static_cast<double>(control.sent));
+    page.addCounter("plantaindrift_control_messages_dropped_total", "Control messages not sent because the queue to the peer was full.", {}, static_cast<double>(control.dropped));
+    page.addCounter("plantaindrift_control_peers_refused_total", "Control connections refused because the peer has no accepted key.", {}, static_cast<double>(control.refusedPeers));
+    UdpSocket::Counts const& data = data_.counts();
+    page.addCounter("plantaindrift_datagrams_total", "Datagrams of the packet path by direction.", { { "direction", "received" } }, static_cast<double>(data.received));
+    page.addCounter("plantaindrift_datagrams_total", "Datagrams of the packet path by direction.", { { "direction", "sent" } }, static_cast<double>(data.sent));
+    page.addCounter("plantaindrift_datagram_send_errors_total", "Datagrams that the kernel did not take.", {}, static_cast<double>(data.sendErrors));
+    page.addGauge("plantaindrift_ready", "1 if /readyz answers ready.", {}, handlers_.ready() ? 1 : 0);
+    page.addProcess();
+    handlers_.metrics(page);
+    return page.text();
+}
+
+absl::StatusOr<FleetKeys> loadKeys(CommonSettings const& settings)
+{
+    if (settings.insecure)
+        return FleetKeys {};
+    return readKeys(settings.keysFile);
+}
+
+KeyRing keyRing(FleetKeys const& keys) noexcept
+{
+    return keys.empty() ? insecureKeys() : datagramKeys(keys);
+}
+
+std::uint32_t wallSeconds() noexcept
+{
+    return static_cast<std::uint32_t>(std::chrono::duration_cast<std::chrono::seconds>(std::chrono::system_clock::now().time_since_epoch()).count());
+}
+
+std::uint64_t firstIncarnation() noexcept
+{
+    return static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::system_clock::now().time_since_epoch()).count());
+}
+
+std::string_view messageOf(absl::Status const& status) noexcept
+{
+    return { status.message().data(), status.message().size() };
+}
+
+} // namespace plantaindrift
--- /dev/null
+++ b/src/runtime/DaemonCore.h
@@ -0,0 +1,86 @@
+#pragma once
+
+#include "plantaindrift/membership/EntryControl.h"
+#include "plantaindrift/runtime/HttpServer.h"
+#include "plantaindrift/runtime/UdpSocket.h"
+#include "runtime/ControlSocket.h"
+#include "runtime/MetricsPage.h"
+#include "runtime/Settings.h"
+
+#include <asio/io_context.hpp>
+#include <asio/signal_set.hpp>
+#include <asio/steady_timer.hpp>
+#include <functional>
+#include <memory>
+#include <vector>
+
+namespace plantaindrift {
+
+/// \brief What entry and agent daemons share: the loop, signals, sockets, the tick and the HTTP endpoints.
+class DaemonCore {
+public:
+    /// \brief The parts in which daemons differ; all run on the loop.
+    struct Handlers {
+        UdpSocket::Receiver datagram;
+        ControlSocket::Receiver control;
+        std::function<void(TimePoint)> tick; ///< every 100 ms
+        std::function<void(KeyRing const&)> keys; ///< keys were read again
+        std::function<bool()> ready;
+        std::function<void(MetricsPage&)> metrics;
+        std::function<void()> stop; ///< SIGTERM or SIGINT; ends by calling finish
+    };
+
+    /// \param keys  empty when the settings say insecure
+    DaemonCore(CommonSettings const& settings, FleetKeys keys, Handlers handlers);
+
+    /// \brief Binds all addresses, starts the loop and returns when finish was called.
+    [[nodiscard]] absl::Status run();
+
+    /// \brief Sends what is queued, closes everything and lets run return this status.
+    void finish(absl::Status status);
+
+    void sendControl(std::vector<ControlMessage> const& messages);
+
+    [[nodiscard]] asio::io_context& loop() noexcept { return loop_; }
+    [[nodiscard]] UdpSocket& data() noexcept { return data_; }
+    [[nodiscard]] bool isStopping() const noexcept { return stopping_; }
+
+private:
+    CommonSettings settings_;
+    Handlers handlers_;
+    asio::io_context loop_;
+    UdpSocket data_;
+    ControlSocket control_;
+    HttpServer http_;
+    asio::signal_set stopSignals_;
+    asio::signal_set keySignals_;
+    asio::steady_timer ticker_;
+    absl::Status result_;
+    bool stopping_ { false };
+    bool finished_ { false };
+
+    [[nodiscard]] absl::Status bindAll();
+    void waitForStop();
+    void waitForKeys();
+    void waitForTick();
+    void reloadKeys();
+    HttpAnswer answer(HttpRequest const& request);
+    std::string metricsText();
+};
+
+/// \brief Keys that the settings name; empty if they say insecure.
+[[nodiscard]] absl::StatusOr<FleetKeys> loadKeys(CommonSettings const& settings);
+
+/// \brief Datagram keys for the fleet's keys, or the known ones of an insecure process.
+[[nodiscard]] KeyRing keyRing(FleetKeys const& keys) noexcept;
+
+/// \brief Wall clock in seconds since 1970.
+[[nodiscard]] std::uint32_t wallSeconds() noexcept;
+
+/// \brief First incarnation of a process: later starts are higher.
+[[nodiscard]] std::uint64_t firstIncarnation() noexcept;
+
+/// \brief A status's message for a log field.
+[[nodiscard]] std::string_view messageOf(absl::Status const& status) noexcept;
+
+} // namespace plantaindrift
--- /dev/null
+++ b/src/runtime/Log.cpp
@@ -0,0 +1,136 @@
+#include "plantaindrift/runtime/Log.h"
+
+#include <array>
+#include <chrono>
+#include <cstdio>
+#include <ctime>
+#include <easylogging++.h>
+
+INITIALIZE_EASYLOGGINGPP
+
+namespace plantaindrift {
+
+namespace {
+
+    constexpr std::array<std::string_view, 4> levelNames { "debug", "info", "warning", "error" };
+
+    LogLevel lowestLevel = LogLevel::Info;
+
+    bool isPlain(std::string_view value) noexcept
+    {
+        for (char const character : value) {
+            unsigned char const byte = static_cast<unsigned char>(character);
+            if (byte <= ' ' || byte == '"' || byte == '=' || byte == '\\' || byte == 0x7F)
+                return false;
+        }
+        return !value.empty();
+    }
+
+    std::string timeText()
+    {
+        std::chrono::system_clock::time_point const now = std::chrono::system_clock::now();
+        std::time_t const seconds = std::chrono::system_clock::to_time_t(now);
+        std::int64_t const milliseconds = std::chrono::duration_cast<std::chrono::milliseconds>(now.time_since_epoch()).count() % 1000;
+        std::tm parts {};
+        gmtime_r(&seconds, &parts);
+        std::array<char, 32> date {};
+        std::size_t const length = std::strftime(date.data(), date.size(), "%Y-%m-%dT%H:%M:%S", &parts);
+        std::array<char, 8> fraction {};
+        std::snprintf(fraction.data(), fraction.size(), ".%03dZ", static_cast<int>(milliseconds));
+        return std::string(date.data(), length) + fraction.data();
+    }
+
+    void appendEscaped(std::string& output, char character)
+    {
+        unsigned char const byte = static_cast<unsigned char>(character);
+        if (character == '"' || character == '\\') {
+            output += '\\';
+            output += character;
+        } else if (character == '\n') {
+            output += "\\n";
+        } else if (character == '\t') {
+            output += "\\t";
+        } else if (byte < ' ' || byte == 0x7F) {
+            std::array<char, 8> code {};
+            std::snprintf(code.data(), code.size(), "\\x%02x", byte);
+            output += code.data();
+        } else {
+            output += character;
+        }
+    }
+
+} // namespace
+
+LogField::LogField(std::string_view fieldKey, std::string_view text)
+    : key(fieldKey)
+    , value(text)
+{
+}
+
+LogField::LogField(std::string_view fieldKey, char const* text)
+    : key(fieldKey)
+    , value(text)
+{
+}
+
+LogField::LogField(std::string_view fieldKey, bool truth)
+    : key(fieldKey)
+    , value(truth ? "true" : "false")
+{
+}
+
+std::string escapeLogValue(std::string_view value)
+{
+    if (isPlain(value))
+        return std::string(value);
+    std::string output = "\"";
+    for (char const character : value)
+        appendEscaped(output, character);
+    return output + '"';
+}
+
+std::string formatLogLine(LogLevel level, std::string_view event, std::initializer_list<LogField> fields)
+{
+    std::string line = "level=";
+    line += levelNames[static_cast<std::size_t>(level)];
+    line += " event=";
+    line += escapeLogValue(event);
+    for (LogField const& field : fields) {
+        line += ' ';
+        line += field.key;
+        line += '=';
+        line += escapeLogValue(field.value);
+    }
+    return line;
+}
+
+void startLog(LogLevel lowest, std::string const& file)
+{
+    lowestLevel = lowest;
+    el::Loggers::addFlag(el::LoggingFlag::ImmediateFlush);
+    el::Configurations configuration;
+    configuration.setToDefault();
+    configuration.setGlobally(el::ConfigurationType::Format, "%msg");
+    configuration.setGlobally(el::ConfigurationType::ToStandardOutput, file.empty() ? "true" : "false");
+    configuration.setGlobally(el::ConfigurationType::ToFile, file.empty() ? "false" : "true");
+    if (!file.empty())
+        configuration.setGlobally(el::ConfigurationType::Filename, file);
+    el::Loggers::setDefaultConfigurations(configuration, true);
+}
+
+void logEvent(LogLevel level, std::string_view event, std::initializer_list<LogField> fields)
+{
+    if (level < lowestLevel)
+        return;
+    std::string const line = "time=" + timeText() + ' ' + formatLogLine(level, event, fields);
+    if (level == LogLevel::Debug)
+        LOG(DEBUG) << line;
+    else if (level == LogLevel::Info)
+        LOG(INFO) << line;
+    else if (level == LogLevel::Warning)
+        LOG(WARNING) << line;
+    else
+        LOG(ERROR) << line;
+}
+
+} // namespace plantaindrift
--- /dev/null
+++ b/src/runtime/MetricsPage.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include <map>
+#include <prometheus/metric_family.h>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+namespace plantaindrift {
+
+/// \brief Collects the values of one scrape and prints them in Prometheus' text format.
+class MetricsPage {
+public:
+    using Labels = std::vector<std::pair<std::string, std::string>>;
+
+    /// \param name  ends in _total, with the unit before it
+    void addCounter(std::string_view name, std::string_view help, Labels const& labels, double value);
+
+    /// \param name  ends in the unit, if there is one
+    void addGauge(std::string_view name, std::string_view help, Labels const& labels, double value);
+
+    /// \brief Processor time and resident memory of this process, under the ecosystem's common names.
+    void addProcess();
+
+    [[nodiscard]] std::string text() const;
+
+private:
+    std::map<std::string, prometheus::MetricFamily, std::less<>> families_;
+
+    prometheus::ClientMetric& add(std::string_view name, std::string_view help, Labels const& labels, prometheus::MetricType type);
+};
+
+} // namespace plantaindrift
--- /dev/null
+++ b/src/runtime/TargetMonitor.cpp
@@ -0,0 +1,135 @@
+#include "runtime/TargetMonitor.h"
+
+#include "plantaindrift/base/Error.h"
+#include "plantaindrift/runtime/HttpClient.h"
+#include "plantaindrift/runtime/Log.h"
+
+#include <algorithm>
+#include <asio/post.hpp>
+#include <nlohmann/json.hpp>
+
+namespace plantaindrift {
+
+namespace {
+
+    // An agent that recovers drops packets until it has the list, so it asks more often.
+    constexpr std::chrono::milliseconds recoveryInterval { 200 };
+
+} // namespace
+
+absl::StatusOr<TargetReport> parseTargetReport(std::string_view json)
+{
+    try {
+        nlohmann::json const fields = nlohmann::json::parse(json);
+        TargetReport report;
+        report.load.healthy = fields.at("healthy").get<bool>();
+        report.load.busySlots = fields.at("busy_slots").get<std::uint32_t>();
+        report.load.openConnections = fields.at("open_connections").get<std::uint32_t>();
+        if (fields.contains("uptime_seconds"))
+            report.uptime = std::chrono::seconds(fields["uptime_seconds"].get<std::int64_t>());
+        return report;
+    } catch (nlohmann::json::exception const& error) {
+        return makeError(ErrorKind::InvalidMessage, std::string("load report: ") + error.what() + "; correct the target's endpoint");
+    }
+}
+
+absl::StatusOr<TargetReport> readTargetReport(std::string const& url, std::chrono::milliseconds timeout)
+{
+    absl::StatusOr<HttpResult> const result = sendHttp("GET", url, "", timeout);
+    if (!result.ok())
+        return result.status();
+    if (result->status != 200)
+        return makeError(ErrorKind::Refused, url + " answered status " + std::to_string(result->status) + "; check the target");
+    return parseTargetReport(result->body);
+}
+
+TargetMonitor::TargetMonitor(asio::io_context& loop, Options options, std::unique_ptr<FlowSource> source, Handlers handlers)
+    : loop_(loop)
+    , options_(std::move(options))
+    , source_(std::move(source))
+    , handlers_(std::move(handlers))
+{
+}
+
+TargetMonitor::~TargetMonitor()
+{
+    requestStop();
+    if (thread_.joinable())
+        thread_.join();
+}
+
+void TargetMonitor::start()
+{
+    thread_ = std::thread([this] { run(); });
+}
+
+void TargetMonitor::requestStop()
+{
+    {
+        std::lock_guard<std::mutex> const lock(mutex_);
+        stopping_ = true;
+    }
+    wake_.notify_all();
+}
+
+void TargetMonitor::run()
+{
+    TimePoint nextLoad = std::chrono::steady_clock::now();
+    TimePoint nextFlows = nextLoad;
+    bool recovering = true;
+    while (pauseUntil(std::min(nextLoad, nextFlows))) {
+        TimePoint const now = std::chrono::steady_clock::now();
+        if (now >= nextFlows) {
+            recovering = !pollFlows() && recovering;
+            nextFlows = now + (recovering ? recoveryInterval : options_.flowsInterval);
+        }
+        if (now >= nextLoad) {
+            pollLoad();
+            nextLoad = now + options_.loadInterval;
+        }
+    }
+}
+
+void TargetMonitor::pollLoad()
+{
+    if (options_.loadUrl.empty())
+        return;
+    absl::StatusOr<TargetReport> const report = readTargetReport(options_.loadUrl, options_.timeout);
+    noteAnswer(report.status());
+    LoadReport load;
+    load.healthy = false;
+    if (report.ok())
+        load = report->load;
+    asio::post(loop_, [this, load] { handlers_.load(load); });
+}
+
+bool TargetMonitor::pollFlows()
+{
+    TimePoint const began = std::chrono::steady_clock::now();
+    absl::StatusOr<std::vector<FlowKey>> flows = source_->list();
+    noteAnswer(flows.status());
+    if (!flows.ok())
+        return false;
+    asio::post(loop_, [this, began, list = std::move(*flows)] { handlers_.flows(list, began); });
+    return true;
+}
+
+void TargetMonitor::noteAnswer(absl::Status const& status)
+{
+    if (status.ok() == answering_)
+        return;
+    answering_ = status.ok();
+    if (answering_)
+        logEvent(LogLevel::Info, "target_answers");
+    else
+        logEvent(LogLevel::Warning, "target_does_not_answer", { { "error", std::string_view(status.message().data(), status.message().size()) } });
+}
+
+bool TargetMonitor::pauseUntil(TimePoint time)
+{
+    std::unique_lock<std::mutex> lock(mutex_);
+    wake_.wait_until(lock, time, [this] { return stopping_; });
+    return !stopping_;
+}
+
+} // namespace plantaindrift
