--- a/include/plantaindrift/runtime/Daemon.h
+++ b/include/plantaindrift/runtime/Daemon.h
@@ -10,7 +10,7 @@
 ///
 /// \param settingsFile  TOML file
 /// \param checkOnly     only read and check the settings and key files
-/// \returns             InvalidSettings if a file is wrong; Refused if an address cannot be bound
+/// \returns             InvalidSettings if a file is wrong or an address cannot be bound
 [[nodiscard]] absl::Status runEntry(std::string const& settingsFile, bool checkOnly);
 
 /// \brief Runs an agent until SIGTERM or SIGINT, then drains or hands over as its settings say.
--- a/src/runtime/ControlSocket.cpp
+++ b/src/runtime/ControlSocket.cpp
@@ -276,7 +276,7 @@
         state_->openRouter();
     } catch (zmq::error_t const& error) {
         state_->closeRouter();
-        return makeError(ErrorKind::Refused, "control messages cannot be received on " + formatEndpoint(state_->self) + ": " + error.what() + "; choose a free address in the settings");
+        return makeError(ErrorKind::InvalidSettings, "control messages cannot be received on " + formatEndpoint(state_->self) + ": " + error.what() + "; choose a free address in the settings");
     }
     return absl::OkStatus();
 }
--- a/src/runtime/DaemonCore.cpp
+++ b/src/runtime/DaemonCore.cpp
@@ -10,13 +10,15 @@
 namespace {
 
     constexpr std::chrono::milliseconds tickInterval { 100 };
+    // Timers and control messages get their turn after this many batches.
+    constexpr int batchesPerTurn = 8;
 
 } // namespace
 
 DaemonCore::DaemonCore(CommonSettings const& settings, FleetKeys keys, Handlers handlers)
     : settings_(settings)
     , handlers_(std::move(handlers))
-    , data_(loop_)
+    , packetReadiness_(loop_)
     , control_(loop_, settings.control, std::move(keys), [this](Endpoint from, std::span<std::byte const> bytes) { handlers_.control(from, bytes); })
     , http_(loop_, settings.http, [this](HttpRequest const& request) { return answer(request); })
     , stopSignals_(loop_, SIGTERM, SIGINT)
@@ -33,6 +35,7 @@
     waitForStop();
     waitForKeys();
     waitForTick();
+    waitForPackets();
     logEvent(LogLevel::Info, "started", { { "name", settings_.name }, { "place", settings_.place }, { "data", formatEndpoint(settings_.data) }, { "control", formatEndpoint(settings_.control) }, { "http", formatEndpoint(settings_.http) }, { "insecure", settings_.insecure } });
     loop_.run();
     logEvent(LogLevel::Info, "ended", { { "name", settings_.name }, { "status", result_.ok() ? "ok" : messageOf(result_) } });
@@ -41,9 +44,14 @@
 
 absl::Status DaemonCore::bindAll()
 {
-    absl::Status status = data_.start(settings_.data, handlers_.datagram);
-    if (status.ok())
-        status = control_.start();
+    PacketLoopOptions options;
+    options.bind = settings_.data;
+    absl::StatusOr<PacketLoop> packets = PacketLoop::open(options);
+    if (!packets.ok())
+        return packets.status();
+    packets_ = std::move(*packets);
+    packetReadiness_.assign(packets_->nativeHandle());
+    absl::Status status = control_.start();
     if (status.ok())
         status = http_.start();
     return status;
@@ -58,7 +66,7 @@
     ticker_.cancel();
     stopSignals_.cancel();
     keySignals_.cancel();
-    data_.stop();
+    packetReadiness_.release();
     http_.stop();
     control_.stop();
     loop_.stop();
@@ -107,6 +115,24 @@
     });
 }
 
+void DaemonCore::waitForPackets()
+{
+    packetReadiness_.async_wait(asio::posix::stream_descriptor::wait_read, [this](asio::error_code const& error) {
+        if (error || finished_)
+            return;
+        for (int batch = 0; batch < batchesPerTurn; ++batch) {
+            if (packets_->runOnce(*handlers_.packets) < PacketLoop::batchSize)
+                break;
+        }
+        waitForPackets();
+    });
+}
+
+void DaemonCore::sendData(Endpoint to, std::span<std::byte const> bytes) noexcept
+{
+    packets_->send(to, bytes);
+}
+
 void DaemonCore::reloadKeys()
 {
     absl::StatusOr<FleetKeys> const keys = loadKeys(settings_);
@@ -142,10 +168,12 @@
     page.addCounter("plantaindrift_control_messages_total", "Control messages by direction.", { { "direction", "sent" } }, static_cast<double>(control.sent));
     page.addCounter("plantaindrift_control_messages_dropped_total", "Control messages not sent because the queue to the peer was full.", {}, static_cast<double>(control.dropped));
     page.addCounter("plantaindrift_control_peers_refused_total", "Control connections refused because the peer has no accepted key.", {}, static_cast<double>(control.refusedPeers));
-    UdpSocket::Counts const& data = data_.counts();
+    PacketLoopCounts const data = packets_->counts();
     page.addCounter("plantaindrift_datagrams_total", "Datagrams of the packet path by direction.", { { "direction", "received" } }, static_cast<double>(data.received));
     page.addCounter("plantaindrift_datagrams_total", "Datagrams of the packet path by direction.", { { "direction", "sent" } }, static_cast<double>(data.sent));
-    page.addCounter("plantaindrift_datagram_send_errors_total", "Datagrams that the kernel did not take.", {}, static_cast<double>(data.sendErrors));
+    page.addCounter("plantaindrift_datagram_errors_total", "Datagrams lost in this process by reason.", { { "reason", "oversized" } }, static_cast<double>(data.oversized));
+    page.addCounter("plantaindrift_datagram_errors_total", "Datagrams lost in this process by reason.", { { "reason", "send" } }, static_cast<double>(data.sendFailed));
+    page.addCounter("plantaindrift_datagram_errors_total", "Datagrams lost in this process by reason.", { { "reason", "receive" } }, static_cast<double>(data.receiveErrors));
     page.addGauge("plantaindrift_ready", "1 if /readyz answers ready.", {}, handlers_.ready() ? 1 : 0);
     page.addProcess();
     handlers_.metrics(page);
--- a/src/runtime/DaemonCore.h
+++ b/src/runtime/DaemonCore.h
@@ -2,16 +2,18 @@
 
 #include "plantaindrift/membership/EntryControl.h"
 #include "plantaindrift/runtime/HttpServer.h"
-#include "plantaindrift/runtime/UdpSocket.h"
 #include "runtime/ControlSocket.h"
 #include "runtime/MetricsPage.h"
+#include "runtime/PacketLoop.h"
 #include "runtime/Settings.h"
 
 #include <asio/io_context.hpp>
+#include <asio/posix/stream_descriptor.hpp>
 #include <asio/signal_set.hpp>
 #include <asio/steady_timer.hpp>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <vector>
 
 namespace plantaindrift {
@@ -21,7 +23,7 @@
 public:
     /// \brief The parts in which daemons differ; all run on the loop.
     struct Handlers {
-        UdpSocket::Receiver datagram;
+        PacketFilter* packets { nullptr };
         ControlSocket::Receiver control;
         std::function<void(TimePoint)> tick; ///< every 100 ms
         std::function<void(KeyRing const&)> keys; ///< keys were read again
@@ -42,14 +44,17 @@
     void sendControl(std::vector<ControlMessage> const& messages);
 
     [[nodiscard]] asio::io_context& loop() noexcept { return loop_; }
-    [[nodiscard]] UdpSocket& data() noexcept { return data_; }
+    /// \brief Sends one datagram of the packet path that answers no other.
+    void sendData(Endpoint to, std::span<std::byte const> bytes) noexcept;
+
     [[nodiscard]] bool isStopping() const noexcept { return stopping_; }
 
 private:
     CommonSettings settings_;
     Handlers handlers_;
     asio::io_context loop_;
-    UdpSocket data_;
+    std::optional<PacketLoop> packets_;
+    asio::posix::stream_descriptor packetReadiness_;
     ControlSocket control_;
     HttpServer http_;
     asio::signal_set stopSignals_;
@@ -63,6 +68,7 @@
     void waitForStop();
     void waitForKeys();
     void waitForTick();
+    void waitForPackets();
     void reloadKeys();
     HttpAnswer answer(HttpRequest const& request);
     std::string metricsText();
--- a/src/runtime/HttpServer.cpp
+++ b/src/runtime/HttpServer.cpp
@@ -82,7 +82,7 @@
         state_->server.open_sync();
         state_->open = true;
     } catch (std::exception const& error) {
-        return makeError(ErrorKind::Refused, "HTTP cannot listen on " + formatEndpoint(state_->address) + ": " + error.what() + "; choose a free address in the settings");
+        return makeError(ErrorKind::InvalidSettings, "HTTP cannot listen on " + formatEndpoint(state_->address) + ": " + error.what() + "; choose a free address in the settings");
     }
     return absl::OkStatus();
 }
--- a/src/runtime/Settings.h
+++ b/src/runtime/Settings.h
@@ -2,6 +2,7 @@
 
 #include "plantaindrift/base/Types.h"
 #include "plantaindrift/packet/Encapsulation.h"
+#include "plantaindrift/runtime/Keys.h"
 #include "plantaindrift/runtime/Log.h"
 
 #include "absl/status/statusor.h"
@@ -93,9 +94,6 @@
 /// \brief Reads a key file: one or two [[key]] tables, the one that signs first.
 [[nodiscard]] absl::StatusOr<FleetKeys> readKeys(std::string const& file);
 
-/// \brief Text of a new key table for a key file.
-[[nodiscard]] std::string generateKeyText(std::uint8_t epoch);
-
 /// \brief The datagram keys of the fleet's keys.
 [[nodiscard]] KeyRing datagramKeys(FleetKeys const& keys) noexcept;
 
--- a/src/runtime/UdpSocket.cpp
+++ b/src/runtime/UdpSocket.cpp
@@ -49,7 +49,7 @@
         socket_.bind(asio::ip::udp::endpoint(asio::ip::address_v4(address.address), address.port));
         socket_.non_blocking(true);
     } catch (std::exception const& error) {
-        return makeError(ErrorKind::Refused, "UDP cannot be received on " + formatEndpoint(address) + ": " + error.what() + "; choose a free address in the settings");
+        return makeError(ErrorKind::InvalidSettings, "UDP cannot be received on " + formatEndpoint(address) + ": " + error.what() + "; choose a free address in the settings");
     }
     wait();
     return absl::OkStatus();
