--- a/src/runtime/AgentDaemon.cpp
+++ b/src/runtime/AgentDaemon.cpp
@@ -29,6 +29,9 @@
     constexpr std::chrono::milliseconds announcementSpread { 90000 };
     constexpr std::chrono::milliseconds announcementFlush { 1000 };
     constexpr std::chrono::milliseconds firstReportTimeout { 1000 };
+    constexpr std::chrono::milliseconds drainPollInterval { 500 };
+    // Entries that have not heard of the leave yet still send first packets here; they are passed on.
+    constexpr std::chrono::seconds passAfterLeave { 2 };
 
     Member agentMember(AgentSettings const& settings)
     {
@@ -149,7 +152,11 @@
         LoadReport reported_;
         bool recovered_ { false };
         bool wasReady_ { false };
-        std::optional<TimePoint> drainEnd_;
+        std::optional<TimePoint> drainBegin_;
+        std::optional<TimePoint> leaveEnd_;
+        std::optional<TimePoint> listBegan_;
+        std::size_t listedFlows_ { 0 };
+        absl::Status drainResult_;
 
         DaemonCore::Handlers handlers()
         {
@@ -285,6 +292,8 @@
                     hashes.push_back(hashFlow(flow));
             }
             pipeline_.reconcile(hashes, began);
+            listBegan_ = began;
+            listedFlows_ = hashes.size();
             if (!recovered_)
                 logEvent(LogLevel::Info, "recovered", { { "name", self_.name }, { "flows", hashes.size() } });
             recovered_ = true;
@@ -314,7 +323,8 @@
             control_.setDraining(true, now);
             core_.sendControl(control_.takeMessages());
             announceState(MemberState::Draining);
-            drainEnd_ = now + drainDeadline();
+            drainBegin_ = now;
+            monitor_.setFlowsInterval(drainPollInterval);
             logEvent(LogLevel::Info, "draining", { { "name", self_.name }, { "flows", pipeline_.counts().openFlows }, { "deadline_seconds", drainDeadline().count() } });
         }
 
@@ -325,22 +335,35 @@
             return service_ ? service_->drain.deadline : defaultDrainDeadline;
         }
 
+        // A flow is counted as closing from the caller's FIN on, but its answer may still be on the way: the drain ends
+        // only when the target lists no flow either.
+        bool isDrained() const
+        {
+            bool const listed = !listBegan_ || *listBegan_ < *drainBegin_ || listedFlows_ > 0;
+            return pipeline_.counts().openFlows == 0 && !listed;
+        }
+
         void checkDrain(TimePoint now)
         {
-            if (!drainEnd_)
-                return;
-            std::uint32_t const open = pipeline_.counts().openFlows;
-            if (open > 0 && now < *drainEnd_)
+            if (leaveEnd_ && now >= *leaveEnd_)
+                end(drainResult_);
+            if (!drainBegin_ || leaveEnd_)
                 return;
-            drainEnd_.reset();
+            bool const drained = isDrained();
+            if (drained || now >= *drainBegin_ + drainDeadline())
+                leave(drained, now);
+        }
+
+        void leave(bool drained, TimePoint now)
+        {
+            std::size_t const open = std::max<std::size_t>(pipeline_.counts().openFlows, listedFlows_);
+            if (!drained)
+                drainResult_ = makeError(ErrorKind::DeadlinePassed, std::to_string(open) + " flows were open at the drain deadline; raise drain_deadline_s to let them end");
             control_.leave(now);
             core_.sendControl(control_.takeMessages());
             announceState(MemberState::Left);
-            logEvent(open == 0 ? LogLevel::Info : LogLevel::Warning, "left", { { "name", self_.name }, { "open_flows", open } });
-            if (open == 0)
-                end(absl::OkStatus());
-            else
-                end(makeError(ErrorKind::DeadlinePassed, std::to_string(open) + " flows were open at the drain deadline; raise drain_deadline_s to let them end"));
+            logEvent(drained ? LogLevel::Info : LogLevel::Warning, "left", { { "name", self_.name }, { "open_flows", open } });
+            leaveEnd_ = now + passAfterLeave;
         }
 
         void announceState(MemberState state)
--- a/src/runtime/TargetMonitor.cpp
+++ b/src/runtime/TargetMonitor.cpp
@@ -7,6 +7,7 @@
 #include <algorithm>
 #include <asio/post.hpp>
 #include <nlohmann/json.hpp>
+#include <utility>
 
 namespace plantaindrift {
 
@@ -72,6 +73,28 @@
     wake_.notify_all();
 }
 
+void TargetMonitor::setFlowsInterval(std::chrono::milliseconds interval)
+{
+    {
+        std::lock_guard<std::mutex> const lock(mutex_);
+        options_.flowsInterval = interval;
+        intervalChanged_ = true;
+    }
+    wake_.notify_all();
+}
+
+std::chrono::milliseconds TargetMonitor::flowsInterval()
+{
+    std::lock_guard<std::mutex> const lock(mutex_);
+    return options_.flowsInterval;
+}
+
+bool TargetMonitor::takeIntervalChange()
+{
+    std::lock_guard<std::mutex> const lock(mutex_);
+    return std::exchange(intervalChanged_, false);
+}
+
 void TargetMonitor::run()
 {
     TimePoint nextLoad = std::chrono::steady_clock::now();
@@ -79,9 +102,9 @@
     bool recovering = true;
     while (pauseUntil(std::min(nextLoad, nextFlows))) {
         TimePoint const now = std::chrono::steady_clock::now();
-        if (now >= nextFlows) {
+        if (takeIntervalChange() || now >= nextFlows) {
             recovering = !pollFlows() && recovering;
-            nextFlows = now + (recovering ? recoveryInterval : options_.flowsInterval);
+            nextFlows = now + (recovering ? recoveryInterval : flowsInterval());
         }
         if (now >= nextLoad) {
             pollLoad();
@@ -128,7 +151,7 @@
 bool TargetMonitor::pauseUntil(TimePoint time)
 {
     std::unique_lock<std::mutex> lock(mutex_);
-    wake_.wait_until(lock, time, [this] { return stopping_; });
+    wake_.wait_until(lock, time, [this] { return stopping_ || intervalChanged_; });
     return !stopping_;
 }
 
--- a/src/runtime/TargetMonitor.h
+++ b/src/runtime/TargetMonitor.h
@@ -51,6 +51,10 @@
     TargetMonitor& operator=(TargetMonitor const&) = delete;
 
     void start();
+
+    /// \brief Polls the open flows at this interval from now on.
+    void setFlowsInterval(std::chrono::milliseconds interval);
+
     void requestStop();
 
 private:
@@ -61,6 +65,7 @@
     std::mutex mutex_;
     std::condition_variable wake_;
     bool stopping_ { false };
+    bool intervalChanged_ { false };
     bool answering_ { true };
     std::thread thread_;
 
@@ -68,6 +73,8 @@
     void pollLoad();
     bool pollFlows();
     void noteAnswer(absl::Status const& status);
+    std::chrono::milliseconds flowsInterval();
+    bool takeIntervalChange();
     bool pauseUntil(TimePoint time);
 };
 
