--- a/src/runtime/AgentDaemon.cpp
+++ b/src/runtime/AgentDaemon.cpp
@@ -277,7 +277,7 @@
             logEvent(LogLevel::Info, "view_changed", { { "service", view.service }, { "targets", view.targets.size() }, { "fingerprint", view.fingerprint } });
         }
 
-        bool belongsToService(FlowKey const& flow) const
+        [[nodiscard]] bool belongsToService(FlowKey const& flow) const
         {
             if (!service_)
                 return true;
@@ -299,7 +299,7 @@
             recovered_ = true;
         }
 
-        bool isReady() const { return recovered_ && service_.has_value() && fingerprint_ != 0 && !core_.isStopping(); }
+        [[nodiscard]] bool isReady() const { return recovered_ && service_.has_value() && fingerprint_ != 0 && !core_.isStopping(); }
 
         void noteReadiness()
         {
@@ -328,7 +328,7 @@
             logEvent(LogLevel::Info, "draining", { { "name", self_.name }, { "flows", pipeline_.counts().openFlows }, { "deadline_seconds", drainDeadline().count() } });
         }
 
-        std::chrono::seconds drainDeadline() const
+        [[nodiscard]] std::chrono::seconds drainDeadline() const
         {
             if (settings_.drainDeadline.count() > 0)
                 return settings_.drainDeadline;
@@ -337,7 +337,7 @@
 
         // A flow is counted as closing from the caller's FIN on, but its answer may still be on the way: the drain ends
         // only when the target lists no flow either.
-        bool isDrained() const
+        [[nodiscard]] bool isDrained() const
         {
             bool const listed = !listBegan_ || *listBegan_ < *drainBegin_ || listedFlows_ > 0;
             return pipeline_.counts().openFlows == 0 && !listed;
--- a/src/runtime/ControlSocket.cpp
+++ b/src/runtime/ControlSocket.cpp
@@ -159,7 +159,7 @@
         authenticatorReadiness = std::make_unique<Readiness>(loop, *authenticator, [this] { authenticate(); });
     }
 
-    bool isAccepted(std::vector<std::string> const& request) const
+    [[nodiscard]] bool isAccepted(std::vector<std::string> const& request) const
     {
         constexpr std::size_t framesOfCurve = 7;
         if (request.size() != framesOfCurve || request[0] != "1.0" || request[5] != "CURVE")
--- a/src/runtime/EntryDaemon.cpp
+++ b/src/runtime/EntryDaemon.cpp
@@ -139,7 +139,7 @@
             pipeline_.setKeys(keys);
         }
 
-        bool isReady() const
+        [[nodiscard]] bool isReady() const
         {
             bool const configured = control_.changeLog().position() > 0;
             return configured && !core_.isStopping() && control_.isCaughtUp(std::chrono::steady_clock::now());
--- a/src/runtime/Settings.cpp
+++ b/src/runtime/Settings.cpp
@@ -186,7 +186,7 @@
             }
         }
 
-        bool isPrefix(std::string const& path) const
+        [[nodiscard]] bool isPrefix(std::string const& path) const
         {
             return std::any_of(bindings_.begin(), bindings_.end(), [&path](Binding const& binding) { return binding.path.starts_with(path + '.'); });
         }
@@ -203,7 +203,7 @@
                 problems_.push_back(locate(file_, node.source().begin) + "key '" + path + "' has a wrong value; " + found->remedy);
         }
 
-        std::string knownKeys() const
+        [[nodiscard]] std::string knownKeys() const
         {
             std::string text;
             for (Binding const& binding : bindings_)
--- a/standins/caller/main.cpp
+++ b/standins/caller/main.cpp
@@ -158,7 +158,7 @@
         bool reported_ { false };
         Counts counts_;
 
-        nlohmann::json counts() const
+        [[nodiscard]] nlohmann::json counts() const
         {
             nlohmann::json json;
             json["flows"] = counts_.flows;
@@ -180,13 +180,13 @@
             return json;
         }
 
-        std::size_t openFlows() const
+        [[nodiscard]] std::size_t openFlows() const
         {
             std::size_t const tcp = static_cast<std::size_t>(std::count_if(flows_.begin(), flows_.end(), [](std::pair<std::uint16_t const, Flow> const& item) { return !item.second.ended; }));
             return tcp + static_cast<std::size_t>(std::count_if(udpFlows_.begin(), udpFlows_.end(), [](std::pair<std::uint16_t const, UdpFlow> const& item) { return !item.second.ended; }));
         }
 
-        bool isDone() const
+        [[nodiscard]] bool isDone() const
         {
             bool const started = startedRequests_ >= FLAGS_requests && startedUdp_ >= FLAGS_udp_requests && startedFeeds_ >= FLAGS_feeds && startedUploads_ >= FLAGS_uploads;
             return started && retries_.empty() && openFlows() == 0;
--- a/standins/fabric/main.cpp
+++ b/standins/fabric/main.cpp
@@ -115,7 +115,7 @@
         std::atomic<bool> stopping_ { false };
         Counts counts_;
 
-        nlohmann::json counts() const
+        [[nodiscard]] nlohmann::json counts() const
         {
             nlohmann::json json;
             json["to_entries"] = counts_.toEntries;
--- a/standins/target/main.cpp
+++ b/standins/target/main.cpp
@@ -120,7 +120,7 @@
         std::deque<LoadSample> samples_;
         Counts counts_;
 
-        nlohmann::json counts() const
+        [[nodiscard]] nlohmann::json counts() const
         {
             nlohmann::json json;
             json["name"] = FLAGS_name;
@@ -138,7 +138,7 @@
             return json;
         }
 
-        std::size_t openConnections() const
+        [[nodiscard]] std::size_t openConnections() const
         {
             return static_cast<std::size_t>(std::count_if(connections_.begin(), connections_.end(), [](std::pair<FlowKey const, Connection> const& item) { return !item.second.ended; }));
         }
@@ -168,7 +168,7 @@
             return { 200, "ok\n" };
         }
 
-        nlohmann::json load() const
+        [[nodiscard]] nlohmann::json load() const
         {
             TimePoint const now = std::chrono::steady_clock::now();
             LoadSample shown;
@@ -184,7 +184,7 @@
             return json;
         }
 
-        nlohmann::json flows() const
+        [[nodiscard]] nlohmann::json flows() const
         {
             nlohmann::json list = nlohmann::json::array();
             for (std::pair<FlowKey const, Connection> const& item : connections_) {
@@ -290,7 +290,7 @@
                 connection.tcp->close(now);
         }
 
-        bool isPending(FlowKey const& flow) const
+        [[nodiscard]] bool isPending(FlowKey const& flow) const
         {
             bool const waits = std::any_of(waiting_.begin(), waiting_.end(), [&flow](Work const& work) { return work.flow == flow; });
             return waits || std::any_of(working_.begin(), working_.end(), [&flow](std::pair<TimePoint const, Work> const& item) { return item.second.flow == flow; });
@@ -372,7 +372,7 @@
             }
         }
 
-        bool isCancelled(Work const& work) const
+        [[nodiscard]] bool isCancelled(Work const& work) const
         {
             std::map<FlowKey, Connection>::const_iterator const found = connections_.find(work.flow);
             return !work.udp && (found == connections_.end() || found->second.tcp->end() != TcpEnd::Open);
--- a/tests/ControlSocketTests.cpp
+++ b/tests/ControlSocketTests.cpp
@@ -62,7 +62,8 @@
 };
 
 // Runs the loop until the condition holds; the limit only ends a failing test.
-bool runUntil(asio::io_context& loop, std::vector<Node*> const& nodes, std::function<bool()> const& condition, std::function<void()> const& everyTick = [] { })
+bool runUntil(
+    asio::io_context& loop, std::vector<Node*> const& nodes, std::function<bool()> const& condition, std::function<void()> const& everyTick = [] {})
 {
     constexpr int maximumTicks = 1200;
     for (int tick = 0; tick < maximumTicks && !condition(); ++tick) {
@@ -197,7 +198,7 @@
 {
     asio::io_context loop;
     Node first(loop, {});
-    ControlSocket second(loop, first.endpoint, {}, [](Endpoint, std::span<std::byte const>) { });
+    ControlSocket second(loop, first.endpoint, {}, [](Endpoint, std::span<std::byte const>) {});
     std::string const message(second.start().message());
     BOOST_TEST(message.find(formatEndpoint(first.endpoint)) != std::string::npos, message);
 }
