--- a/standins/common/MiniTcp.h
+++ b/standins/common/MiniTcp.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <deque>
 #include <functional>
+#include <map>
 #include <string>
 #include <tins/ip.h>
 #include <tins/ip_address.h>
@@ -35,7 +36,8 @@
 
 /// \brief The little of TCP that stand-ins need: handshake, ordered bytes, retransmission, FIN and RST.
 ///
-/// Segments that arrive out of order are dropped and sent again by the peer; there is no congestion control.
+/// Segments out of order are kept until the gap is filled, because a fabric that sprays packets reorders them. There is
+/// no congestion control.
 class MiniTcp {
 public:
     using Output = std::function<void(Bytes const&)>;
@@ -113,11 +115,7 @@
             end_ = finReceived_ ? TcpEnd::Finished : TcpEnd::TimedOut;
             return;
         }
-        // Everything after the oldest lost segment was dropped by the peer as out of order.
-        for (Segment& segment : segments_) {
-            if (segment.tries > 0)
-                transmitSegment(segment, now);
-        }
+        transmitSegment(first, now);
         ++retransmissions_;
     }
 
@@ -161,6 +159,12 @@
         }
     };
 
+    // What came after a gap, by sequence number.
+    struct EarlySegment {
+        std::string payload;
+        bool fin { false };
+    };
+
     static constexpr std::size_t segmentBytes = 1200;
     static constexpr std::size_t windowSegments = 32;
     static constexpr int maximumTries = 16;
@@ -179,6 +183,7 @@
     TcpEnd end_ { TcpEnd::Open };
     std::uint64_t retransmissions_ { 0 };
     std::deque<Segment> segments_;
+    std::map<std::uint32_t, EarlySegment> early_;
     std::string input_;
 
     static Duration timeout(int tries)
@@ -235,13 +240,18 @@
 
     void takeAcknowledgement(std::uint32_t acknowledged)
     {
+        bool progress = false;
         while (!segments_.empty() && segments_.front().tries > 0) {
             std::uint32_t const endOfSegment = segments_.front().sequence + segments_.front().length();
             if (static_cast<std::int32_t>(acknowledged - endOfSegment) < 0)
                 break;
             handshakeAcknowledged_ = true;
+            progress = true;
             segments_.pop_front();
         }
+        // A peer that acknowledges is alive, so the next loss starts again at the first timeout.
+        if (progress && !segments_.empty() && segments_.front().tries > 1)
+            segments_.front().tries = 1;
     }
 
     // Returns the length that the peer must see acknowledged, also if it was taken before.
@@ -249,17 +259,28 @@
     {
         Tins::RawPDU const* const raw = segment.find_pdu<Tins::RawPDU>();
         std::size_t const length = raw != nullptr ? raw->payload_size() : 0;
-        if (!synchronized_ || segment.get_flag(Tins::TCP::SYN) != 0 || segment.seq() != receiveNext_)
+        bool const fin = segment.get_flag(Tins::TCP::FIN) != 0;
+        bool const isNew = static_cast<std::int32_t>(segment.seq() - receiveNext_) >= 0;
+        if (!synchronized_ || segment.get_flag(Tins::TCP::SYN) != 0 || !isNew || (length == 0 && !fin))
             return length;
-        if (length > 0)
-            input_.append(raw->payload().begin(), raw->payload().end());
-        receiveNext_ += static_cast<std::uint32_t>(length);
-        if (segment.get_flag(Tins::TCP::FIN) != 0 && !finReceived_) {
-            finReceived_ = true;
-            ++receiveNext_;
-        }
+        if (early_.size() < 2 * windowSegments || segment.seq() == receiveNext_)
+            early_[segment.seq()] = { length > 0 ? std::string(raw->payload().begin(), raw->payload().end()) : std::string(), fin };
+        takeInOrder();
         return length;
     }
+
+    void takeInOrder()
+    {
+        for (std::map<std::uint32_t, EarlySegment>::iterator next = early_.find(receiveNext_); next != early_.end(); next = early_.find(receiveNext_)) {
+            input_ += next->second.payload;
+            receiveNext_ += static_cast<std::uint32_t>(next->second.payload.size());
+            if (next->second.fin && !finReceived_) {
+                finReceived_ = true;
+                ++receiveNext_;
+            }
+            early_.erase(next);
+        }
+    }
 };
 
 /// \brief An IPv4/UDP packet.
