--- a/tests/support/ChildProcess.h
+++ b/tests/support/ChildProcess.h
@@ -73,6 +73,15 @@
         }
     }
 
+    /// \brief Sends a signal to the process, if it still runs.
+    void send(int number)
+    {
+        if (!isEnded())
+            kill(id_, number);
+    }
+
+    [[nodiscard]] bool isRunning() { return !isEnded(); }
+
     /// \brief Next line of the standard output; empty after the timeout or at the end.
     std::string readLine(std::chrono::milliseconds timeout)
     {
