--- a/scripts/testbed.py
+++ b/scripts/testbed.py
@@ -16,7 +16,9 @@
 ROOT = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
 BUILD = os.environ.get("PLANTAINDRIFT_BUILD_DIR", os.path.join(ROOT, "build"))
 TCP_SERVICE = "rota-desk"
-TCP_ADDRESS = "203.0.113.10:80"
+TCP_ADDRESS = "10.20.0.10:443"
+PLACE = "Ratnapura"
+EXAMPLE = "example-water-service"
 
 
 class CheckFailed(Exception):
@@ -169,7 +171,7 @@
         wait_until("the platform answers", lambda: answers(self.platform_address, "/v1/objects?prefix=log/&after=&limit=1"))
         return process
 
-    def start_entry(self, name, place="ratnapura"):
+    def start_entry(self, name, place=PLACE):
         node = Node(name, self.ports)
         seeds = ", ".join(f'"{entry.control}"' for entry in self.entries)
         text = self.common_settings(node, place) + f"seeds = [{seeds}]\n" + self.platform_settings()
@@ -190,14 +192,14 @@
             f"--listen={node.data}", f"--http={node.http}", f"--return_to={self.fabric['return']}", f"--slots={slots}"])
         wait_until(f"{node.name} answers", lambda: answers(node.http, "/load"))
 
-    def start_agent(self, target, on_stop="drain", place="ratnapura"):
+    def start_agent(self, target, on_stop="drain", place=PLACE):
         node = Node("agent-of-" + target.name, self.ports)
         self.agents[target.name] = node
         self.write_agent_settings(node, target, on_stop, place)
         self.run_agent(node)
         return node
 
-    def write_agent_settings(self, node, target, on_stop, place="ratnapura"):
+    def write_agent_settings(self, node, target, on_stop, place=PLACE):
         entries = ", ".join(f'"{entry.control}"' for entry in self.entries)
         text = self.common_settings(node, place).replace(f'name = "{node.name}"', f'name = "{target.name}"')
         text += (f'service = "{self.service}"\nentries = [{entries}]\non_stop = "{on_stop}"\n'
@@ -231,12 +233,15 @@
         """Gives the fabric the present list of entries."""
         fetch(self.fabric["http"], "/entries", "PUT", self.entry_list())
 
-    def declaration(self, name="declaration"):
-        """Canonical declaration text of the example program."""
-        completed = self.run_tool("example-declare")
+    def declaration(self, name="declaration", slots=None):
+        """Canonical declaration text of the example program; `slots` changes the slots of its services."""
+        completed = self.run_tool(EXAMPLE)
         if completed.returncode != 0:
-            raise CheckFailed(f"example-declare ended with {completed.returncode}: {completed.stderr}")
-        return self.write(name + ".toml", completed.stdout)
+            raise CheckFailed(f"{EXAMPLE} ended with {completed.returncode}: {completed.stderr}")
+        text = completed.stdout
+        if slots is not None:
+            text = text.replace("slots = 7", f"slots = {slots}")
+        return self.write(name + ".toml", text)
 
     def apply(self, path, reason="demo"):
         return self.run_tool("plantaindrift", "apply", f"--platform=http://{self.platform_address}", f"--file={path}", "--author=operator", f"--reason={reason}")
--- a/src/runtime/AgentDaemon.cpp
+++ b/src/runtime/AgentDaemon.cpp
@@ -102,7 +102,7 @@
         absl::Status run()
         {
             if (!settings_.common.platformUrl.empty()) {
-                announcer_.emplace(openPlatform(settings_.common), mixHash(hashText(self_.name), self_.incarnation));
+                announcer_.emplace(core_.loop(), openPlatform(settings_.common), self_, settings_.common.platformPoll, mixHash(hashText(self_.name), self_.incarnation), [this](bool asked) { followDrainRequest(asked); });
                 announcer_->announce(self_, announcementSpread);
             }
             monitor_.start();
@@ -152,6 +152,7 @@
         LoadReport reported_;
         bool recovered_ { false };
         bool wasReady_ { false };
+        bool drainRequested_ { false };
         std::optional<TimePoint> drainBegin_;
         std::optional<TimePoint> leaveEnd_;
         std::optional<TimePoint> listBegan_;
@@ -310,6 +311,19 @@
             logEvent(LogLevel::Info, ready ? "ready" : "not_ready", { { "name", self_.name }, { "service", self_.service } });
         }
 
+        // An operator's request only ends new work here; the process runs on until it is told to stop.
+        void followDrainRequest(bool asked)
+        {
+            if (asked == drainRequested_ || core_.isStopping())
+                return;
+            drainRequested_ = asked;
+            pipeline_.setDraining(asked);
+            control_.setDraining(asked, std::chrono::steady_clock::now());
+            core_.sendControl(control_.takeMessages());
+            announceState(asked ? MemberState::Draining : MemberState::Active);
+            logEvent(LogLevel::Info, asked ? "drain_requested" : "drain_withdrawn", { { "name", self_.name }, { "flows", pipeline_.counts().openFlows } });
+        }
+
         void beginStop()
         {
             TimePoint const now = std::chrono::steady_clock::now();
--- a/src/runtime/EntryDaemon.cpp
+++ b/src/runtime/EntryDaemon.cpp
@@ -127,6 +127,7 @@
                 return;
             PlatformReader::Handlers handlers;
             handlers.changes = [this](std::vector<ConfigurationChange> const& changes) { addChanges(changes); };
+            handlers.snapshot = [this](std::uint64_t position, Configuration const& configuration) { addSnapshot(position, configuration); };
             handlers.members = [this](std::vector<Member> const& members) { addMembers(members); };
             handlers.confirmed = [this] { confirmed_ = std::chrono::steady_clock::now(); };
             platform_.emplace(core_.loop(), openPlatform(settings_.common), settings_.common.platformPoll, hashText(settings_.common.name), std::move(handlers));
@@ -186,6 +187,12 @@
             applyControl();
         }
 
+        void addSnapshot(std::uint64_t position, Configuration const& configuration)
+        {
+            control_.addSnapshot(position, configuration, std::chrono::steady_clock::now());
+            applyControl();
+        }
+
         void addMembers(std::vector<Member> const& members)
         {
             control_.addMembers(members, std::chrono::steady_clock::now());
--- a/src/runtime/PlatformThread.cpp
+++ b/src/runtime/PlatformThread.cpp
@@ -3,7 +3,6 @@
 #include "plantaindrift/base/Error.h"
 #include "plantaindrift/base/Hash.h"
 #include "plantaindrift/platform/HttpObjectStore.h"
-#include "runtime/Announcement.h"
 
 #include <algorithm>
 #include <asio/post.hpp>
@@ -12,7 +11,6 @@
 
 namespace {
 
-    constexpr std::size_t pageObjects = 100;
     constexpr std::string_view logPrefix = "log/";
     constexpr std::chrono::milliseconds watchTime { 5000 };
     constexpr std::chrono::milliseconds retryPause { 1000 };
@@ -37,6 +35,7 @@
 PlatformReader::PlatformReader(asio::io_context& loop, std::unique_ptr<ObjectStore> store, std::chrono::seconds poll, std::uint64_t seed, Handlers handlers)
     : loop_(loop)
     , store_(std::move(store))
+    , changes_(*store_)
     , poll_(poll)
     , handlers_(std::move(handlers))
     , random_(static_cast<std::uint32_t>(seed))
@@ -88,60 +87,50 @@
 
 bool PlatformReader::fetchMembers()
 {
-    std::vector<Member> members;
-    std::string after;
-    while (!stopping_) {
-        absl::StatusOr<std::vector<StoredObject>> const page = store_->list(announcementPrefix, after, pageObjects);
-        noteResult(page.status());
-        if (!page.ok())
-            return false;
-        for (StoredObject const& object : *page) {
-            absl::StatusOr<Member> const member = decodeAnnouncement(object.value);
-            if (member.ok())
-                members.push_back(*member);
-            else
-                logEvent(LogLevel::Warning, "announcement_malformed", { { "key", object.key }, { "error", message(member.status()) } });
-            after = object.key;
-        }
-        if (page->size() < pageObjects)
-            break;
-    }
-    asio::post(loop_, [this, members = std::move(members)] { handlers_.members(members); });
+    absl::StatusOr<std::vector<Member>> members = listAnnouncements(*store_, "");
+    noteResult(members.status());
+    if (!members.ok())
+        return false;
+    asio::post(loop_, [this, list = std::move(*members)] { handlers_.members(list); });
     return true;
 }
 
 bool PlatformReader::fetchChanges()
 {
-    std::uint64_t position = position_;
-    while (!stopping_) {
-        absl::StatusOr<std::vector<StoredObject>> const page = store_->list(logPrefix, changeKey(position), pageObjects);
-        noteResult(page.status());
-        if (!page.ok())
-            return false;
-        postChanges(*page);
-        if (page->size() < pageObjects)
-            break;
-        position = fetched_;
-    }
+    absl::StatusOr<LogContents> contents = changes_.readAfter(position_);
+    noteResult(contents.status());
+    if (!contents.ok())
+        return false;
+    if (contents->snapshotPosition > 0)
+        asio::post(loop_, [this, position = contents->snapshotPosition, configuration = std::move(contents->snapshot)] { handlers_.snapshot(position, configuration); });
+    postChanges(std::move(contents->changes));
     asio::post(loop_, handlers_.confirmed);
     return true;
 }
 
+// A watch starts after the newest change that is applied.
+bool PlatformReader::findVersion()
+{
+    std::uint64_t const position = position_;
+    if (lastVersion_ > 0 || position == 0)
+        return true;
+    absl::StatusOr<StoredObject> const newest = store_->get(changeKey(position));
+    noteResult(newest.status());
+    if (newest.ok())
+        lastVersion_ = newest->version;
+    return newest.ok();
+}
+
 bool PlatformReader::watchChanges()
 {
+    if (!findVersion())
+        return false;
     absl::StatusOr<std::vector<StoredObject>> const changed = store_->watch(logPrefix, lastVersion_, watchTime);
     noteResult(changed.status());
     if (!changed.ok())
         return false;
-    postChanges(*changed);
-    asio::post(loop_, handlers_.confirmed);
-    return true;
-}
-
-void PlatformReader::postChanges(std::vector<StoredObject> const& objects)
-{
     std::vector<ConfigurationChange> changes;
-    for (StoredObject const& object : objects) {
+    for (StoredObject const& object : *changed) {
         lastVersion_ = std::max(lastVersion_, object.version);
         absl::StatusOr<ConfigurationChange> const change = decodeChange(object.value);
         if (change.ok())
@@ -149,10 +138,15 @@
         else
             logEvent(LogLevel::Error, "change_malformed", { { "key", object.key }, { "error", message(change.status()) } });
     }
-    if (changes.empty())
-        return;
-    fetched_ = changes.back().position;
-    asio::post(loop_, [this, changes = std::move(changes)] { handlers_.changes(changes); });
+    postChanges(std::move(changes));
+    asio::post(loop_, handlers_.confirmed);
+    return true;
+}
+
+void PlatformReader::postChanges(std::vector<ConfigurationChange> changes)
+{
+    if (!changes.empty())
+        asio::post(loop_, [this, list = std::move(changes)] { handlers_.changes(list); });
 }
 
 void PlatformReader::noteResult(absl::Status const& status)
@@ -180,9 +174,15 @@
     return std::chrono::milliseconds(distribution(random_));
 }
 
-PlatformAnnouncer::PlatformAnnouncer(std::unique_ptr<ObjectStore> store, std::uint64_t seed)
-    : store_(std::move(store))
+PlatformAnnouncer::PlatformAnnouncer(asio::io_context& loop, std::unique_ptr<ObjectStore> store, Member const& self, std::chrono::seconds poll, std::uint64_t seed, std::function<void(bool)> drain)
+    : loop_(loop)
+    , store_(std::move(store))
+    , service_(self.service)
+    , name_(self.name)
+    , poll_(poll)
+    , drain_(std::move(drain))
     , random_(static_cast<std::uint32_t>(seed))
+    , nextPoll_(std::chrono::steady_clock::now())
     , thread_([this] { run(); })
 {
 }
@@ -202,7 +202,7 @@
     {
         std::lock_guard<std::mutex> const lock(mutex_);
         pending_ = std::make_unique<Member>(member);
-        spread_ = spread;
+        due_ = std::chrono::steady_clock::now() + randomUpTo(spread);
     }
     wake_.notify_all();
 }
@@ -217,36 +217,56 @@
 {
     std::unique_lock<std::mutex> lock(mutex_);
     while (!stopping_) {
-        wake_.wait(lock, [this] { return stopping_ || pending_ != nullptr; });
-        std::uniform_int_distribution<std::int64_t> distribution(0, spread_.count());
-        std::chrono::milliseconds const spread = spread_;
-        // A newer record with a shorter spread, such as that of a leaving agent, ends the wait.
-        wake_.wait_for(lock, std::chrono::milliseconds(distribution(random_)), [this, spread] { return stopping_ || spread_ < spread; });
-        if (stopping_ || pending_ == nullptr)
-            continue;
-        Member const member = *std::exchange(pending_, nullptr);
-        writing_ = true;
-        lock.unlock();
-        bool const written = write(member);
-        lock.lock();
-        writing_ = false;
-        if (!written && pending_ == nullptr) {
-            pending_ = std::make_unique<Member>(member);
-            spread_ = std::max(spread_, retryPause);
-        }
-        wake_.notify_all();
+        TimePoint const now = std::chrono::steady_clock::now();
+        if (pending_ != nullptr && due_ <= now)
+            writePending(lock);
+        else if (nextPoll_ <= now)
+            pollDrain(lock);
+        else
+            wake_.wait_until(lock, pending_ != nullptr ? std::min(due_, nextPoll_) : nextPoll_);
     }
 }
 
+void PlatformAnnouncer::writePending(std::unique_lock<std::mutex>& lock)
+{
+    Member const member = *std::exchange(pending_, nullptr);
+    writing_ = true;
+    lock.unlock();
+    bool const written = write(member);
+    lock.lock();
+    writing_ = false;
+    if (!written && pending_ == nullptr) {
+        pending_ = std::make_unique<Member>(member);
+        due_ = std::chrono::steady_clock::now() + retryPause + randomUpTo(retryPause);
+    }
+    wake_.notify_all();
+}
+
+void PlatformAnnouncer::pollDrain(std::unique_lock<std::mutex>& lock)
+{
+    // Agents that start together poll at different times.
+    nextPoll_ = std::chrono::steady_clock::now() + poll_ / 2 + randomUpTo(poll_);
+    lock.unlock();
+    absl::StatusOr<std::optional<DrainRequest>> const request = readDrainRequest(*store_, service_, name_);
+    if (request.ok())
+        asio::post(loop_, [this, asked = request->has_value()] { drain_(asked); });
+    lock.lock();
+}
+
+Duration PlatformAnnouncer::randomUpTo(std::chrono::milliseconds limit)
+{
+    return std::chrono::milliseconds(std::uniform_int_distribution<std::int64_t>(0, limit.count())(random_));
+}
+
 bool PlatformAnnouncer::write(Member const& member)
 {
-    std::string const key = announcementKey(member);
+    std::string const key = announcementKey(member.service, member.name);
     absl::StatusOr<StoredObject> const current = store_->get(key);
     absl::Status status = current.status();
     if (current.ok())
-        status = store_->update(key, encodeAnnouncement(member), current->version).status();
+        status = store_->update(key, encodeMember(member), current->version).status();
     else if (errorKind(status) == ErrorKind::NotFound)
-        status = store_->create(key, encodeAnnouncement(member)).status();
+        status = store_->create(key, encodeMember(member)).status();
     if (!status.ok())
         logEvent(LogLevel::Warning, "announcement_failed", { { "key", key }, { "error", message(status) } });
     else
--- a/src/runtime/PlatformThread.h
+++ b/src/runtime/PlatformThread.h
@@ -2,7 +2,9 @@
 
 #include "plantaindrift/configuration/ChangeLog.h"
 #include "plantaindrift/membership/Member.h"
+#include "plantaindrift/platform/ChangeStore.h"
 #include "plantaindrift/platform/ObjectStore.h"
+#include "plantaindrift/platform/StatusObjects.h"
 #include "runtime/Settings.h"
 
 #include <asio/io_context.hpp>
@@ -27,6 +29,7 @@
     /// \brief What the loop is told; all run on the loop.
     struct Handlers {
         std::function<void(std::vector<ConfigurationChange> const&)> changes;
+        std::function<void(std::uint64_t, Configuration const&)> snapshot;
         std::function<void(std::vector<Member> const&)> members;
         std::function<void()> confirmed; ///< the platform answered: nothing newer is known
     };
@@ -47,6 +50,7 @@
 private:
     asio::io_context& loop_;
     std::unique_ptr<ObjectStore> store_;
+    ChangeStore changes_;
     std::chrono::seconds poll_;
     Handlers handlers_;
     std::minstd_rand random_;
@@ -57,23 +61,26 @@
     std::condition_variable wake_;
     std::thread thread_;
     std::uint64_t lastVersion_ { 0 };
-    std::uint64_t fetched_ { 0 }; ///< highest position posted to the loop
     bool reachable_ { true };
 
     void run();
     bool fetchMembers();
     bool fetchChanges();
     bool watchChanges();
-    void postChanges(std::vector<StoredObject> const& objects);
+    bool findVersion();
+    void postChanges(std::vector<ConfigurationChange> changes);
     void noteResult(absl::Status const& status);
     void pause(std::chrono::milliseconds duration);
     std::chrono::milliseconds jitter(std::chrono::milliseconds base);
 };
 
-/// \brief Writes an agent's announcement object on a thread of its own: the newest record wins.
+/// \brief Writes an agent's announcement object and reads requests to drain it, on a thread of its own.
+///
+/// The newest record wins.
 class PlatformAnnouncer {
 public:
-    PlatformAnnouncer(std::unique_ptr<ObjectStore> store, std::uint64_t seed);
+    /// \param drain  told on the loop whether an operator asks this target to drain
+    PlatformAnnouncer(asio::io_context& loop, std::unique_ptr<ObjectStore> store, Member const& self, std::chrono::seconds poll, std::uint64_t seed, std::function<void(bool)> drain);
     ~PlatformAnnouncer();
     PlatformAnnouncer(PlatformAnnouncer const&) = delete;
     PlatformAnnouncer& operator=(PlatformAnnouncer const&) = delete;
@@ -85,18 +92,27 @@
     void flush(std::chrono::milliseconds limit);
 
 private:
+    asio::io_context& loop_;
     std::unique_ptr<ObjectStore> store_;
+    std::string service_;
+    std::string name_;
+    std::chrono::seconds poll_;
+    std::function<void(bool)> drain_;
     std::minstd_rand random_;
     std::mutex mutex_;
     std::condition_variable wake_;
     std::unique_ptr<Member> pending_;
-    std::chrono::milliseconds spread_ { 0 };
+    TimePoint due_;
+    TimePoint nextPoll_;
     bool writing_ { false };
     bool stopping_ { false };
     std::thread thread_;
 
     void run();
+    void writePending(std::unique_lock<std::mutex>& lock);
+    void pollDrain(std::unique_lock<std::mutex>& lock);
     bool write(Member const& member);
+    Duration randomUpTo(std::chrono::milliseconds limit);
 };
 
 } // namespace plantaindrift
