--- a/src/runtime/EntryDaemon.cpp
+++ b/src/runtime/EntryDaemon.cpp
@@ -130,7 +130,7 @@
             handlers.snapshot = [this](std::uint64_t position, Configuration const& configuration) { addSnapshot(position, configuration); };
             handlers.members = [this](std::vector<Member> const& members) { addMembers(members); };
             handlers.confirmed = [this] { confirmed_ = std::chrono::steady_clock::now(); };
-            platform_.emplace(core_.loop(), openPlatform(settings_.common), settings_.common.platformPoll, hashText(settings_.common.name), std::move(handlers));
+            platform_.emplace(core_.loop(), openPlatform(settings_.common), settings_.common, std::move(handlers));
             platform_->start();
         }
 
--- a/src/runtime/PlatformThread.cpp
+++ b/src/runtime/PlatformThread.cpp
@@ -14,6 +14,9 @@
     constexpr std::string_view logPrefix = "log/";
     constexpr std::chrono::milliseconds watchTime { 5000 };
     constexpr std::chrono::milliseconds retryPause { 1000 };
+    // 790 entries that apply the same change write fewer than 100 status objects a second.
+    constexpr std::chrono::milliseconds statusSpread { 10000 };
+    constexpr std::chrono::seconds statusInterval { 300 };
 
     std::string_view message(absl::Status const& status)
     {
@@ -32,13 +35,27 @@
     return makeHttpObjectStore(options);
 }
 
-PlatformReader::PlatformReader(asio::io_context& loop, std::unique_ptr<ObjectStore> store, std::chrono::seconds poll, std::uint64_t seed, Handlers handlers)
+absl::Status writeObject(ObjectStore& store, std::string const& key, std::string const& value)
+{
+    absl::StatusOr<StoredObject> const current = store.get(key);
+    if (current.ok())
+        return store.update(key, value, current->version).status();
+    if (errorKind(current.status()) == ErrorKind::NotFound)
+        return store.create(key, value).status();
+    return current.status();
+}
+
+PlatformReader::PlatformReader(asio::io_context& loop, std::unique_ptr<ObjectStore> store, CommonSettings const& settings, Handlers handlers)
     : loop_(loop)
     , store_(std::move(store))
     , changes_(*store_)
-    , poll_(poll)
+    , name_(settings.name)
+    , place_(settings.place)
+    , poll_(settings.platformPoll)
     , handlers_(std::move(handlers))
-    , random_(static_cast<std::uint32_t>(seed))
+    , random_(static_cast<std::uint32_t>(hashText(settings.name)))
+    , statusDue_(std::chrono::steady_clock::now() + statusInterval)
+    , lastAnswer_(std::chrono::steady_clock::now())
 {
 }
 
@@ -56,8 +73,8 @@
 
 void PlatformReader::setState(std::uint64_t position, bool watcher)
 {
-    position_ = position;
-    if (watcher_.exchange(watcher) != watcher)
+    bool const changed = position_.exchange(position) != position;
+    if (watcher_.exchange(watcher) != watcher || changed)
         wake_.notify_all();
 }
 
@@ -82,9 +99,32 @@
             pause(jitter(poll_));
         if (!answered)
             pause(jitter(retryPause));
+        else
+            writeStatusIfDue();
     }
 }
 
+void PlatformReader::writeStatusIfDue()
+{
+    TimePoint const now = std::chrono::steady_clock::now();
+    std::uint64_t const position = position_;
+    if (position != reportedPosition_) {
+        reportedPosition_ = position;
+        statusDue_ = std::min(statusDue_, now + jitter(statusSpread / 2));
+    }
+    if (stopping_ || now < statusDue_)
+        return;
+    EntryStatus status;
+    status.name = name_;
+    status.place = place_;
+    status.position = position;
+    status.timeMilliseconds = std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::system_clock::now().time_since_epoch()).count();
+    status.ageMilliseconds = static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(now - lastAnswer_).count());
+    absl::Status const written = writeObject(*store_, entryStatusKey(name_), encodeEntryStatus(status));
+    noteResult(written);
+    statusDue_ = now + (written.ok() ? jitter(statusInterval) : jitter(statusSpread));
+}
+
 bool PlatformReader::fetchMembers()
 {
     absl::StatusOr<std::vector<Member>> members = listAnnouncements(*store_, "");
@@ -151,6 +191,8 @@
 
 void PlatformReader::noteResult(absl::Status const& status)
 {
+    if (status.ok())
+        lastAnswer_ = std::chrono::steady_clock::now();
     if (status.ok() == reachable_)
         return;
     reachable_ = status.ok();
@@ -164,7 +206,10 @@
 {
     bool const watched = watcher_;
     std::unique_lock<std::mutex> lock(mutex_);
-    wake_.wait_for(lock, duration, [this, watched] { return stopping_ || watcher_ != watched; });
+    TimePoint const now = std::chrono::steady_clock::now();
+    TimePoint const end = statusDue_ > now ? std::min(now + duration, statusDue_) : now + duration;
+    std::uint64_t const position = reportedPosition_;
+    wake_.wait_until(lock, end, [this, watched, position] { return stopping_ || watcher_ != watched || position_ != position; });
 }
 
 std::chrono::milliseconds PlatformReader::jitter(std::chrono::milliseconds base)
@@ -261,12 +306,7 @@
 bool PlatformAnnouncer::write(Member const& member)
 {
     std::string const key = announcementKey(member.service, member.name);
-    absl::StatusOr<StoredObject> const current = store_->get(key);
-    absl::Status status = current.status();
-    if (current.ok())
-        status = store_->update(key, encodeMember(member), current->version).status();
-    else if (errorKind(status) == ErrorKind::NotFound)
-        status = store_->create(key, encodeMember(member)).status();
+    absl::Status const status = writeObject(*store_, key, encodeMember(member));
     if (!status.ok())
         logEvent(LogLevel::Warning, "announcement_failed", { { "key", key }, { "error", message(status) } });
     else
--- a/src/runtime/PlatformThread.h
+++ b/src/runtime/PlatformThread.h
@@ -23,7 +23,12 @@
 /// \brief Object store of the settings' platform.
 [[nodiscard]] std::unique_ptr<ObjectStore> openPlatform(CommonSettings const& settings);
 
+/// \brief Creates an object or replaces whatever it holds.
+[[nodiscard]] absl::Status writeObject(ObjectStore& store, std::string const& key, std::string const& value);
+
 /// \brief Reads the change log and the announcements on a thread of its own, and posts what it finds to the loop.
+///
+/// Also writes the entry's status object: soon after its position changes, and every five minutes.
 class PlatformReader {
 public:
     /// \brief What the loop is told; all run on the loop.
@@ -34,7 +39,7 @@
         std::function<void()> confirmed; ///< the platform answered: nothing newer is known
     };
 
-    PlatformReader(asio::io_context& loop, std::unique_ptr<ObjectStore> store, std::chrono::seconds poll, std::uint64_t seed, Handlers handlers);
+    PlatformReader(asio::io_context& loop, std::unique_ptr<ObjectStore> store, CommonSettings const& settings, Handlers handlers);
     ~PlatformReader();
     PlatformReader(PlatformReader const&) = delete;
     PlatformReader& operator=(PlatformReader const&) = delete;
@@ -51,6 +56,8 @@
     asio::io_context& loop_;
     std::unique_ptr<ObjectStore> store_;
     ChangeStore changes_;
+    std::string name_;
+    std::string place_;
     std::chrono::seconds poll_;
     Handlers handlers_;
     std::minstd_rand random_;
@@ -61,6 +68,9 @@
     std::condition_variable wake_;
     std::thread thread_;
     std::uint64_t lastVersion_ { 0 };
+    std::uint64_t reportedPosition_ { 0 };
+    TimePoint statusDue_;
+    TimePoint lastAnswer_;
     bool reachable_ { true };
 
     void run();
@@ -69,6 +79,7 @@
     bool watchChanges();
     bool findVersion();
     void postChanges(std::vector<ConfigurationChange> changes);
+    void writeStatusIfDue();
     void noteResult(absl::Status const& status);
     void pause(std::chrono::milliseconds duration);
     std::chrono::milliseconds jitter(std::chrono::milliseconds base);
