--- a/src/runtime/PlatformThread.cpp
+++ b/src/runtime/PlatformThread.cpp
@@ -93,14 +93,14 @@
     while (!stopping_) {
         membersKnown = membersKnown || fetchMembers();
         bool answered = fetchChanges();
+        if (answered)
+            writeStatusIfDue();
         if (answered && watcher_ && !stopping_)
             answered = watchChanges();
         else if (answered)
             pause(jitter(poll_));
         if (!answered)
             pause(jitter(retryPause));
-        else
-            writeStatusIfDue();
     }
 }
 
@@ -208,7 +208,7 @@
     std::unique_lock<std::mutex> lock(mutex_);
     TimePoint const now = std::chrono::steady_clock::now();
     TimePoint const end = statusDue_ > now ? std::min(now + duration, statusDue_) : now + duration;
-    std::uint64_t const position = reportedPosition_;
+    std::uint64_t const position = position_;
     wake_.wait_until(lock, end, [this, watched, position] { return stopping_ || watcher_ != watched || position_ != position; });
 }
 
