--- a/src/agent/Admission.cpp
+++ b/src/agent/Admission.cpp
@@ -17,6 +17,9 @@
     // Passes of first packets: one for five admissions and ten a second, so that overload is not multiplied.
     constexpr double passesPerAdmission = 0.2;
     constexpr double passesPerSecond = 10;
+
+    // Passes that only spread load cost one more hop for each packet of a short flow, and the goal is 1.1 hops.
+    constexpr double spreadingPassesPerAdmission = 0.08;
     constexpr double mostPassTokens = 20;
 
     // Load shares and the own load are averaged over this time before they are compared, because the busy slots of
@@ -24,6 +27,9 @@
     constexpr Seconds smoothingTime { 5 };
     constexpr double peerMargin = 0.02;
 
+    // Weight of the newest load report in the average.
+    constexpr double reportShare = 0.2;
+
     // A report that stays the same while the agent's own count changes by this much is not believed.
     constexpr std::size_t frozenReportSpread = 3;
 
@@ -57,7 +63,10 @@
     lastReport_ = now;
     bool const frozen = mostOwn_ - leastOwn_ >= frozenReportSpread;
     double const excess = static_cast<double>(report.busySlots) - static_cast<double>(counts.inProgress);
-    reportExcess_ = frozen ? 0 : std::max(0.0, excess);
+    // A lagging report is above or below the own count by chance; only the average tells of work that is not seen. A
+    // frozen report must not keep a target from admitting; one that is too low is bounded by recent requests.
+    double const believed = frozen ? std::min(0.0, excess) : excess;
+    excess_ += reportShare * (believed - excess_);
 }
 
 void Admission::setPeerLoad(std::string_view peer, double busyFraction, TimePoint now)
@@ -76,7 +85,7 @@
     lastTick_ = now;
     passTokens_ = std::min(mostPassTokens, passTokens_ + passesPerSecond * elapsed.count());
     if (hasReport_ && now - lastReport_ > reportLifetime)
-        reportExcess_ = 0;
+        excess_ = 0;
     double const share = 1 - std::exp(-elapsed.count() / smoothingTime.count());
     smoothedBusy_ += share * (estimatedBusy(counts) / slots() - smoothedBusy_);
     std::erase_if(peers_, [now](PeerLoad const& load) { return now - load.heard > peerLifetime; });
@@ -91,19 +100,23 @@
 {
     double const factor = slowStartFactor(now);
     double const connections = limits_.connections * weight_ / referenceWeight;
-    double const places = slots() * (1 + limits_.queuePerSlot);
+    double const places = slots() * (1 + limits_.queuePerSlot * factor);
     if (!isAccepting() || counts.atBound)
         return Willingness::Full;
     if (static_cast<double>(counts.open) >= std::max(1.0, connections * factor))
         return Willingness::Full;
-    if (estimatedBusy(counts) >= std::max(1.0, places * factor))
+    double const busy = estimatedBusy(counts);
+    if (busy >= places)
         return Willingness::Full;
+    if (busy >= slots())
+        return Willingness::Queueing;
     return isAbovePeers() ? Willingness::AbovePeers : Willingness::Willing;
 }
 
 void Admission::noteAdmission() noexcept
 {
     passTokens_ = std::min(mostPassTokens, passTokens_ + passesPerAdmission);
+    spreadingTokens_ = std::min(mostPassTokens, spreadingTokens_ + spreadingPassesPerAdmission);
 }
 
 bool Admission::takePass() noexcept
@@ -111,16 +124,36 @@
     if (passTokens_ < 1)
         return false;
     passTokens_ -= 1;
+    // Both kinds of pass cost hops, so full targets leave less for spreading.
+    spreadingTokens_ = std::max(-mostPassTokens, spreadingTokens_ - 1);
     return true;
 }
 
-// The agent's own count is the lower bound, because it lags by nothing. Open flows are the upper bound. A report
-// between the two adds work that the agent does not see.
+bool Admission::takeSpreadingPass() noexcept
+{
+    if (spreadingTokens_ < 1)
+        return false;
+    spreadingTokens_ -= 1;
+    return true;
+}
+
+double Admission::peerLoad(std::string_view name) const noexcept
+{
+    for (PeerLoad const& load : peers_) {
+        if (load.name == name)
+            return load.busyFraction;
+    }
+    return peerMean_;
+}
+
+// The own count lags by nothing; reports correct it for work that the agent does not see, and for answers whose
+// acknowledgement was lost. Requests of the last second are the lower bound and open flows the upper one.
 double Admission::estimatedBusy(FlowCounts const& counts) const noexcept
 {
     double const own = static_cast<double>(counts.inProgress);
+    double const least = static_cast<double>(std::min(counts.recent, counts.inProgress));
     double const most = std::max(own, static_cast<double>(counts.open));
-    return std::clamp(own + reportExcess_, own, most);
+    return std::clamp(own + excess_, least, most);
 }
 
 double Admission::slots() const noexcept
--- a/src/agent/AgentPipeline.cpp
+++ b/src/agent/AgentPipeline.cpp
@@ -32,6 +32,8 @@
     // A handshake that brings no data in this time belongs to a connection that waits.
     constexpr std::chrono::seconds handshakeProgress { 1 };
 
+    constexpr std::chrono::seconds recentTime { 1 };
+
     // The answer to a UDP request does not pass the agent; the next load report takes over from here.
     constexpr std::chrono::milliseconds udpProgress { 200 };
 
@@ -48,6 +50,9 @@
     constexpr std::chrono::seconds redirectRenewal { 20 };
     constexpr std::size_t redirectTargets = 2;
 
+    // Candidates compared by load. All are within the list of a copy that comes after a few more targets have joined.
+    constexpr std::size_t comparedCandidates = 3;
+
     // Scores computed per tick while looking for displaced flows; 20,000 take about half a millisecond.
     constexpr std::size_t scoresPerTick = 20000;
     constexpr std::size_t slotsPerTick = 4096;
@@ -78,8 +83,21 @@
         bool strict { false }; // must not be admitted twice, even after a crash
         bool inOrder { false }; // came along the candidate list, not by a note
         bool memoryGap { false }; // earlier copies may be known further along the list only
+        bool verified { false }; // an agent that knows every earlier copy found none that opened the flow
     };
 
+    // An agent that knows every earlier copy of a packet, and passes it on, marks it as returning with itself as the
+    // claimant. A probe that returns has the receiver as the claimant.
+    void takeVerification(Passage& passage, Endpoint self) noexcept
+    {
+        RouteOption& route = passage.route;
+        if (!route.returning || route.claimant == self)
+            return;
+        passage.verified = true;
+        route.claimant = {};
+        route.returning = false;
+    }
+
 } // namespace
 
 std::string_view agentReasonName(AgentReason reason) noexcept
@@ -105,6 +123,7 @@
     std::uint32_t reconciliations { 0 };
     std::size_t redirectCursor { 0 };
     std::size_t flowLimit { 0 };
+    std::size_t recentFlows { 0 };
 
     State(AgentOptions const& agentOptions, TimePoint now)
         : options(agentOptions)
@@ -117,7 +136,7 @@
 
     [[nodiscard]] FlowCounts flowCounts() const noexcept
     {
-        return { flows.openCount(), flows.inProgressCount(), flows.size() >= flows.limit() };
+        return { flows.openCount(), flows.inProgressCount(), recentFlows, flows.size() >= flows.limit() };
     }
 
     void resizeFlows()
@@ -229,11 +248,14 @@
         if (packet.payloadBytes > 0) {
             flow.lastPayload = passage.now;
             flow.hasPayload = true;
+            flow.payloadEnd = packet.sequence + packet.payloadBytes;
             flows.setInProgress(flow, !flow.isClosing());
             return;
         }
-        // A bare acknowledgement after the request acknowledges the answer, because a caller acknowledges only data.
-        if (flow.hasPayload && !packet.syn)
+        // A bare acknowledgement after the request acknowledges the answer, because a caller acknowledges only data. The
+        // one of the handshake may arrive later than the request, by another entry, and has a lower sequence number.
+        bool const afterRequest = static_cast<std::int32_t>(packet.sequence - flow.payloadEnd) >= 0;
+        if (flow.hasPayload && !packet.syn && afterRequest)
             flows.setInProgress(flow, false);
     }
 
@@ -262,6 +284,8 @@
         passage.note = notes.find(passage.packet.flow, passage.now);
         if (passage.note == nullptr)
             return false;
+        // The note is of an earlier copy, so what was found for this one says nothing.
+        passage.verified = false;
         orphanUnknownOwner(passage);
         PassNote& note = *passage.note;
         bool const points = note.kind == NoteKind::Passed || note.kind == NoteKind::Claimed || note.kind == NoteKind::Redirected;
@@ -354,13 +378,26 @@
         bool const asked = passage.note == nullptr;
         if (!putNote(passage, NoteKind::Claimed, route.claimant, PassNotes::lifetime))
             return drop(passage, AgentReason::NotesFull);
-        // This agent has seen every earlier copy, and none opened a flow: nobody further along knows it.
-        bool const conclusive = asked && passage.inOrder && !passage.strict && view.isSettled(route.viewFingerprint, passage.now);
-        if (conclusive)
+        bool const newcomer = view.isNewcomer(route.claimant, passage.now);
+        if (asked && newcomer && !passage.strict && isConclusive(passage))
             return returnProbe(passage);
         return probeNext(passage, route.position + 1U);
     }
 
+    // Earlier copies came here first if all candidates before this one have just joined. An older one has lost its
+    // notes, or is gone, and may have passed a copy to any target. This agent remembers no copy, so nobody knows the flow.
+    [[nodiscard]] bool isConclusive(Passage const& passage) const noexcept
+    {
+        RouteOption const& route = passage.route;
+        if (!passage.inOrder || passage.memoryGap || !view.isSettled(route.viewFingerprint, passage.now))
+            return false;
+        for (std::size_t index = 0; index < route.position; ++index) {
+            if (!view.isNewcomer(route.candidates[index], passage.now))
+                return false;
+        }
+        return !view.isAfterDeparted(passage.packet.flow, passage.now);
+    }
+
     // Two claims met. The lower rank wins, so that exactly one of them is given up.
     bool overrule(Passage& passage) noexcept
     {
@@ -450,24 +487,69 @@
         // A claim is a promise: other agents send copies here, so it is kept even by a full or draining agent.
         if (isOwnClaim(passage.note))
             return claim(passage);
+        passage.verified = passage.verified || isConclusive(passage);
         Willingness const willingness = admission.willingness(flowCounts(), passage.now);
         if (willingness == Willingness::Full || mayHaveRefused(passage))
             return hunt(passage);
-        if (willingness == Willingness::AbovePeers && sparesPeers(passage))
-            return hunt(passage);
+        if (willingness != Willingness::Willing && spreadLoad(passage))
+            return true;
         // A4
-        bool const settled = view.isSettled(passage.route.viewFingerprint, passage.now);
-        if (settled && passage.inOrder && !passage.strict && !passage.memoryGap)
-            return admit(passage);
-        return claim(passage);
+        return passage.verified && !passage.strict ? admit(passage) : claim(passage);
     }
 
-    // The load of peers moves a flow only once, and only if somebody else remains.
-    bool sparesPeers(Passage const& passage) noexcept
+    // Load moves a flow only once, and only to a peer that is less busy.
+    bool spreadLoad(Passage& passage) noexcept
     {
         RouteOption const& route = passage.route;
-        bool const canPass = passage.inOrder && route.hops == 0 && nextCandidate(route, route.position + 1U) < route.candidateCount;
-        return canPass && admission.limits().huntLimit > 1 && !passage.memoryGap && admission.hasPass();
+        bool const free = passage.verified && passage.inOrder && route.hops == 0 && !passage.strict && admission.limits().huntLimit > 1;
+        if (!free)
+            return false;
+        std::size_t const next = chooseCandidate(passage, route.position + 1U);
+        if (next >= route.candidateCount || loadOf(route.candidates[next]) >= admission.busyFraction())
+            return false;
+        return admission.takeSpreadingPass() && passWithNote(passage, next);
+    }
+
+    [[nodiscard]] double loadOf(Endpoint endpoint) const noexcept
+    {
+        ViewTarget const* const target = view.findEndpoint(endpoint);
+        return target == nullptr ? 1 : admission.peerLoad(target->name);
+    }
+
+    // A verified flow may go to any candidate, and the notes keep other copies on the same way. Any other flow keeps the
+    // order of the list, in which earlier copies went.
+    //
+    // \returns the least busy of the next candidates that take flows; the candidate count if there is none
+    [[nodiscard]] std::size_t chooseCandidate(Passage const& passage, std::size_t from) const noexcept
+    {
+        RouteOption const& route = passage.route;
+        std::size_t best = route.candidateCount;
+        double least = 0;
+        std::size_t compared = 0;
+        for (std::size_t index = nextCandidate(route, from); index < route.candidateCount; index = nextCandidate(route, index + 1)) {
+            Endpoint const candidate = route.candidates[index];
+            if (view.isDraining(candidate) || !view.isLive(candidate))
+                continue;
+            double const load = loadOf(candidate);
+            if (best == route.candidateCount || load < least) {
+                best = index;
+                least = load;
+            }
+            if (++compared == comparedCandidates)
+                break;
+        }
+        return best;
+    }
+
+    bool passWithNote(Passage& passage, std::size_t next) noexcept
+    {
+        if (!putNote(passage, NoteKind::Passed, passage.route.candidates[next], PassNotes::lifetime))
+            return drop(passage, AgentReason::NotesFull);
+        if (passage.verified) {
+            passage.route.claimant = options.self;
+            passage.route.returning = true;
+        }
+        return passTo(passage, passage.route.candidates[next], next);
     }
 
     // A5, at the claimant.
@@ -505,15 +587,15 @@
         std::size_t const self = indexOf(route.candidateSpan(), options.self);
         if (self >= route.candidateCount)
             return handBack(passage);
-        std::size_t const next = nextCandidate(route, self + 1);
-        bool const atEnd = next >= route.candidateCount || route.hops + 1U >= admission.limits().huntLimit;
+        std::size_t const next = passage.verified ? chooseCandidate(passage, self + 1) : nextCandidate(route, self + 1);
+        // A flow that is not verified is also searched for, which needs the whole list.
+        bool const limited = passage.verified && route.hops + 1U >= admission.limits().huntLimit;
+        bool const atEnd = next >= route.candidateCount || limited || route.hops >= maximumHops;
         // Passes away from a draining or recovering target are not overload and cost no budget.
-        bool const mayPass = !atEnd && (!admission.isAccepting() || admission.takePass());
+        bool const mayPass = !atEnd && (!passage.verified || !admission.isAccepting() || admission.takePass());
         if (!mayPass)
             return refuse(passage, next);
-        if (!putNote(passage, NoteKind::Passed, route.candidates[next], PassNotes::lifetime))
-            return drop(passage, AgentReason::NotesFull);
-        return passTo(passage, route.candidates[next], next);
+        return passWithNote(passage, next);
     }
 
     // A redirect led here after the flow ended. The first candidate decides afresh and forgets the redirect.
@@ -526,14 +608,13 @@
         return passTo(passage, route.candidates[0], 0);
     }
 
-    // A refusal is truthful if this agent has seen every earlier copy, or if every candidate was asked.
+    // A refusal is truthful if no earlier copy opened the flow, or if every candidate was asked.
     bool refuse(Passage& passage, std::size_t next) noexcept
     {
         RouteOption const& route = passage.route;
-        bool const settled = view.isSettled(route.viewFingerprint, passage.now) && !passage.memoryGap;
         bool const askedAll = next >= route.candidateCount && passage.inOrder && route.hops == route.position && route.candidateCount < maximumCandidates
             && view.isOrderAgreed(route.viewFingerprint, passage.now);
-        if (!settled && !askedAll)
+        if (!passage.verified && !askedAll)
             return drop(passage, AgentReason::Unsettled);
         bool const udp = passage.packet.key.protocol == Protocol::Udp;
         Duration const lifetime = udp ? Duration(udpRefusalTime) : Duration(PassNotes::lifetime);
@@ -557,10 +638,12 @@
     void expireFlows(TimePoint now) noexcept
     {
         Duration const hold = flows.size() * 2 > flows.limit() ? Duration(pressedHold) : Duration(finishedHold);
+        recentFlows = 0;
         flows.eraseIf([this, now, hold](Flow& flow) {
             Duration const idle = now - flow.lastPacket;
             if (flow.inProgress)
                 expireProgress(flow, now);
+            recentFlows += flow.inProgress && now - flow.lastPayload < recentTime ? 1 : 0;
             if (flow.protocol == Protocol::Udp)
                 return idle > udpIdle;
             if (flow.state == FlowState::Finished)
@@ -693,6 +776,7 @@
     bool const udp = packet.key.protocol == Protocol::Udp;
     passage.first = udp || packet.syn;
     passage.strict = udp && !state_->service.idempotent;
+    takeVerification(passage, state_->options.self);
     passage.inOrder = route.position < route.candidateCount && route.candidates[route.position] == state_->options.self;
     for (State::Filter const filter : State::filters) {
         if ((state_.get()->*filter)(passage))
--- a/src/agent/ViewState.cpp
+++ b/src/agent/ViewState.cpp
@@ -1,5 +1,6 @@
 #include "agent/ViewState.h"
 
+#include "agent/FlowBucket.h"
 #include "plantaindrift/base/Hash.h"
 
 #include <algorithm>
@@ -53,12 +54,19 @@
     if (view.fingerprint != view_.fingerprint)
         settledAt_ = std::max(settledAt_, now + (mayReorder(view) ? memoryWindow : settleWindow));
     std::vector<Endpoint> gone;
+    std::erase_if(departed_, [now](Departed const& target) { return now - target.since >= memoryWindow; });
     for (ViewTarget const& before : view_.targets) {
         ViewTarget const* const after = findTarget(view.targets, before.name);
         bool const live = after != nullptr && !after->dead && after->data == before.data;
-        if (!before.dead && !live && before.data != self_)
+        if (!before.dead && !live && before.data != self_) {
             gone.push_back(before.data);
+            departed_.push_back({ hashText(before.name), before.weight, now });
+        }
     }
+    std::vector<TimePoint> joined;
+    for (ViewTarget const& target : view.targets)
+        joined.push_back(joinTime(target.name, now));
+    joined_ = std::move(joined);
     view_ = view;
     nameHashes_.clear();
     for (ViewTarget const& target : view_.targets)
@@ -74,6 +82,15 @@
     return gone;
 }
 
+// Targets of the first view may have been there for long.
+TimePoint ViewState::joinTime(std::string_view name, TimePoint now) const noexcept
+{
+    if (view_.targets.empty())
+        return TimePoint {};
+    ViewTarget const* const before = find(name);
+    return before == nullptr ? now : joined_[static_cast<std::size_t>(before - view_.targets.data())];
+}
+
 void ViewState::renewLease(TimePoint now) noexcept
 {
     if (lastReply_.has_value() && now - *lastReply_ > longestReplyGap)
@@ -103,13 +120,46 @@
     return isOrderAgreed(fingerprint, now) && now - memorySince_ >= memoryWindow;
 }
 
-bool ViewState::isLive(Endpoint endpoint) const noexcept
+ViewTarget const* ViewState::findEndpoint(Endpoint endpoint) const noexcept
 {
     for (ViewTarget const& target : view_.targets) {
         if (target.data == endpoint)
-            return !target.dead;
+            return &target;
     }
-    return false;
+    return nullptr;
+}
+
+bool ViewState::isLive(Endpoint endpoint) const noexcept
+{
+    ViewTarget const* const target = findEndpoint(endpoint);
+    return target != nullptr && !target->dead;
+}
+
+bool ViewState::isDraining(Endpoint endpoint) const noexcept
+{
+    ViewTarget const* const target = findEndpoint(endpoint);
+    return target != nullptr && target->draining;
+}
+
+bool ViewState::isAfterDeparted(FlowHash flow, TimePoint now) const noexcept
+{
+    ViewTarget const* const own = self();
+    if (departed_.empty() || own == nullptr)
+        return false;
+    std::uint64_t const bucket = flowBucket(flow);
+    double const ownScore = rendezvousScore(nameHashes_[static_cast<std::size_t>(own - view_.targets.data())], bucket, own->weight);
+    return std::any_of(departed_.begin(), departed_.end(), [&](Departed const& target) {
+        return now - target.since < memoryWindow && rendezvousScore(target.nameHash, bucket, target.weight) > ownScore;
+    });
+}
+
+bool ViewState::isNewcomer(Endpoint endpoint, TimePoint now) const noexcept
+{
+    ViewTarget const* const target = findEndpoint(endpoint);
+    if (target == nullptr)
+        return false;
+    TimePoint const joined = joined_[static_cast<std::size_t>(target - view_.targets.data())];
+    return joined != TimePoint {} && now - joined < memoryWindow;
 }
 
 } // namespace plantaindrift
