--- a/src/membership/EntryControl.cpp
+++ b/src/membership/EntryControl.cpp
@@ -2,6 +2,7 @@
 
 #include "configuration/ProtobufConversion.h"
 #include "membership/AntiEntropy.h"
+#include "membership/BudgetGovernor.h"
 #include "membership/CatchUp.h"
 #include "membership/ConfigurationSpread.h"
 #include "membership/Gossip.h"
@@ -116,6 +117,7 @@
     void addRefutation(Member const& record, control::Heartbeat const& heartbeat, control::HeartbeatReply& reply) const;
     void addMonitors(control::Heartbeat const& heartbeat, control::HeartbeatReply& reply) const;
     void addView(Member const& record, control::Heartbeat const& heartbeat, TimePoint now, control::HeartbeatReply& reply);
+    [[nodiscard]] bool needsList(std::string_view agent, std::uint32_t reported, std::uint32_t own);
     void addService(Member const& record, control::Heartbeat const& heartbeat, control::HeartbeatReply& reply) const;
     [[nodiscard]] std::chrono::milliseconds heartbeatInterval() const;
     [[nodiscard]] std::chrono::milliseconds nextInterval(std::string_view member) const;
@@ -138,6 +140,7 @@
     // Configuration.
     void spreadChanges(std::span<ConfigurationChange const> applied);
     void takeChange(ConfigurationChange const& change);
+    bool takeCopy(std::uint64_t position, control::Service const& message);
     void pushChangesTo(Endpoint to, std::uint64_t after);
 
     void refreshNeighbours();
@@ -161,10 +164,12 @@
     Detector detector;
     Gossip gossip;
     TokenBucket answers;
+    BudgetGovernor governor;
     AntiEntropy antiEntropy;
     CatchUp catchUp;
     ConfigurationSpread spread;
     std::map<Endpoint, Contact> heartbeats;
+    std::map<std::string, std::uint32_t, std::less<>> reportedViews; ///< of agents whose view differed
     std::set<std::string> changedServices;
     bool neighboursOutdated { true };
     std::optional<TimePoint> lastTick;
@@ -180,6 +185,7 @@
     , neighbours(given.self)
     , gossip(given.bytesPerSecond * gossipShare)
     , answers(given.bytesPerSecond * answerShare, given.bytesPerSecond * answerShare * std::chrono::duration<double>(answerBurst).count())
+    , governor(given.bytesPerSecond)
     , antiEntropy(random.next())
 {
     self.role = MemberRole::Entry;
@@ -224,6 +230,8 @@
     if (heartbeat.has_record() && !acceptHeartbeatRecord(heartbeat, now))
         return false;
     acceptHeartbeatState(heartbeat, now);
+    if (heartbeat.has_service() && !takeCopy(heartbeat.position(), heartbeat.service()))
+        return false;
     control::Envelope answer;
     *answer.mutable_heartbeat_reply() = makeReply(heartbeat, now);
     outbox.send(from, answer);
@@ -265,6 +273,7 @@
     if (record->member.role == MemberRole::Agent) {
         addView(record->member, heartbeat, now, reply);
         addService(record->member, heartbeat, reply);
+        reply.set_need_service(heartbeat.service_hash() != 0 && spread.wantsCopy(heartbeat.position(), record->member.service));
         if (heartbeat.position() > spread.log().position())
             antiEntropy.hurry(now);
     }
@@ -293,16 +302,33 @@
     ServiceView const view = table.view(record.service);
     reply.set_fingerprint(view.fingerprint);
     answers.refill(now);
-    if (heartbeat.fingerprint() == viewHash(view) || !answers.canTake(0))
+    if (!needsList(record.name, heartbeat.fingerprint(), viewHash(view)) || !answers.canTake(0))
         return;
     for (MemberTable::Record const* const peer : table.ofService(record.service))
         toProtobuf(peer->member, MemberTable::tombstoneAge(*peer, now), *reply.add_members());
     answers.take(static_cast<double>(reply.ByteSizeLong()));
 }
 
+bool EntryControl::State::needsList(std::string_view agent, std::uint32_t reported, std::uint32_t own)
+{
+    auto const last = reportedViews.find(agent);
+    bool const repeated = last != reportedViews.end() && last->second == reported;
+    if (reported == own) {
+        if (last != reportedViews.end())
+            reportedViews.erase(last);
+        return false;
+    }
+    std::vector<std::string> const names = monitors.monitorsOf(agent);
+    if (std::find(names.begin(), names.end(), self.name) == names.end())
+        return false;
+    reportedViews.insert_or_assign(std::string(agent), reported);
+    // The first monitor sends the list; another one only if the agent still lacks it at its next heartbeat.
+    return repeated || names.front() == self.name;
+}
+
 void EntryControl::State::addService(Member const& record, control::Heartbeat const& heartbeat, control::HeartbeatReply& reply) const
 {
-    Service const* const service = findService(spread.log().configuration(), record.service);
+    Service const* const service = findService(spread.inForce().configuration(), record.service);
     if (service == nullptr || heartbeat.position() > spread.log().position())
         return;
     if (heartbeat.service_hash() != serviceHash(*service))
@@ -363,6 +389,8 @@
         takeChange(*change);
         spread.notePosition(change->position, from);
     }
+    for (control::ServiceCopy const& copy : envelope.gossip().copies())
+        valid = takeCopy(copy.position(), copy.service()) && valid;
     return valid;
 }
 
@@ -372,7 +400,7 @@
     if (static_cast<std::size_t>(request.digests_size()) != shardCount)
         return false;
     std::vector<std::uint32_t> shards = differingShards(table, request);
-    if (!shards.empty()) {
+    if (!shards.empty() && governor.allows()) {
         control::Envelope answer;
         *answer.mutable_shard_request() = antiEntropy.makeRequest(table, shards);
         if (static_cast<std::size_t>(answer.shard_request().shards_size()) < shards.size())
@@ -403,7 +431,9 @@
     else
         reply.mutable_shards()->CopyFrom(request.shards());
     if (request.services())
-        answerServices(spread.log(), request, reply);
+        answerServices(spread.inForce(), request, reply);
+    if (request.services() && spread.log().position() == 0)
+        reply.set_copies_position(spread.copiesPosition());
     if (request.changes())
         answerChanges(spread.log(), request, reply);
     answers.take(static_cast<double>(reply.ByteSizeLong()));
@@ -471,6 +501,10 @@
 
 void EntryControl::State::takeCatchUp(Endpoint from, control::ShardReply const& reply, TimePoint now)
 {
+    if (reply.copies_position() > 0) {
+        for (control::Service const& copy : reply.services())
+            takeCopy(reply.copies_position(), copy);
+    }
     catchUp.take(from, reply, now);
     std::optional<CatchUp::Assembled> const assembled = catchUp.takeConfiguration();
     if (assembled)
@@ -615,8 +649,10 @@
 void EntryControl::State::updateWatches(TimePoint now)
 {
     MonitorSelection::Changes const changes = monitors.takeChanges();
-    for (std::string const& name : changes.lost)
+    for (std::string const& name : changes.lost) {
         detector.unwatch(name);
+        reportedViews.erase(name);
+    }
     for (std::string const& name : changes.gained)
         detector.watch(name, now, std::max(options.heartbeat, heartbeatInterval()));
 }
@@ -669,7 +705,7 @@
     refreshNeighbours();
     std::vector<Endpoint> const chosen = neighbours.choose(random);
     std::vector<ControlMessage> batches;
-    gossip.round(now, chosen, batches);
+    gossip.round(now, governor.allows() ? Urgency::Suspicion : Urgency::Departure, chosen, batches);
     outbox.send(std::move(batches));
     counts.deferred = gossip.deferred();
 }
@@ -677,7 +713,7 @@
 void EntryControl::State::compare(TimePoint now)
 {
     refreshNeighbours();
-    if (antiEntropy.takeDue(now))
+    if (governor.allows() && antiEntropy.takeDue(now))
         sendDigests(neighbours.randomPeer(random));
     if (antiEntropy.takeReconnectDue(now))
         reconnect();
@@ -740,6 +776,22 @@
     spreadChanges(spread.take(change));
 }
 
+bool EntryControl::State::takeCopy(std::uint64_t position, control::Service const& message)
+{
+    std::optional<Service> const service = fromProtobuf(message);
+    if (!service)
+        return false;
+    if (!spread.takeCopy(position, *service)) {
+        gossip.noteDuplicateCopy(service->name);
+        return true;
+    }
+    control::ServiceCopy copy;
+    copy.set_position(position);
+    *copy.mutable_service() = message;
+    gossip.push(copy, table.entries().size());
+    return true;
+}
+
 void EntryControl::State::spreadChanges(std::span<ConfigurationChange const> applied)
 {
     if (applied.empty())
@@ -822,6 +874,8 @@
     if (!state_->lastTick)
         state_->start(now);
     state_->noticePause(now);
+    state_->governor.update(state_->counts.sentBytes, state_->counts.receivedBytes, !state_->catchUp.isActive(), now);
+    state_->spread.refreshCopies();
     state_->updateWatches(now);
     state_->detect(now);
     state_->expire(now);
@@ -862,7 +916,17 @@
 
 ChangeLog const& EntryControl::changeLog() const noexcept
 {
-    return state_->spread.log();
+    return state_->spread.inForce();
+}
+
+std::uint64_t EntryControl::completePosition() const noexcept
+{
+    return state_->spread.log().position();
+}
+
+std::uint64_t EntryControl::configurationVersion() const noexcept
+{
+    return state_->spread.version();
 }
 
 bool EntryControl::isWatcher() const
--- a/src/membership/Gossip.cpp
+++ b/src/membership/Gossip.cpp
@@ -24,11 +24,17 @@
         return ' ' + std::to_string(position);
     }
 
+    [[nodiscard]] std::string copyKeyOf(std::string_view service)
+    {
+        return "  " + std::string(service);
+    }
+
     struct BodyWriter {
         control::Gossip& gossip;
 
         void operator()(control::Member const& member) const { *gossip.add_members() = member; }
         void operator()(control::ConfigurationChange const& change) const { *gossip.add_changes() = change; }
+        void operator()(control::ServiceCopy const& copy) const { *gossip.add_copies() = copy; }
     };
 
 } // namespace
@@ -61,6 +67,15 @@
     pushItem(keyOf(change.position()), Urgency::Configuration, std::move(item));
 }
 
+void Gossip::push(control::ServiceCopy const& copy, std::size_t entries)
+{
+    Item item;
+    item.body = copy;
+    item.bytes = copy.ByteSizeLong() + framingBytes;
+    item.remaining = transmissions(entries);
+    pushItem(copyKeyOf(copy.service().name()), Urgency::Arrival, std::move(item));
+}
+
 void Gossip::pushItem(std::string key, Urgency urgency, Item item)
 {
     auto const old = ranks_.find(key);
@@ -82,6 +97,11 @@
     reduce(keyOf(position));
 }
 
+void Gossip::noteDuplicateCopy(std::string_view service)
+{
+    reduce(copyKeyOf(service));
+}
+
 void Gossip::reduce(std::string_view key)
 {
     auto const rank = ranks_.find(key);
@@ -99,12 +119,13 @@
     return !items_.empty() && (!lastRound_ || now - *lastRound_ >= roundPeriod);
 }
 
-void Gossip::round(TimePoint now, std::span<Endpoint const> neighbours, std::vector<ControlMessage>& messages)
+void Gossip::round(TimePoint now, Urgency least, std::span<Endpoint const> neighbours, std::vector<ControlMessage>& messages)
 {
     lastRound_ = now;
+    dropOld(now);
     bucket_.refill(now);
     for (Endpoint const neighbour : neighbours) {
-        std::string bytes = fillBatch();
+        std::string bytes = fillBatch(least);
         if (bytes.empty())
             break;
         messages.push_back({ neighbour, std::move(bytes) });
@@ -112,7 +133,21 @@
     countDeferred();
 }
 
-std::string Gossip::fillBatch()
+void Gossip::dropOld(TimePoint now)
+{
+    for (auto item = items_.begin(); item != items_.end();) {
+        if (!item->second.since)
+            item->second.since = now;
+        if (now - *item->second.since <= lifetime) {
+            ++item;
+            continue;
+        }
+        ranks_.erase(item->second.key);
+        item = items_.erase(item);
+    }
+}
+
+std::string Gossip::fillBatch(Urgency least)
 {
     control::Envelope envelope;
     BodyWriter const writer { *envelope.mutable_gossip() };
@@ -120,7 +155,7 @@
     std::vector<std::string> sent;
     for (auto const& [rank, item] : items_) {
         bool const fits = filled == 0 || filled + item.bytes <= batchBytes;
-        if (!fits || !canSend(rank, item))
+        if (!fits || rank.urgency < least || !canSend(rank, item))
             break;
         std::visit(writer, item.body);
         filled += item.bytes;
