--- a/scripts/testbed.py
+++ b/scripts/testbed.py
@@ -243,8 +243,10 @@
             text = text.replace("slots = 7", f"slots = {slots}")
         return self.write(name + ".toml", text)
 
-    def apply(self, path, reason="demo"):
-        return self.run_tool("plantaindrift", "apply", f"--platform=http://{self.platform_address}", f"--file={path}", "--author=operator", f"--reason={reason}")
+    def apply(self, path, expected_position, reason="demo"):
+        return self.run_tool("plantaindrift", "apply", path, f"--platform=http://{self.platform_address}",
+                             f"--expected_position={expected_position}", "--author=operator", f"--reason={reason}",
+                             f"--operation_id={reason}-{expected_position}")
 
     def wait_ready(self, limit=90):
         for node in self.entries + list(self.agents.values()):
--- a/src/runtime/PlatformThread.cpp
+++ b/src/runtime/PlatformThread.cpp
@@ -16,7 +16,7 @@
     constexpr std::chrono::milliseconds retryPause { 1000 };
     // 790 entries that apply the same change write fewer than 100 status objects a second.
     constexpr std::chrono::milliseconds statusSpread { 10000 };
-    constexpr std::chrono::seconds statusInterval { 300 };
+    constexpr std::chrono::seconds statusInterval { 100 };
 
     std::string_view message(absl::Status const& status)
     {
--- a/src/runtime/PlatformThread.h
+++ b/src/runtime/PlatformThread.h
@@ -28,7 +28,7 @@
 
 /// \brief Reads the change log and the announcements on a thread of its own, and posts what it finds to the loop.
 ///
-/// Also writes the entry's status object: soon after its position changes, and every five minutes.
+/// Also writes the entry's status object: soon after its position changes, and every 50 to 150 s.
 class PlatformReader {
 public:
     /// \brief What the loop is told; all run on the loop.
