--- a/src/runtime/DaemonCore.cpp
+++ b/src/runtime/DaemonCore.cpp
@@ -29,7 +29,7 @@
 
 absl::Status DaemonCore::run()
 {
-    absl::Status const bound = bindAll();
+    absl::Status bound = bindAll();
     if (!bound.ok())
         return bound;
     waitForStop();
