--- a/tests/GracefulStopTests.cpp
+++ b/tests/GracefulStopTests.cpp
@@ -175,7 +175,7 @@
 
     std::string writeSettings(std::string const& name, Endpoint data, Endpoint control, Endpoint http, std::string const& more)
     {
-        std::string const path = folder_ / (name + ".toml");
+        std::string path = folder_ / (name + ".toml");
         std::ofstream(path) << "name = \"" << name << "\"\nplace = \"kegalle\"\ninsecure = true\ndata = \"" << formatEndpoint(data) << "\"\ncontrol = \"" << formatEndpoint(control)
                             << "\"\nhttp = \"" << formatEndpoint(http) << "\"\n"
                             << more << "[platform]\nurl = \"" << platform.url() << "\"\npoll_s = 1\n";
