--- a/include/plantaindrift/base/Types.h
+++ b/include/plantaindrift/base/Types.h
@@ -60,7 +60,7 @@
     Endpoint destination;
     Protocol protocol { Protocol::Tcp };
 
-    friend constexpr auto operator<=>(FlowKey const&, FlowKey const&) noexcept = default;
+    friend constexpr auto operator<=>(FlowKey const&, FlowKey const&) noexcept = default; // NOLINT(modernize-use-nullptr)
 };
 
 } // namespace plantaindrift
--- /dev/null
+++ b/src/runtime/DaemonCore.h
@@ -0,0 +1,92 @@
+#pragma once
+
+#include "plantaindrift/membership/EntryControl.h"
+#include "plantaindrift/runtime/HttpServer.h"
+#include "runtime/ControlSocket.h"
+#include "runtime/MetricsPage.h"
+#include "runtime/PacketLoop.h"
+#include "runtime/Settings.h"
+
+#include <asio/io_context.hpp>
+#include <asio/posix/stream_descriptor.hpp>
+#include <asio/signal_set.hpp>
+#include <asio/steady_timer.hpp>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <vector>
+
+namespace plantaindrift {
+
+/// \brief What entry and agent daemons share: the loop, signals, sockets, the tick and the HTTP endpoints.
+class DaemonCore {
+public:
+    /// \brief The parts in which daemons differ; all run on the loop.
+    struct Handlers {
+        PacketFilter* packets { nullptr };
+        ControlSocket::Receiver control;
+        std::function<void(TimePoint)> tick; ///< every 100 ms
+        std::function<void(KeyRing const&)> keys; ///< keys were read again
+        std::function<bool()> ready;
+        std::function<void(MetricsPage&)> metrics;
+        std::function<void()> stop; ///< SIGTERM or SIGINT; ends by calling finish
+    };
+
+    /// \param keys  empty when the settings say insecure
+    DaemonCore(CommonSettings const& settings, FleetKeys keys, Handlers handlers);
+
+    /// \brief Binds all addresses, starts the loop and returns when finish was called.
+    [[nodiscard]] absl::Status run();
+
+    /// \brief Sends what is queued, closes everything and lets run return this status.
+    void finish(absl::Status status);
+
+    void sendControl(std::vector<ControlMessage> const& messages);
+
+    [[nodiscard]] asio::io_context& loop() noexcept { return loop_; }
+    /// \brief Sends one datagram of the packet path that answers no other.
+    void sendData(Endpoint to, std::span<std::byte const> bytes) noexcept;
+
+    [[nodiscard]] bool isStopping() const noexcept { return stopping_; }
+
+private:
+    CommonSettings settings_;
+    Handlers handlers_;
+    asio::io_context loop_;
+    std::optional<PacketLoop> packets_;
+    asio::posix::stream_descriptor packetReadiness_;
+    ControlSocket control_;
+    HttpServer http_;
+    asio::signal_set stopSignals_;
+    asio::signal_set keySignals_;
+    asio::steady_timer ticker_;
+    absl::Status result_;
+    bool stopping_ { false };
+    bool finished_ { false };
+
+    [[nodiscard]] absl::Status bindAll();
+    void waitForStop();
+    void waitForKeys();
+    void waitForTick();
+    void waitForPackets();
+    void reloadKeys();
+    HttpAnswer answer(HttpRequest const& request);
+    std::string metricsText();
+};
+
+/// \brief Keys that the settings name; empty if they say insecure.
+[[nodiscard]] absl::StatusOr<FleetKeys> loadKeys(CommonSettings const& settings);
+
+/// \brief Datagram keys for the fleet's keys, or the known ones of an insecure process.
+[[nodiscard]] KeyRing keyRing(FleetKeys const& keys) noexcept;
+
+/// \brief Wall clock in seconds since 1970.
+[[nodiscard]] std::uint32_t wallSeconds() noexcept;
+
+/// \brief First incarnation of a process: later starts are higher.
+[[nodiscard]] std::uint64_t firstIncarnation() noexcept;
+
+/// \brief A status's message for a log field.
+[[nodiscard]] std::string_view messageOf(absl::Status const& status) noexcept;
+
+} // namespace plantaindrift
