Admission model: kinds of service, list extension as in the code

Cause: a strict agent that forgot a refusal by a restart passed a copy on to a candidate that admitted it; the model checked refusals only for strict services. Strict services are not refused any more, and an agent of an idempotent UDP service takes no datagram after a restart until copies are gone.

--- a/model/admission.pml
+++ b/model/admission.pml
@@ -7,16 +7,19 @@
  * instance whose endpoint is reused by another service.
  *
  * SCENARIO selects the change: 0 join (agent 2 ranks first), 1 reweight (agents 0 and 1 swap ranks).
- * STRICT=1 describes a non-idempotent UDP service, whose first packet is the request.
+ * KIND selects the service: 0 TCP, 1 non-idempotent UDP (strict: the first packet is the request, always admitted by a
+ * claim and never refused, because a copy may be under way), 2 idempotent UDP.
  * A MUTANT_* macro removes one rule; the check must then fail.
  */
 
 #ifndef SCENARIO
 #define SCENARIO 0
 #endif
-#ifndef STRICT
-#define STRICT 0
+#ifndef KIND
+#define KIND 0
 #endif
+#define STRICT (KIND == 1)
+#define REFUSAL_HOLDS (KIND != 0)  /* a TCP caller that was refused ignores what comes later */
 
 #define AGENTS 3
 #define SLOTS 2          /* packets under way at once */
@@ -96,11 +99,22 @@
 
 #define IN_ORDER(i, s) (packet[s].position < LENGTH(packet[s].view) && CANDIDATE(packet[s].view, packet[s].position) == i)
 
-/* A strict service takes nothing after a restart until copies of refused datagrams are gone. */
-#ifdef MUTANT_FRESH_TAKES
+/* Index of an agent in the packet's list; the list's length if it is not there. */
+#define OWN(i, s) (CANDIDATE(packet[s].view, 0) == i -> 0 : (CANDIDATE(packet[s].view, 1) == i -> 1 : (LENGTH(packet[s].view) > 2 && i == 1 -> 2 : LENGTH(packet[s].view))))
+
 #define TAKES(i) (willing[i] && !draining[i])
+
+/* A restart forgot which datagrams this agent refused: it takes none and answers no probe until copies are gone. */
+#ifdef MUTANT_FRESH_TAKES
+#define MAY_HAVE_REFUSED(i) (0)
+#else
+#define MAY_HAVE_REFUSED(i) (KIND == 2 && fresh[i])
+#endif
+
+#ifdef MUTANT_STRICT_REFUSES
+#define MAY_REFUSE 1
 #else
-#define TAKES(i) (willing[i] && !draining[i] && !(STRICT && fresh[i]))
+#define MAY_REFUSE (!STRICT)
 #endif
 
 inline free(s) {
@@ -118,7 +132,7 @@
     /* P1: a flow is never open at two targets. */
     assert(!KNOWN);
     /* P2: what was refused as "not run" does not run later. For TCP the caller's own state machine sees to that. */
-    assert(!(STRICT && refusalSent));
+    assert(!(REFUSAL_HOLDS && refusalSent));
     known[i] = 1;
     admitted = 1;
     note[i] = NONE;
@@ -126,7 +140,7 @@
 }
 
 inline refuse(i, s) {
-    assert(!(STRICT && (admitted || KNOWN)));
+    assert(!(REFUSAL_HOLDS && (admitted || KNOWN)));
     refusalSent = 1;
 #ifndef MUTANT_NO_REFUSED_NOTE
     note[i] = REFUSED;
@@ -166,15 +180,22 @@
     admit(i, s)
 #else
     from = 0;
-#ifdef MUTANT_PROBE_REST_ONLY
     if
     :: IN_ORDER(i, s) -> from = packet[s].position + 1
     :: else -> skip
     fi;
-#endif
 #ifndef MUTANT_PROBE_PACKET_LIST
-    /* addOwnView: a stale entry's list lacks members that this agent knows. The new view contains the old one. */
-    packet[s].view = (agentView[i] == NEW -> NEW : packet[s].view);
+    /* addOwnView: a stale entry's list lacks members that this agent knows. The new view contains the old one; its
+       order differs, so that the probe starts at the front. */
+    if
+    :: agentView[i] == NEW && packet[s].view == OLD ->
+        packet[s].view = NEW;
+#ifndef MUTANT_PROBE_REST_ONLY
+        from = 0;
+#endif
+        skip
+    :: else -> skip
+    fi;
 #endif
     packet[s].claimant = i;
     packet[s].returning = 0;
@@ -185,31 +206,32 @@
 
 inline hunt(i, s) {
     if
-    :: !IN_ORDER(i, s) || packet[s].position + 1 >= LENGTH(packet[s].view) ->
+    :: OWN(i, s) + 1 >= LENGTH(packet[s].view) ->
         if
-        :: SETTLED(i, s) && !gap -> refuse(i, s)
+        :: SETTLED(i, s) && !gap && MAY_REFUSE -> refuse(i, s)
         :: else -> free(s)
         fi
     :: else ->
 #ifndef MUTANT_NO_PASS_NOTE
-        note[i] = CANDIDATE(packet[s].view, packet[s].position + 1);
+        note[i] = CANDIDATE(packet[s].view, OWN(i, s) + 1);
 #endif
         packet[s].hops = packet[s].hops + 1;
-        packet[s].position = packet[s].position + 1;
+        packet[s].position = OWN(i, s) + 1;
         packet[s].at = CANDIDATE(packet[s].view, packet[s].position)
     fi
 }
 
 inline decideFirst(i, s) {
     if
+    :: MAY_HAVE_REFUSED(i) && note[i] != i -> free(s)
 #ifndef MUTANT_PASS_WHILE_CLAIMING
     /* A claim is kept even by a full or draining agent, because notes of others point here. */
     :: note[i] == i -> claim(i, s)
-    :: note[i] != i && !TAKES(i) -> hunt(i, s)
-    :: note[i] != i && TAKES(i) ->
+    :: note[i] != i && !MAY_HAVE_REFUSED(i) && !TAKES(i) -> hunt(i, s)
+    :: note[i] != i && !MAY_HAVE_REFUSED(i) && TAKES(i) ->
 #else
-    :: !TAKES(i) -> hunt(i, s)
-    :: TAKES(i) ->
+    :: !MAY_HAVE_REFUSED(i) && !TAKES(i) -> hunt(i, s)
+    :: !MAY_HAVE_REFUSED(i) && TAKES(i) ->
 #endif
         if
         :: SETTLED(i, s) && !STRICT && !gap && IN_ORDER(i, s) -> admit(i, s)
@@ -241,10 +263,7 @@
         packet[s].returning = 0;
         packet[s].hops = packet[s].hops + 1
 #endif
-#ifndef MUTANT_FRESH_TAKES
-    /* A restart forgot whether this agent refused the datagram; it cannot vouch that it did not. */
-    :: packet[s].claimant != i && STRICT && fresh[i] && note[i] != i -> free(s)
-#endif
+    :: packet[s].claimant != i && MAY_HAVE_REFUSED(i) && note[i] != i -> free(s)
     :: else ->
         packet[s].returning = 0;
 #ifdef MUTANT_NO_YIELD
