Agent rules follow the model; one key command; entries read the log from its complete position

Cause: model checking showed that a restarted agent with a stale or no view, or without its memory of refusals, can let a datagram run that was refused. Two programs made keys in different formats. An entry that had agents' copies of declarations never read the log from its start.

--- a/completions/plantaindrift.bash
+++ b/completions/plantaindrift.bash
@@ -22,7 +22,7 @@
         drain) flags="$platform --author= --reason=" ;;
         undrain) flags="$platform" ;;
         audit) flags="$platform --service= --author= --since= --until=" ;;
-        keygen) flags="--output= --directory=" ;;
+        keygen) flags="--output= --directory= --epoch=" ;;
         help) mapfile -t COMPREPLY < <(compgen -W "$commands" -- "$current"); return ;;
         *) return ;;
     esac
--- a/scripts/testbed.py
+++ b/scripts/testbed.py
@@ -157,7 +157,7 @@
         return path
 
     def new_key(self, epoch):
-        return self.run_tool("plantaindrift-keygen", f"--epoch={epoch}").stdout
+        return self.run_tool("plantaindrift", "keygen", f"--epoch={epoch}").stdout
 
     def common_settings(self, node, place):
         return (f'name = "{node.name}"\nplace = "{place}"\ndata = "{node.data}"\ncontrol = "{node.control}"\n'
--- a/src/agent/AgentPipeline.cpp
+++ b/src/agent/AgentPipeline.cpp
@@ -264,18 +264,20 @@
         return passage.first && view.isPaused(passage.now) && drop(passage, AgentReason::Paused);
     }
 
-    // A10: an unknown flow may be one that the table lacks until it is rebuilt.
+    // A10: an unknown flow may be one that the table lacks until it is rebuilt. Without a view of the monitors, the probe of
+    // a packet from a stale entry would miss targets that joined.
     bool dropRecovering(Passage& passage) noexcept
     {
-        return passage.first && !admission.isRecovered() && drop(passage, AgentReason::Recovering);
+        bool const recovering = !admission.isRecovered() || view.fingerprint() == 0;
+        return passage.first && recovering && drop(passage, AgentReason::Recovering);
     }
 
-    // A restart forgets refusals, so a copy of a refused datagram is not taken while it may still be on its way. A
-    // refused TCP caller has no socket that could complete the handshake.
+    // A restart forgets refusals, so a copy of a refused datagram is neither taken nor passed on while it may still be on
+    // its way. A refused TCP caller has no socket that could complete the handshake; strict services are never refused.
     [[nodiscard]] bool mayHaveRefused(Passage const& passage) const noexcept
     {
-        bool const restarted = passage.packet.key.protocol == Protocol::Udp && !options.coldStart;
-        return restarted && passage.now < recovered + (passage.strict ? udpRefusalTime : idempotentRestartTime);
+        bool const refusable = passage.packet.key.protocol == Protocol::Udp && !passage.strict;
+        return refusable && !options.coldStart && passage.now < recovered + idempotentRestartTime;
     }
 
     // A3, A8
@@ -376,6 +378,8 @@
         if (isOwnClaim(passage.note) && claimRank(passage.packet.flow, options.self) < claimRank(passage.packet.flow, route.claimant))
             return overrule(passage);
         bool const asked = passage.note == nullptr;
+        if (asked && mayHaveRefused(passage))
+            return drop(passage, AgentReason::Recovering);
         if (!putNote(passage, NoteKind::Claimed, route.claimant, PassNotes::lifetime))
             return drop(passage, AgentReason::NotesFull);
         bool const newcomer = view.isNewcomer(route.claimant, passage.now);
@@ -489,7 +493,9 @@
             return claim(passage);
         passage.verified = passage.verified || isConclusive(passage);
         Willingness const willingness = admission.willingness(flowCounts(), passage.now);
-        if (willingness == Willingness::Full || mayHaveRefused(passage))
+        if (mayHaveRefused(passage))
+            return drop(passage, AgentReason::Recovering);
+        if (willingness == Willingness::Full)
             return hunt(passage);
         if (willingness != Willingness::Willing && spreadLoad(passage))
             return true;
@@ -611,6 +617,9 @@
     // A refusal is truthful if no earlier copy opened the flow, or if every candidate was asked.
     bool refuse(Passage& passage, std::size_t next) noexcept
     {
+        // The caller of a strict service gets no answer: another copy may be under way to a target that takes it.
+        if (passage.strict)
+            return drop(passage, AgentReason::AllFull);
         RouteOption const& route = passage.route;
         bool const askedAll = next >= route.candidateCount && passage.inOrder && route.hops == route.position && route.candidateCount < maximumCandidates
             && view.isOrderAgreed(route.viewFingerprint, passage.now);
--- a/src/cli/CommandLine.cpp
+++ b/src/cli/CommandLine.cpp
@@ -24,7 +24,8 @@
 DEFINE_string(service, "", "only changes of this service");
 DEFINE_string(since, "", "only changes from this time on");
 DEFINE_string(until, "", "only changes up to this time");
-DEFINE_string(directory, "", "existing directory for key files");
+DEFINE_string(directory, "", "existing directory for the key file");
+DEFINE_uint32(epoch, 1, "number of the new key, 0 to 255; keys in use together need different numbers");
 DEFINE_uint32(deadline_s, 30, "longest wait for all entries");
 DEFINE_uint32(poll_ms, 1000, "time between reads of the entries' reports");
 DEFINE_uint32(stale_s, 180, "age from which an entry's report is stale");
@@ -94,6 +95,7 @@
         options.since = FLAGS_since;
         options.until = FLAGS_until;
         options.directory = FLAGS_directory;
+        options.epoch = FLAGS_epoch;
         options.deadline = std::chrono::seconds(FLAGS_deadline_s);
         options.poll = std::chrono::milliseconds(FLAGS_poll_ms);
         options.stale = std::chrono::seconds(FLAGS_stale_s);
--- a/src/cli/Commands.cpp
+++ b/src/cli/Commands.cpp
@@ -35,9 +35,9 @@
             "Safe to repeat.", runUndrain },
         { "audit", "", 0, true, "service author since until", "list the accepted changes",
             "Filters by --service, --author, --since and --until; times are dates, 2026-12-04T05:09:58Z or milliseconds since 1970.", runAudit },
-        { "keygen", "", 0, false, "directory", "make the keys of a deployment",
-            "Writes datagram.key (16 random bytes in hexadecimal), curve-public.key and curve-secret.key (Z85) into --directory, with\n"
-            "mode 0600. Existing files are never overwritten.",
+        { "keygen", "", 0, false, "directory epoch", "make the keys of a deployment",
+            "Prints a new [[key]] table, or writes it to keys.toml in --directory with mode 0600. An existing file is never\n"
+            "overwritten. For a rotation, append the table of a new --epoch to the file in use.",
             runKeygen },
     } };
 
--- a/src/cli/Commands.h
+++ b/src/cli/Commands.h
@@ -28,6 +28,7 @@
     std::string since;
     std::string until;
     std::string directory;
+    std::uint32_t epoch { 1 };
     std::chrono::milliseconds deadline { 30'000 };
     std::chrono::milliseconds poll { 1'000 };
     std::chrono::milliseconds stale { 180'000 };
--- a/src/runtime/EntryDaemon.cpp
+++ b/src/runtime/EntryDaemon.cpp
@@ -105,6 +105,7 @@
         std::uint64_t ownerNotices_ { 0 };
         std::uint64_t refusedMessages_ { 0 };
         std::uint64_t position_ { 0 };
+        std::uint64_t configurationVersion_ { 0 };
         std::optional<TimePoint> confirmed_;
         bool wasReady_ { false };
 
@@ -168,7 +169,7 @@
             control_.tick(now);
             applyControl();
             if (platform_)
-                platform_->setState(control_.changeLog().position(), control_.isWatcher());
+                platform_->setState(control_.completePosition(), control_.isWatcher());
             noteReadiness();
         }
 
@@ -202,7 +203,7 @@
         // Hands the packet path what control decided, and sends what it wants to say.
         void applyControl()
         {
-            if (control_.changeLog().position() != position_)
+            if (control_.configurationVersion() != configurationVersion_)
                 applyConfiguration();
             for (ServiceView const& view : control_.takeChangedViews())
                 applyView(view);
@@ -211,6 +212,7 @@
 
         void applyConfiguration()
         {
+            configurationVersion_ = control_.configurationVersion();
             position_ = control_.changeLog().position();
             Configuration const& configuration = control_.changeLog().configuration();
             pipeline_.setConfiguration(configuration);
--- a/src/runtime/Settings.cpp
+++ b/src/runtime/Settings.cpp
@@ -275,7 +275,7 @@
 
     Binding bindHex(std::string path, std::array<std::uint8_t, datagramKeyBytes>& target)
     {
-        return { std::move(path), true, "give 32 hexadecimal digits, as plantaindrift-keygen prints them", [&target](toml::node const& node) {
+        return { std::move(path), true, "give 32 hexadecimal digits, as plantaindrift keygen prints them", [&target](toml::node const& node) {
                     std::optional<std::string> const text = node.value_exact<std::string>();
                     std::size_t length = 0;
                     return text && text->size() == 2 * datagramKeyBytes
@@ -286,7 +286,7 @@
 
     Binding bindCurve(std::string path, std::string& target)
     {
-        return { std::move(path), true, "give 40 Z85 characters, as plantaindrift-keygen prints them", [&target](toml::node const& node) {
+        return { std::move(path), true, "give 40 Z85 characters, as plantaindrift keygen prints them", [&target](toml::node const& node) {
                     std::array<std::uint8_t, 32> decoded {};
                     std::optional<std::string> const text = node.value_exact<std::string>();
                     if (!text || text->size() != curveKeyCharacters || zmq_z85_decode(decoded.data(), text->c_str()) == nullptr)
@@ -313,7 +313,7 @@
         for (FleetKey const& key : keys) {
             std::array<char, curveKeyCharacters + 1> derived {};
             if (zmq_curve_public(derived.data(), key.controlSecret.c_str()) != 0 || key.controlPublic != derived.data())
-                problems.push_back(locate(file, { 1, 1 }) + "control_public does not belong to control_secret of epoch " + std::to_string(key.datagram.epoch) + "; copy the whole table that plantaindrift-keygen printed");
+                problems.push_back(locate(file, { 1, 1 }) + "control_public does not belong to control_secret of epoch " + std::to_string(key.datagram.epoch) + "; copy the whole table that plantaindrift keygen printed");
         }
         if (keys.size() == 2 && keys[0].datagram.epoch == keys[1].datagram.epoch)
             problems.push_back(locate(file, { 1, 1 }) + "both keys have the same epoch; make the new key with another epoch");
@@ -370,7 +370,7 @@
     toml::node const* const node = table->get("key");
     toml::array const* const list = node != nullptr ? node->as_array() : nullptr;
     if (list == nullptr || list->empty() || list->size() > 2 || table->size() != 1)
-        return makeError(ErrorKind::InvalidSettings, file + ":1:1: a key file has one or two [[key]] tables and nothing else; make one with plantaindrift-keygen");
+        return makeError(ErrorKind::InvalidSettings, file + ":1:1: a key file has one or two [[key]] tables and nothing else; make one with plantaindrift keygen");
     FleetKeys keys;
     Problems problems;
     for (toml::node const& element : *list) {
