--- a/include/plantaindrift/runtime/Daemon.h
+++ b/include/plantaindrift/runtime/Daemon.h
@@ -2,7 +2,9 @@
 
 #include "absl/status/status.h"
 
+#include <span>
 #include <string>
+#include <string_view>
 
 namespace plantaindrift {
 
@@ -18,4 +20,14 @@
 /// \returns  as runEntry; DeadlinePassed if flows were still open at the drain deadline
 [[nodiscard]] absl::Status runAgent(std::string const& settingsFile, bool checkOnly);
 
+/// \brief Signature of runEntry and runAgent.
+using DaemonFunction = absl::Status (*)(std::string const& settingsFile, bool checkOnly);
+
+/// \brief Main function of a daemon: reads --settings=FILE and --check, runs the daemon, prints its error.
+///
+/// \param program    name for messages
+/// \param arguments  of the command line, without the program's own name
+/// \returns          exit code; 2 for an unknown flag, a value of the wrong type or a missing settings file
+[[nodiscard]] int runDaemonProgram(std::string_view program, std::span<char const* const> arguments, DaemonFunction daemon);
+
 } // namespace plantaindrift
--- a/src/runtime/AgentDaemon.cpp
+++ b/src/runtime/AgentDaemon.cpp
@@ -390,12 +390,12 @@
             announcer_->announce(member, std::chrono::milliseconds(0));
         }
 
-        void end(absl::Status status)
+        void end(absl::Status const& status)
         {
             monitor_.requestStop();
             if (announcer_ && settings_.onStop == StopRule::Drain)
                 announcer_->flush(announcementFlush);
-            core_.finish(std::move(status));
+            core_.finish(status);
         }
 
         void addMetrics(MetricsPage& page) const
@@ -446,17 +446,7 @@
 
 absl::Status runAgent(std::string const& settingsFile, bool checkOnly)
 {
-    absl::StatusOr<AgentSettings> const settings = readAgentSettings(settingsFile);
-    if (!settings.ok())
-        return settings.status();
-    absl::StatusOr<FleetKeys> const keys = loadKeys(settings->common);
-    if (!keys.ok())
-        return keys.status();
-    if (checkOnly)
-        return absl::OkStatus();
-    startLog(settings->common.logLevel, settings->common.logFile);
-    AgentDaemon daemon(*settings, *keys);
-    return daemon.run();
+    return runDaemon<AgentDaemon>(readAgentSettings(settingsFile), checkOnly);
 }
 
 } // namespace plantaindrift
--- a/src/runtime/DaemonCore.cpp
+++ b/src/runtime/DaemonCore.cpp
@@ -57,12 +57,12 @@
     return status;
 }
 
-void DaemonCore::finish(absl::Status status)
+void DaemonCore::finish(absl::Status const& status)
 {
     if (finished_)
         return;
     finished_ = true;
-    result_ = std::move(status);
+    result_ = status;
     ticker_.cancel();
     stopSignals_.cancel();
     keySignals_.cancel();
--- a/src/runtime/DaemonCore.h
+++ b/src/runtime/DaemonCore.h
@@ -2,6 +2,7 @@
 
 #include "plantaindrift/membership/EntryControl.h"
 #include "plantaindrift/runtime/HttpServer.h"
+#include "plantaindrift/runtime/Log.h"
 #include "runtime/ControlSocket.h"
 #include "runtime/MetricsPage.h"
 #include "runtime/PacketLoop.h"
@@ -39,7 +40,7 @@
     [[nodiscard]] absl::Status run();
 
     /// \brief Sends what is queued, closes everything and lets run return this status.
-    void finish(absl::Status status);
+    void finish(absl::Status const& status);
 
     void sendControl(std::vector<ControlMessage> const& messages);
 
@@ -77,6 +78,25 @@
 /// \brief Keys that the settings name; empty if they say insecure.
 [[nodiscard]] absl::StatusOr<FleetKeys> loadKeys(CommonSettings const& settings);
 
+/// \brief Checks settings and keys, then runs a daemon until it is stopped.
+///
+/// \param settings   as read from the settings file
+/// \param checkOnly  ends after the checks
+template <typename Daemon, typename Settings>
+[[nodiscard]] absl::Status runDaemon(absl::StatusOr<Settings> const& settings, bool checkOnly)
+{
+    if (!settings.ok())
+        return settings.status();
+    absl::StatusOr<FleetKeys> const keys = loadKeys(settings->common);
+    if (!keys.ok())
+        return keys.status();
+    if (checkOnly)
+        return absl::OkStatus();
+    startLog(settings->common.logLevel, settings->common.logFile);
+    Daemon daemon(*settings, *keys);
+    return daemon.run();
+}
+
 /// \brief Datagram keys for the fleet's keys, or the known ones of an insecure process.
 [[nodiscard]] KeyRing keyRing(FleetKeys const& keys) noexcept;
 
--- a/src/runtime/EntryDaemon.cpp
+++ b/src/runtime/EntryDaemon.cpp
@@ -301,17 +301,7 @@
 
 absl::Status runEntry(std::string const& settingsFile, bool checkOnly)
 {
-    absl::StatusOr<EntrySettings> const settings = readEntrySettings(settingsFile);
-    if (!settings.ok())
-        return settings.status();
-    absl::StatusOr<FleetKeys> const keys = loadKeys(settings->common);
-    if (!keys.ok())
-        return keys.status();
-    if (checkOnly)
-        return absl::OkStatus();
-    startLog(settings->common.logLevel, settings->common.logFile);
-    EntryDaemon daemon(*settings, *keys);
-    return daemon.run();
+    return runDaemon<EntryDaemon>(readEntrySettings(settingsFile), checkOnly);
 }
 
 } // namespace plantaindrift
