One allocation counter for the packet test and the packet bench

Cause: the counting operator new stood twice, in the test without and in the bench without its array forms. Change: tests/support/CountedAllocations.h serves both; the test keeps its assertions.

--- a/bench/packet/main.cpp
+++ b/bench/packet/main.cpp
@@ -5,43 +5,19 @@
 #include "entry/CandidateTable.h"
 #include "entry/FlowCache.h"
 #include "plantaindrift/plantaindrift.h"
+#include "support/CountedAllocations.h"
 
 #include <algorithm>
 #include <chrono>
 #include <cmath>
 #include <cstdio>
-#include <cstdlib>
 #include <gflags/gflags.h>
-#include <new>
 #include <random>
 
 DEFINE_uint64(packets, 2000000, "packets of each decision case");
 DEFINE_uint64(seed, 1, "seed of the packet order");
 DEFINE_bool(tables, true, "also measure candidate tables and flow caches");
 
-namespace {
-
-std::uint64_t allocations = 0;
-
-void* allocate(std::size_t size, std::size_t alignment)
-{
-    ++allocations;
-    std::size_t const rounded = (size + alignment - 1) / alignment * alignment;
-    void* const memory = std::aligned_alloc(alignment, rounded);
-    if (memory == nullptr)
-        throw std::bad_alloc {};
-    return memory;
-}
-
-} // namespace
-
-void* operator new(std::size_t size) { return allocate(size, alignof(std::max_align_t)); }
-void* operator new(std::size_t size, std::align_val_t alignment) { return allocate(size, static_cast<std::size_t>(alignment)); }
-void operator delete(void* memory) noexcept { std::free(memory); }
-void operator delete(void* memory, std::size_t) noexcept { std::free(memory); }
-void operator delete(void* memory, std::align_val_t) noexcept { std::free(memory); }
-void operator delete(void* memory, std::size_t, std::align_val_t) noexcept { std::free(memory); }
-
 using namespace plantaindrift;
 
 namespace {
