--- a/bench/capacity/Exact.cpp
+++ b/bench/capacity/Exact.cpp
@@ -76,13 +76,13 @@
     {
         testing::ControlFleet fleet;
         fleet.seeds.push_back(testing::ControlFleet::endpointOf(1));
-        fleet.addEntry("entry-1000", "place-0", 1'700'000'000'000);
+        fleet.addEntry("entry-1000", "data-centre-0", 1'700'000'000'000);
         std::vector<Member> members;
         for (int index = 1; index <= count; ++index) {
             members.push_back(ProportionalFleet::member(MemberRole::Agent, index));
             members.back().service = ProportionalFleet::serviceName(0);
         }
-        fleet.addAgent("agent", "place-0", ProportionalFleet::serviceName(0), 1'700'000'000'000);
+        fleet.addAgent("agent", "data-centre-0", ProportionalFleet::serviceName(0), 1'700'000'000'000);
         fleet.run(2s);
         std::size_t const before = allocatedBytes();
         fleet.entry("entry-1000").addMembers(members, fleet.now());
--- a/bench/capacity/Fleet.cpp
+++ b/bench/capacity/Fleet.cpp
@@ -44,7 +44,7 @@
 
 std::string ProportionalFleet::placeOf(int index)
 {
-    return "place-" + std::to_string(index % plannedPlaces);
+    return "data-centre-" + std::to_string(index % plannedDataCentres);
 }
 
 std::string ProportionalFleet::entryName(int index)
@@ -67,7 +67,7 @@
     Member member;
     member.role = role;
     member.name = role == MemberRole::Entry ? entryName(index) : targetName(index);
-    member.place = placeOf(index);
+    member.dataCentre = placeOf(index);
     if (role == MemberRole::Agent)
         member.service = serviceName(index % plannedServices);
     member.incarnation = 1'700'000'000'000;
--- a/bench/capacity/Fleet.h
+++ b/bench/capacity/Fleet.h
@@ -7,7 +7,7 @@
 
 namespace plantaindrift::bench {
 
-/// \brief A fleet with the planned proportions: 11.4 targets per entry, 3.3 targets per service, 8 places.
+/// \brief A fleet with the planned proportions: 11.4 targets per entry, 3.3 targets per service, 8 data centres.
 class ProportionalFleet {
 public:
     ProportionalFleet(int entries, testing::NetworkOptions const& network);
--- a/bench/capacity/FleetMeasurements.cpp
+++ b/bench/capacity/FleetMeasurements.cpp
@@ -127,8 +127,8 @@
             std::uint64_t position = static_cast<std::uint64_t>(fleet.services());
             std::string const name = std::string("change_") + one.name + "_s";
             if (one.cut) {
-                // The first place is cut off for 30 s while the others apply a change; the time runs from the healing.
-                fleet.control().cut([](Member const& member) { return member.place == "place-0"; });
+                // The first data centre is cut off for 30 s while the others apply a change; the time runs from the healing.
+                fleet.control().cut([](Member const& member) { return member.dataCentre == "data-centre-0"; });
                 ++position;
                 std::vector<ConfigurationChange> const changes { testing::makeChange(position, ProportionalFleet::serviceName(1)) };
                 fleet.control().entry(ProportionalFleet::entryName(1)).addChanges(changes, fleet.control().now());
@@ -153,7 +153,7 @@
         ProportionalFleet fleet(entries, { 7, 0, 0, 1ms, 20ms });
         fleet.settle();
         fleet.declareServices();
-        fleet.control().addEntry("joiner", "place-1", 1'700'000'000'000);
+        fleet.control().addEntry("joiner", "data-centre-1", 1'700'000'000'000);
         ProportionalFleet::Rates const idle = fleet.runAndCount(0s + 1s);
         static_cast<void>(idle);
         Duration const passed = fleet.control().runUntil([&fleet] { return fleet.control().entry("joiner").isCaughtUp(fleet.control().now()); }, 60s);
@@ -256,7 +256,7 @@
 
     bool isOnFirstSide(Member const& member)
     {
-        return member.place <= "place-3";
+        return member.dataCentre <= "data-centre-3";
     }
 
     // True if every entry of the first side has no live record of the second.
@@ -284,14 +284,14 @@
         auto const agree = [&control] { return control.isConverged(); };
         std::vector<Member> lost;
         for (int index = 0; index < fleet.targets(); ++index) {
-            if (control.self(ProportionalFleet::targetName(index)).place == "place-1")
+            if (control.self(ProportionalFleet::targetName(index)).dataCentre == "data-centre-1")
                 lost.push_back(control.self(ProportionalFleet::targetName(index)));
         }
         for (Member const& member : lost)
             control.kill(member.name);
         printRecovery("place_lost", entries, recover(fleet, agree));
         for (Member const& member : lost)
-            control.addAgent(member.name, member.place, member.service, 1);
+            control.addAgent(member.name, member.dataCentre, member.service, 1);
         printRecovery("place_back", entries, recover(fleet, agree));
         control.cut(isOnFirstSide);
         printRecovery("regions_cut", entries, recover(fleet, [&control] { return isSeparated(control); }));
--- a/bench/capacity/Measurements.h
+++ b/bench/capacity/Measurements.h
@@ -10,7 +10,7 @@
 inline constexpr int plannedEntries = 790;
 inline constexpr int plannedTargets = 9000;
 inline constexpr int plannedServices = 2700;
-inline constexpr int plannedPlaces = 8;
+inline constexpr int plannedDataCentres = 8;
 
 /// \brief Encoded sizes of the control messages.
 void measureSizes();
@@ -33,7 +33,7 @@
 /// \brief A storm of 1,100 joins.
 void measureStorm(std::span<int const> sizes);
 
-/// \brief A place is lost and returns at once; half of the places are cut off for two minutes and return.
+/// \brief A data centre is lost and returns at once; half of the data centres are cut off for two minutes and return.
 void measureOutages(std::span<int const> sizes);
 
 /// \brief Prints one key=value line.
--- a/bench/measure/Model.h
+++ b/bench/measure/Model.h
@@ -35,7 +35,7 @@
     EntryCrash,
     StaleEntry, ///< one entry learns of a join and a drain 20 s late
     Duplicates, ///< one of five first packets arrives twice
-    Partition, ///< one place is cut off for 20 s
+    Partition, ///< one data centre is cut off for 20 s
     LoadZero, ///< one target reports no load
     LoadFull, ///< one target reports full load
     LoadFrozen, ///< one target repeats an old report
@@ -54,7 +54,7 @@
     std::string name;
     std::uint32_t targets { 7 };
     std::uint32_t slots { 7 };
-    std::uint32_t places { 4 };
+    std::uint32_t dataCentres { 4 };
     std::uint32_t entries { 3 };
     std::int64_t placeLatency { 500 }; ///< microseconds, one way
     std::int64_t clientLatency { 1000 };
--- a/bench/measure/Simulation.h
+++ b/bench/measure/Simulation.h
@@ -26,9 +26,9 @@
         service_.limits.queuePerSlot = run.deployment.queuePerSlot;
         keys_.count = 1;
         for (std::uint32_t index = 0; index < run.deployment.targets; ++index)
-            addTarget(index % run.deployment.places, false);
+            addTarget(index % run.deployment.dataCentres, false);
         for (std::uint32_t index = 0; index < run.deployment.entries; ++index)
-            addEntry(index % run.deployment.places);
+            addEntry(index % run.deployment.dataCentres);
         giveViewsAtOnce();
         schedule(tickPeriod, Event::Tick);
         schedule(secondPeriod, Event::Second);
@@ -108,7 +108,7 @@
 
     struct Target {
         ViewTarget record;
-        std::uint32_t place { 0 };
+        std::uint32_t dataCentre { 0 };
         std::unique_ptr<AgentPipeline> agent;
         std::vector<std::uint32_t> open; // flows, unordered
         std::deque<std::uint32_t> queue;
@@ -127,7 +127,7 @@
     };
 
     struct EntryNode {
-        std::uint32_t place { 0 };
+        std::uint32_t dataCentre { 0 };
         Endpoint endpoint;
         std::unique_ptr<EntryPipeline> pipeline;
         ServiceView view;
@@ -202,11 +202,11 @@
 
     // Nodes and views.
 
-    std::uint32_t addTarget(std::uint32_t place, bool cold)
+    std::uint32_t addTarget(std::uint32_t dataCentre, bool cold)
     {
         std::uint32_t const index = static_cast<std::uint32_t>(targets_.size());
         Target target;
-        target.place = place;
+        target.dataCentre = dataCentre;
         target.joined = now_;
         target.lastChange = now_;
         target.record.name = run_.deployment.name + "-" + std::to_string(index);
@@ -243,10 +243,10 @@
         target.agent->reconcile(list, nowPoint());
     }
 
-    void addEntry(std::uint32_t place)
+    void addEntry(std::uint32_t dataCentre)
     {
         EntryNode entry;
-        entry.place = place;
+        entry.dataCentre = dataCentre;
         entry.endpoint = { 0x0A010001 + static_cast<std::uint32_t>(entries_.size()), 6081 };
         entry.view = currentView();
         if (isProduct()) {
@@ -308,7 +308,7 @@
         if (!isProduct() || !target.alive || target.viewVersion >= event.second)
             return;
         target.viewVersion = event.second;
-        target.agent->setView(partitionedView(views_[event.second], target.place), nowPoint());
+        target.agent->setView(partitionedView(views_[event.second], target.dataCentre), nowPoint());
     }
 
     void onViewToEntry(Event const& event)
@@ -317,17 +317,17 @@
         if (!entry.alive || entry.viewVersion >= event.second)
             return;
         entry.viewVersion = event.second;
-        setEntryView(entry, partitionedView(views_[event.second], entry.place));
+        setEntryView(entry, partitionedView(views_[event.second], entry.dataCentre));
     }
 
     // During a partition, each side sees the targets of the other as dead.
-    [[nodiscard]] ServiceView partitionedView(ServiceView view, std::uint32_t place) const
+    [[nodiscard]] ServiceView partitionedView(ServiceView view, std::uint32_t dataCentre) const
     {
         if (!seenPartition_)
             return view;
         for (ViewTarget& record : view.targets) {
-            std::uint32_t const other = targets_[targetAt(record.data)].place;
-            record.dead = record.dead || (other == 0) != (place == 0);
+            std::uint32_t const other = targets_[targetAt(record.data)].dataCentre;
+            record.dead = record.dead || (other == 0) != (dataCentre == 0);
         }
         view.fingerprint = viewFingerprint(view.targets);
         return view;
@@ -389,7 +389,7 @@
     {
         Target& target = targets_[index];
         std::uint32_t const peer = pick(targets_.size());
-        bool const usable = peer != index && targets_[peer].alive && !target.draining && !isCut(target.place, targets_[peer].place);
+        bool const usable = peer != index && targets_[peer].alive && !target.draining && !isCut(target.dataCentre, targets_[peer].dataCentre);
         if (!usable)
             return;
         controlBytes_ += isMeasuring() ? loadShareBytes : 0;
@@ -515,7 +515,7 @@
     {
         if (step >= run_.deployment.targets)
             return;
-        addTarget(targets_[step].place, true);
+        addTarget(targets_[step].dataCentre, true);
         drainTarget(step);
         schedule(now_ + 6 * second, Event::IncidentStep, step + 1);
     }
@@ -524,7 +524,7 @@
     {
         if (step >= run_.deployment.entries)
             return;
-        addEntry(entries_[step].place);
+        addEntry(entries_[step].dataCentre);
         entries_.back().viewVersion = views_.size() - 1;
         entries_[step].listed = false; // It still forwards what has arrived.
         schedule(now_ + 6 * second, Event::IncidentStep, step + 1);
@@ -742,14 +742,14 @@
             return;
         std::int32_t const to = isProduct() ? selectByPipeline(entry, packet) : selectByPolicy(entry, packet);
         if (to >= 0)
-            sendToTarget(entry.place, static_cast<std::uint32_t>(to), packet);
+            sendToTarget(entry.dataCentre, static_cast<std::uint32_t>(to), packet);
     }
 
-    void sendToTarget(std::uint32_t fromPlace, std::uint32_t to, Packet const& packet)
+    void sendToTarget(std::uint32_t fromDataCentre, std::uint32_t to, Packet const& packet)
     {
-        if (isCut(fromPlace, targets_[to].place))
+        if (isCut(fromDataCentre, targets_[to].dataCentre))
             return;
-        schedule(now_ + latency(fromPlace, targets_[to].place), Event::AtTarget, to, storePacket(packet));
+        schedule(now_ + latency(fromDataCentre, targets_[to].dataCentre), Event::AtTarget, to, storePacket(packet));
     }
 
     std::int32_t selectByPipeline(EntryNode& entry, Packet& packet)
@@ -866,7 +866,7 @@
         if (decision.action == AgentAction::Pass) {
             passes_ += isMeasuring() ? 1 : 0;
             packet.route = decision.route;
-            sendToTarget(target.place, targetAt(decision.to), packet);
+            sendToTarget(target.dataCentre, targetAt(decision.to), packet);
         }
     }
 
--- a/fuzz/ConfigurationFuzzer.cpp
+++ b/fuzz/ConfigurationFuzzer.cpp
@@ -5,7 +5,7 @@
 #include "plantaindrift/configuration/Parser.h"
 #include "plantaindrift/configuration/Printer.h"
 #include "plantaindrift/configuration/Validator.h"
-#include "plantaindrift/platform/StatusObjects.h"
+#include "plantaindrift/store/StatusObjects.h"
 
 #include <cstdint>
 #include <cstdlib>
--- a/include/plantaindrift/agent/AgentPipeline.h
+++ b/include/plantaindrift/agent/AgentPipeline.h
@@ -71,7 +71,7 @@
 /// \brief Settings of an agent's packet path.
 struct AgentOptions {
     std::string name;
-    std::string place;
+    std::string dataCentre;
     Endpoint self;
     ServiceHash service {};
     bool coldStart { true }; ///< the target itself has just started
--- a/include/plantaindrift/configuration/Configuration.h
+++ b/include/plantaindrift/configuration/Configuration.h
@@ -13,6 +13,9 @@
 struct ServiceAddress {
     Endpoint endpoint;
     Protocol protocol { Protocol::Tcp };
+    std::uint16_t share { 100 }; ///< of the address's new flows, if several services have the address
+    std::uint16_t priority { 0 }; ///< 0 is served first
+    std::chrono::milliseconds targetLatency { 0 }; ///< wanted for a request; 0 if not declared
 
     friend auto operator<=>(ServiceAddress const&, ServiceAddress const&) = default;
 };
@@ -39,7 +42,7 @@
     std::string name;
     std::vector<ServiceAddress> addresses; ///< sorted
     std::vector<std::string> targets; ///< names, or prefixes ended by '*', of targets that may serve it; sorted
-    std::vector<std::string> places; ///< places whose targets may serve it; empty means all; sorted
+    std::vector<std::string> dataCentres; ///< data centres whose targets may serve it; empty means all; sorted
     bool idempotent { false }; ///< a non-idempotent UDP service is admitted only after a probe
     AdmissionLimits limits;
     std::chrono::seconds slowStart { 30 };
--- a/include/plantaindrift/configuration/Declaration.h
+++ b/include/plantaindrift/configuration/Declaration.h
@@ -27,8 +27,8 @@
     ServiceDeclaration& udp(std::string_view endpoint);
     /// \brief Accepts a target by its name, or all targets whose names start with the text before a '*'.
     ServiceDeclaration& target(std::string_view pattern);
-    /// \brief Accepts targets of this place; without any place, all places are accepted.
-    ServiceDeclaration& place(std::string_view name);
+    /// \brief Accepts targets of this place; without any data centre, all data centres are accepted.
+    ServiceDeclaration& dataCentre(std::string_view name);
     /// \brief Open flows per target at weight 100.
     ServiceDeclaration& connections(std::uint32_t count);
     /// \brief Requests that a target serves at once.
--- a/include/plantaindrift/configuration/Validator.h
+++ b/include/plantaindrift/configuration/Validator.h
@@ -21,7 +21,7 @@
     std::string remedy;
 };
 
-/// \brief Checks names, addresses, targets, places, limits and hashes of all services.
+/// \brief Checks names, addresses, targets, data centres, limits and hashes of all services.
 ///
 /// \param configuration  in any order
 /// \param hash           hash of service names; replaced only by tests of collisions
--- a/include/plantaindrift/membership/AgentControl.h
+++ b/include/plantaindrift/membership/AgentControl.h
@@ -11,6 +11,7 @@
     Member self; ///< role Agent; the incarnation is raised above any that a monitor names
     std::vector<Endpoint> entries; ///< control endpoints of entries from the settings
     std::uint64_t randomSeed { 1 };
+    bool sharesLoad { true }; ///< tells peers its load; off where entries hear it directly
     std::chrono::milliseconds heartbeat { 1000 };
 };
 
@@ -49,6 +50,9 @@
     /// \brief Time of the newest heartbeat reply; the lease of the view runs from here.
     [[nodiscard]] std::optional<TimePoint> lastReply() const noexcept;
 
+    /// \brief Entries found elsewhere than in the settings; a few of them get a heartbeat at once.
+    void addEntries(std::span<Endpoint const> entries, TimePoint now);
+
     /// \brief Starts or ends draining; told to all monitors at once.
     void setDraining(bool draining, TimePoint now);
 
--- a/include/plantaindrift/membership/EntryControl.h
+++ b/include/plantaindrift/membership/EntryControl.h
@@ -73,7 +73,7 @@
     /// \brief Changes whenever the configuration in force does, which may happen at an unchanged position.
     [[nodiscard]] std::uint64_t configurationVersion() const noexcept;
 
-    /// \brief True if this entry holds a watch at the platform (2 per place, by hash over live entries).
+    /// \brief True if this entry holds a watch at the platform (2 per data centre, by hash over live entries).
     [[nodiscard]] bool isWatcher() const;
 
     /// \brief True once full state arrived from a peer, or no peer answered for 10 s.
--- a/include/plantaindrift/membership/Member.h
+++ b/include/plantaindrift/membership/Member.h
@@ -31,7 +31,7 @@
 struct Member {
     MemberRole role { MemberRole::Agent };
     std::string name; ///< unique over the system
-    std::string place;
+    std::string dataCentre;
     std::string service; ///< empty for entries
     std::uint64_t incarnation { 0 };
     MemberState state { MemberState::Active };
--- a/include/plantaindrift/membership/ServiceView.h
+++ b/include/plantaindrift/membership/ServiceView.h
@@ -12,7 +12,7 @@
 /// \brief A target as the packet path sees it.
 struct ViewTarget {
     std::string name;
-    std::string place;
+    std::string dataCentre;
     Endpoint data; ///< its agent's UDP endpoint
     std::uint16_t weight { 100 };
     bool draining { false };
--- a/include/plantaindrift/membership/WatcherSelection.h
+++ b/include/plantaindrift/membership/WatcherSelection.h
@@ -9,13 +9,13 @@
 
 namespace plantaindrift {
 
-/// \brief Entries of each place that hold a watch at the platform.
-inline constexpr std::size_t watchersPerPlace = 2;
+/// \brief Entries of each dataCentre that hold a watch at the platform.
+inline constexpr std::size_t watchersPerDataCentre = 2;
 
-/// \brief The watchers of a place: its active entries with the highest rendezvous scores.
+/// \brief The watchers of a dataCentre: its active entries with the highest rendezvous scores.
 ///
 /// A suspect entry does not count, so a substitute starts before the death is certain; one watch too many
 /// costs the platform one waiting call.
-[[nodiscard]] std::vector<std::string> watchersOf(std::string_view place, MemberTable const& table);
+[[nodiscard]] std::vector<std::string> watchersOf(std::string_view dataCentre, MemberTable const& table);
 
 } // namespace plantaindrift
--- a/include/plantaindrift/runtime/HttpClient.h
+++ b/include/plantaindrift/runtime/HttpClient.h
@@ -3,6 +3,7 @@
 #include "absl/status/statusor.h"
 
 #include <chrono>
+#include <memory>
 #include <string>
 
 namespace plantaindrift {
@@ -13,6 +14,22 @@
     std::string body;
 };
 
+/// \brief Sends requests over connections that it keeps open; blocking, for one thread.
+class HttpClient {
+public:
+    HttpClient();
+    ~HttpClient();
+    HttpClient(HttpClient const&) = delete;
+    HttpClient& operator=(HttpClient const&) = delete;
+
+    /// \brief Sends one request and waits for the answer; parameters and results as sendHttp.
+    [[nodiscard]] absl::StatusOr<HttpResult> send(std::string const& method, std::string const& url, std::string const& body, std::chrono::milliseconds timeout);
+
+private:
+    struct State;
+    std::unique_ptr<State> state_;
+};
+
 /// \brief Sends one request and waits for the answer; blocking.
 ///
 /// \param method   "GET", "PUT" or "POST"
--- a/include/plantaindrift/platform/ChangeStore.h
+++ b/include/plantaindrift/store/ChangeStore.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "plantaindrift/configuration/ChangeLog.h"
-#include "plantaindrift/platform/ObjectStore.h"
+#include "plantaindrift/store/ObjectStore.h"
 
 #include "absl/status/status.h"
 #include "absl/status/statusor.h"
--- a/include/plantaindrift/platform/StatusObjects.h
+++ b/include/plantaindrift/store/StatusObjects.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "plantaindrift/membership/Member.h"
-#include "plantaindrift/platform/ObjectStore.h"
+#include "plantaindrift/store/ObjectStore.h"
 
 #include "absl/status/status.h"
 #include "absl/status/statusor.h"
@@ -63,7 +63,7 @@
 /// \brief What an entry last reported about its configuration, in "status/entries/<name>".
 struct EntryStatus {
     std::string name;
-    std::string place;
+    std::string dataCentre;
     std::uint64_t position { 0 }; ///< position in force
     std::int64_t timeMilliseconds { 0 }; ///< when the report was written, since 1970
     std::uint64_t ageMilliseconds { 0 }; ///< at that time, since the entry last heard of the newest position
--- a/scripts/testbed.py
+++ b/scripts/testbed.py
@@ -159,8 +159,8 @@
     def new_key(self, epoch):
         return self.run_tool("plantaindrift", "keygen", f"--epoch={epoch}").stdout
 
-    def common_settings(self, node, place):
-        return (f'name = "{node.name}"\nplace = "{place}"\ndata = "{node.data}"\ncontrol = "{node.control}"\n'
+    def common_settings(self, node, data_centre):
+        return (f'name = "{node.name}"\ndata_centre = "{data_centre}"\ndata = "{node.data}"\ncontrol = "{node.control}"\n'
                 f'http = "{node.http}"\nkeys = "{self.key_file}"\n')
 
     def platform_settings(self):
@@ -171,10 +171,10 @@
         wait_until("the platform answers", lambda: answers(self.platform_address, "/v1/objects?prefix=log/&after=&limit=1"))
         return process
 
-    def start_entry(self, name, place=PLACE):
+    def start_entry(self, name, data_centre=PLACE):
         node = Node(name, self.ports)
         seeds = ", ".join(f'"{entry.control}"' for entry in self.entries)
-        text = self.common_settings(node, place) + f"seeds = [{seeds}]\n" + self.platform_settings()
+        text = self.common_settings(node, data_centre) + f"seeds = [{seeds}]\n" + self.platform_settings()
         path = self.write(name + ".toml", text)
         node.process = self.start(name, [binary("plantaindrift-entry"), f"--settings={path}"])
         self.entries.append(node)
@@ -192,16 +192,16 @@
             f"--listen={node.data}", f"--http={node.http}", f"--return_to={self.fabric['return']}", f"--slots={slots}"])
         wait_until(f"{node.name} answers", lambda: answers(node.http, "/load"))
 
-    def start_agent(self, target, on_stop="drain", place=PLACE):
+    def start_agent(self, target, on_stop="drain", data_centre=PLACE):
         node = Node("agent-of-" + target.name, self.ports)
         self.agents[target.name] = node
-        self.write_agent_settings(node, target, on_stop, place)
+        self.write_agent_settings(node, target, on_stop, data_centre)
         self.run_agent(node)
         return node
 
-    def write_agent_settings(self, node, target, on_stop, place=PLACE):
+    def write_agent_settings(self, node, target, on_stop, data_centre=PLACE):
         entries = ", ".join(f'"{entry.control}"' for entry in self.entries)
-        text = self.common_settings(node, place).replace(f'name = "{node.name}"', f'name = "{target.name}"')
+        text = self.common_settings(node, data_centre).replace(f'name = "{node.name}"', f'name = "{target.name}"')
         text += (f'service = "{self.service}"\nentries = [{entries}]\non_stop = "{on_stop}"\n'
                  + self.platform_settings()
                  + f'[target]\ndeliver_to = "{target.data}"\nreturn_to = "{self.fabric["return"]}"\n'
--- a/src/cli/CommandLine.cpp
+++ b/src/cli/CommandLine.cpp
@@ -3,7 +3,7 @@
 #include "cli/Commands.h"
 #include "configuration/JsonObject.h"
 #include "plantaindrift/base/Error.h"
-#include "plantaindrift/platform/HttpObjectStore.h"
+#include "plantaindrift/store/HttpObjectStore.h"
 
 #include <algorithm>
 #include <gflags/gflags.h>
--- a/src/cli/Commands.h
+++ b/src/cli/Commands.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "plantaindrift/platform/ObjectStore.h"
+#include "plantaindrift/store/ObjectStore.h"
 
 #include "absl/status/status.h"
 
--- a/src/cli/ConfigurationCommands.cpp
+++ b/src/cli/ConfigurationCommands.cpp
@@ -4,7 +4,7 @@
 #include "configuration/ServiceJson.h"
 #include "plantaindrift/base/Error.h"
 #include "plantaindrift/configuration/Parser.h"
-#include "plantaindrift/platform/ChangeStore.h"
+#include "plantaindrift/store/ChangeStore.h"
 
 #include <algorithm>
 #include <array>
--- a/src/cli/FleetCommands.cpp
+++ b/src/cli/FleetCommands.cpp
@@ -3,8 +3,8 @@
 #include "configuration/FieldRules.h"
 #include "configuration/JsonObject.h"
 #include "plantaindrift/base/Error.h"
-#include "plantaindrift/platform/ChangeStore.h"
-#include "plantaindrift/platform/StatusObjects.h"
+#include "plantaindrift/store/ChangeStore.h"
+#include "plantaindrift/store/StatusObjects.h"
 
 #include <algorithm>
 #include <limits>
@@ -75,10 +75,10 @@
             value["services"].push_back(nlohmann::json::object({ { "name", service.name }, { "addresses", service.addresses.size() }, { "slots", service.limits.slots }, { "connections", service.limits.connections } }));
         value["targets"] = nlohmann::json::array();
         for (Member const& target : fleet.targets)
-            value["targets"].push_back(nlohmann::json::object({ { "service", target.service }, { "name", target.name }, { "place", target.place }, { "state", memberStateName(target.state) }, { "requested", requestedState(fleet, target) } }));
+            value["targets"].push_back(nlohmann::json::object({ { "service", target.service }, { "name", target.name }, { "data_centre", target.dataCentre }, { "state", memberStateName(target.state) }, { "requested", requestedState(fleet, target) } }));
         value["entries"] = nlohmann::json::array();
         for (EntryStatus const& entry : fleet.entries)
-            value["entries"].push_back(nlohmann::json::object({ { "name", entry.name }, { "place", entry.place }, { "position", entry.position }, { "age_ms", ageOf(entry, now) }, { "state", entryState(entry, fleet.log.position(), options, now) } }));
+            value["entries"].push_back(nlohmann::json::object({ { "name", entry.name }, { "data_centre", entry.dataCentre }, { "position", entry.position }, { "age_ms", ageOf(entry, now) }, { "state", entryState(entry, fleet.log.position(), options, now) } }));
         return value;
     }
 
@@ -93,17 +93,17 @@
         std::vector<std::vector<std::string>> targets;
         targets.reserve(fleet.targets.size());
         for (Member const& target : fleet.targets)
-            targets.push_back({ target.service, target.name, target.place, std::string(memberStateName(target.state)), requestedState(fleet, target) });
+            targets.push_back({ target.service, target.name, target.dataCentre, std::string(memberStateName(target.state)), requestedState(fleet, target) });
         std::vector<std::vector<std::string>> entries;
         entries.reserve(fleet.entries.size());
         for (EntryStatus const& entry : fleet.entries)
-            entries.push_back({ entry.name, entry.place, std::to_string(entry.position), std::to_string(ageOf(entry, now) / millisecondsPerSecond) + " s", std::string(entryState(entry, fleet.log.position(), options, now)) });
+            entries.push_back({ entry.name, entry.dataCentre, std::to_string(entry.position), std::to_string(ageOf(entry, now) / millisecondsPerSecond) + " s", std::string(entryState(entry, fleet.log.position(), options, now)) });
         context.output << "position " << fleet.log.position() << "\n\n";
         printTable(context.output, { "service", "addresses", "targets", "slots", "connections" }, services);
         context.output << '\n';
-        printTable(context.output, { "service", "target", "place", "state", "requested" }, targets);
+        printTable(context.output, { "service", "target", "data_centre", "state", "requested" }, targets);
         context.output << '\n';
-        printTable(context.output, { "entry", "place", "position", "age", "state" }, entries);
+        printTable(context.output, { "entry", "data_centre", "position", "age", "state" }, entries);
     }
 
     struct Progress {
--- a/src/configuration/Declaration.cpp
+++ b/src/configuration/Declaration.cpp
@@ -37,9 +37,9 @@
     return *this;
 }
 
-ServiceDeclaration& ServiceDeclaration::place(std::string_view name)
+ServiceDeclaration& ServiceDeclaration::dataCentre(std::string_view name)
 {
-    service_.places.emplace_back(name);
+    service_.dataCentres.emplace_back(name);
     return *this;
 }
 
--- a/src/configuration/FieldRules.h
+++ b/src/configuration/FieldRules.h
@@ -28,7 +28,7 @@
 inline constexpr std::size_t mostServices = 10'000;
 inline constexpr std::size_t mostAddresses = 1'024;
 inline constexpr std::size_t mostTargets = 1'024;
-inline constexpr std::size_t mostPlaces = 64;
+inline constexpr std::size_t mostDataCentres = 64;
 
 /// \brief True for 1 to 63 letters, digits, '.', '_' and '-', starting with a letter or digit.
 ///
--- a/src/configuration/Parser.cpp
+++ b/src/configuration/Parser.cpp
@@ -37,8 +37,8 @@
         { "drain_deadline_s", drainDeadlineSecondsRange, [](Service& service, std::uint64_t value) { service.drain.deadline = std::chrono::seconds(value); } },
     } };
 
-    constexpr std::array<std::string_view, 5> otherKeys { "name", "addresses", "targets", "places", "idempotent" };
-    constexpr std::string_view serviceKeys = "use name, addresses, targets, places, idempotent, connections, slots, queue_per_slot, hunt_limit, slow_start_s or drain_deadline_s";
+    constexpr std::array<std::string_view, 5> otherKeys { "name", "addresses", "targets", "data_centres", "idempotent" };
+    constexpr std::string_view serviceKeys = "use name, addresses, targets, data_centres, idempotent, connections, slots, queue_per_slot, hunt_limit, slow_start_s or drain_deadline_s";
 
     bool isServiceKey(std::string_view key)
     {
@@ -210,7 +210,7 @@
             readName(table, service);
             readAddresses(table, service);
             service.targets = readTexts(table, "targets", true, targetPatternRemedy);
-            service.places = readTexts(table, "places", false, nameRemedy);
+            service.dataCentres = readTexts(table, "data_centres", false, nameRemedy);
             readFlag(table, service);
             for (NumberRow const& row : numberTable)
                 readNumber(table, row, service);
--- a/src/configuration/Printer.cpp
+++ b/src/configuration/Printer.cpp
@@ -32,7 +32,7 @@
         text += "name = \"" + service.name + "\"\n";
         text += "addresses = " + printAddresses(service.addresses) + '\n';
         text += "targets = " + printList(service.targets) + '\n';
-        text += "places = " + printList(service.places) + '\n';
+        text += "data_centres = " + printList(service.dataCentres) + '\n';
         text += std::string("idempotent = ") + (service.idempotent ? "true" : "false") + '\n';
         text += "connections = " + std::to_string(service.limits.connections) + '\n';
         text += "slots = " + std::to_string(service.limits.slots) + '\n';
@@ -49,7 +49,7 @@
     for (Service& service : configuration.services) {
         sortAddresses(service.addresses);
         std::sort(service.targets.begin(), service.targets.end());
-        std::sort(service.places.begin(), service.places.end());
+        std::sort(service.dataCentres.begin(), service.dataCentres.end());
     }
     std::sort(configuration.services.begin(), configuration.services.end(), [](Service const& left, Service const& right) { return left.name < right.name; });
     return configuration;
--- a/src/configuration/ProtobufConversion.cpp
+++ b/src/configuration/ProtobufConversion.cpp
@@ -24,7 +24,7 @@
     {
         bool const enums = control::Role_IsValid(message.role()) && control::State_IsValid(message.state());
         bool const numbers = message.weight() >= 1 && message.weight() <= maximumShort && message.slots() <= maximumShort;
-        bool const names = isName(message.name()) && isNameOrEmpty(message.place()) && isNameOrEmpty(message.service());
+        bool const names = isName(message.name()) && isNameOrEmpty(message.data_centre()) && isNameOrEmpty(message.service());
         bool const service = message.service().empty() == (message.role() == control::ROLE_ENTRY);
         return enums && numbers && names && service && message.incarnation() <= maximumIncarnation;
     }
@@ -32,8 +32,8 @@
     [[nodiscard]] bool isInRange(control::Service const& message)
     {
         bool const targets = std::all_of(message.targets().begin(), message.targets().end(), isName);
-        bool const places = std::all_of(message.places().begin(), message.places().end(), isName);
-        return isName(message.name()) && targets && places;
+        bool const dataCentres = std::all_of(message.data_centres().begin(), message.data_centres().end(), isName);
+        return isName(message.name()) && targets && dataCentres;
     }
 
     [[nodiscard]] std::optional<ServiceAddress> addressFromProtobuf(control::ServiceAddress const& message)
@@ -43,7 +43,14 @@
         bool const udp = message.protocol() == static_cast<std::uint32_t>(Protocol::Udp);
         if (!endpoint || (!tcp && !udp))
             return std::nullopt;
-        return ServiceAddress { *endpoint, tcp ? Protocol::Tcp : Protocol::Udp };
+        if (message.share() > maximumShort || message.priority() > maximumShort)
+            return std::nullopt;
+        ServiceAddress address { *endpoint, tcp ? Protocol::Tcp : Protocol::Udp };
+        if (message.share() > 0)
+            address.share = static_cast<std::uint16_t>(message.share());
+        address.priority = static_cast<std::uint16_t>(message.priority());
+        address.targetLatency = std::chrono::milliseconds { message.target_latency_ms() };
+        return address;
     }
 
     void toProtobuf(ServiceChange const& change, control::ServiceChange& message)
@@ -96,7 +103,7 @@
 {
     message.set_role(member.role == MemberRole::Entry ? control::ROLE_ENTRY : control::ROLE_AGENT);
     message.set_name(member.name);
-    message.set_place(member.place);
+    message.set_data_centre(member.dataCentre);
     message.set_service(member.service);
     message.set_incarnation(member.incarnation);
     message.set_state(static_cast<control::State>(member.state));
@@ -120,7 +127,7 @@
     Member member;
     member.role = message.role() == control::ROLE_ENTRY ? MemberRole::Entry : MemberRole::Agent;
     member.name = message.name();
-    member.place = message.place();
+    member.dataCentre = message.data_centre();
     member.service = message.service();
     member.incarnation = message.incarnation();
     member.state = static_cast<MemberState>(message.state());
@@ -140,11 +147,15 @@
         control::ServiceAddress& added = *message.add_addresses();
         toProtobuf(address.endpoint, *added.mutable_endpoint());
         added.set_protocol(static_cast<std::uint32_t>(address.protocol));
+        if (address.share != ServiceAddress {}.share)
+            added.set_share(address.share);
+        added.set_priority(address.priority);
+        added.set_target_latency_ms(static_cast<std::uint32_t>(address.targetLatency.count()));
     }
     for (std::string const& target : service.targets)
         message.add_targets(target);
-    for (std::string const& place : service.places)
-        message.add_places(place);
+    for (std::string const& dataCentre : service.dataCentres)
+        message.add_data_centres(dataCentre);
     message.set_idempotent(service.idempotent);
     message.set_connections(service.limits.connections);
     message.set_slots(service.limits.slots);
@@ -167,7 +178,7 @@
         service.addresses.push_back(*read);
     }
     service.targets.assign(message.targets().begin(), message.targets().end());
-    service.places.assign(message.places().begin(), message.places().end());
+    service.dataCentres.assign(message.data_centres().begin(), message.data_centres().end());
     service.idempotent = message.idempotent();
     service.limits = { message.connections(), message.slots(), message.queue_per_slot(), message.hunt_limit() };
     service.slowStart = std::chrono::seconds { message.slow_start_s() };
--- a/src/configuration/ServiceJson.cpp
+++ b/src/configuration/ServiceJson.cpp
@@ -89,7 +89,7 @@
         { "name", service.name },
         { "addresses", std::move(addresses) },
         { "targets", service.targets },
-        { "places", service.places },
+        { "data_centres", service.dataCentres },
         { "idempotent", service.idempotent },
         { "connections", service.limits.connections },
         { "slots", service.limits.slots },
@@ -109,7 +109,7 @@
     service.targets = textsFromJson(object, "targets", mostTargets, isTargetPattern, targetPatternRemedy);
     if (service.targets.empty())
         object.fail("targets", "is empty", "name at least one target or pattern");
-    service.places = textsFromJson(object, "places", mostPlaces, isName, nameRemedy);
+    service.dataCentres = textsFromJson(object, "data_centres", mostDataCentres, isName, nameRemedy);
     service.idempotent = object.takeFlag("idempotent");
     service.limits.connections = static_cast<std::uint32_t>(object.takeNumber("connections", connectionsRange));
     service.limits.slots = static_cast<std::uint32_t>(object.takeNumber("slots", slotsRange));
--- a/src/configuration/Validator.cpp
+++ b/src/configuration/Validator.cpp
@@ -71,7 +71,7 @@
             checkTexts("targets", service.targets, mostTargets, isTargetPattern, targetPatternRemedy);
             if (service.targets.empty())
                 report("targets", std::nullopt, "is empty, so no target can serve it", "name at least one target or pattern");
-            checkTexts("places", service.places, mostPlaces, isName, nameRemedy);
+            checkTexts("data_centres", service.dataCentres, mostDataCentres, isName, nameRemedy);
             for (LimitRow const& limit : limitTable)
                 checkLimit(limit, limit.value(service));
         }
--- a/src/membership/AgentControl.cpp
+++ b/src/membership/AgentControl.cpp
@@ -267,7 +267,8 @@
     if (!state_->table.expire(now).empty())
         state_->updateView();
     state_->sendHeartbeats(state_->contacts.takeDue(now));
-    state_->shareLoad(now, busyFraction);
+    if (state_->options.sharesLoad)
+        state_->shareLoad(now, busyFraction);
 }
 
 std::vector<ControlMessage> AgentControl::takeMessages()
@@ -300,6 +301,12 @@
     return state_->lastReply;
 }
 
+void AgentControl::addEntries(std::span<Endpoint const> entries, TimePoint now)
+{
+    state_->contacts.addEntries(entries, now);
+    state_->sendHeartbeats(state_->contacts.takeDue(now));
+}
+
 void AgentControl::setDraining(bool draining, TimePoint now)
 {
     Member& self = state_->self;
--- a/src/membership/EntryControl.cpp
+++ b/src/membership/EntryControl.cpp
@@ -61,7 +61,7 @@
     {
         bool const gone = isLive(first) == isLive(second) && (isLive(first) || first.state == second.state);
         bool const flags = first.draining == second.draining && first.weight == second.weight;
-        return gone && flags && first.service == second.service && first.data == second.data && first.place == second.place;
+        return gone && flags && first.service == second.service && first.data == second.data && first.dataCentre == second.dataCentre;
     }
 
     // True if the records differ in incarnation and state alone.
@@ -974,7 +974,7 @@
 
 bool EntryControl::isWatcher() const
 {
-    std::vector<std::string> const watchers = watchersOf(state_->self.place, state_->table);
+    std::vector<std::string> const watchers = watchersOf(state_->self.dataCentre, state_->table);
     return std::find(watchers.begin(), watchers.end(), state_->self.name) != watchers.end();
 }
 
--- a/src/membership/MemberTable.cpp
+++ b/src/membership/MemberTable.cpp
@@ -17,7 +17,7 @@
     // Everything but incarnation, state and draining; only a new incarnation may change it.
     [[nodiscard]] auto describe(Member const& member)
     {
-        return std::tie(member.role, member.place, member.service, member.data, member.control, member.weight, member.slots, member.connections);
+        return std::tie(member.role, member.dataCentre, member.service, member.data, member.control, member.weight, member.slots, member.connections);
     }
 
     [[nodiscard]] std::uint64_t pack(Endpoint endpoint) noexcept
@@ -31,7 +31,7 @@
         std::uint64_t const numbers = (static_cast<std::uint64_t>(member.connections) << 32U) | (static_cast<std::uint64_t>(member.weight) << 16U) | member.slots;
         std::uint64_t hash = hashText(member.name, member.incarnation);
         hash = mixHash(hash, state);
-        hash = mixHash(hash, hashText(member.place, hashText(member.service)));
+        hash = mixHash(hash, hashText(member.dataCentre, hashText(member.service)));
         hash = mixHash(hash, pack(member.data));
         hash = mixHash(hash, pack(member.control));
         hash = mixHash(hash, numbers);
--- a/src/membership/MonitorContacts.cpp
+++ b/src/membership/MonitorContacts.cpp
@@ -44,6 +44,22 @@
     return all;
 }
 
+void MonitorContacts::addEntries(std::span<Endpoint const> entries, TimePoint now)
+{
+    std::vector<Endpoint> fresh;
+    for (Endpoint const entry : entries) {
+        if (std::find(entries_.begin(), entries_.end(), entry) == entries_.end())
+            entries_.push_back(entry);
+        if (!contacts_.contains(entry))
+            fresh.push_back(entry);
+    }
+    std::size_t const count = std::min(maximumNamed, fresh.size());
+    for (std::size_t index = 0; index < count; ++index) {
+        std::swap(fresh[index], fresh[index + random_.below(fresh.size() - index)]);
+        add(fresh[index], now);
+    }
+}
+
 void MonitorContacts::noteReply(Endpoint from, std::chrono::milliseconds interval, std::span<Endpoint const> monitors, bool needsRecord, TimePoint now)
 {
     lastReply_ = now;
--- a/src/membership/MonitorContacts.h
+++ b/src/membership/MonitorContacts.h
@@ -47,6 +47,9 @@
     /// \brief Heartbeats to all current contacts, for a change that must be known at once.
     [[nodiscard]] std::vector<Due> takeAll(TimePoint now);
 
+    /// \brief Entries found since the start; up to maximumNamed of them are tried at the next takeDue.
+    void addEntries(std::span<Endpoint const> entries, TimePoint now);
+
     /// \brief Notes a reply.
     ///
     /// \param monitors  the monitors it names; empty if they are those named before
--- a/src/membership/NeighbourSelection.cpp
+++ b/src/membership/NeighbourSelection.cpp
@@ -23,7 +23,7 @@
 
 NeighbourSelection::NeighbourSelection(Member const& self)
     : name_(self.name)
-    , place_(self.place)
+    , dataCentre_(self.dataCentre)
     , hash_(hashText(self.name))
 {
 }
@@ -35,7 +35,7 @@
     for (auto const& [name, record] : table.entries()) {
         if (name == name_ || !isReachable(record->member))
             continue;
-        Ring& ring = record->member.place == place_ ? here_ : elsewhere_;
+        Ring& ring = record->member.dataCentre == dataCentre_ ? here_ : elsewhere_;
         ring.emplace_back(hashText(name), record->member.control);
     }
     std::sort(here_.begin(), here_.end());
--- a/src/membership/NeighbourSelection.h
+++ b/src/membership/NeighbourSelection.h
@@ -11,7 +11,7 @@
 
 namespace plantaindrift {
 
-/// \brief Chooses the entries that receive gossip: 2 in the own place and 2 elsewhere.
+/// \brief Chooses the entries that receive gossip: 2 in the own data centre and 2 elsewhere.
 ///
 /// One of each pair is the successor in the order of name hashes, so that every entry is somebody's neighbour;
 /// the other is drawn anew for each round, so that a delta crosses the fleet in a logarithmic number of rounds.
@@ -40,7 +40,7 @@
     void chooseFrom(Ring const& ring, RandomSource& random, std::vector<Endpoint>& chosen) const;
 
     std::string name_;
-    std::string place_;
+    std::string dataCentre_;
     std::uint64_t hash_;
     Ring here_;
     Ring elsewhere_;
--- a/src/membership/ServiceView.cpp
+++ b/src/membership/ServiceView.cpp
@@ -15,7 +15,7 @@
     {
         ViewTarget target;
         target.name = member.name;
-        target.place = member.place;
+        target.dataCentre = member.dataCentre;
         target.data = member.data;
         target.weight = member.weight;
         target.draining = member.draining || member.state == MemberState::Draining;
--- a/src/membership/ViewHash.cpp
+++ b/src/membership/ViewHash.cpp
@@ -28,7 +28,7 @@
     for (ViewTarget const& target : view.targets) {
         std::uint64_t const flags = (target.draining ? 1U : 0U) | (target.dead ? 2U : 0U) | (static_cast<std::uint64_t>(target.weight) << 2U);
         hash = mixHash(hash, hashText(target.name, flags));
-        hash = mixHash(hash, hashText(target.place, pack(target.data)));
+        hash = mixHash(hash, hashText(target.dataCentre, pack(target.data)));
     }
     return fold(hash);
 }
--- a/src/membership/WatcherSelection.cpp
+++ b/src/membership/WatcherSelection.cpp
@@ -7,17 +7,17 @@
 
 namespace plantaindrift {
 
-std::vector<std::string> watchersOf(std::string_view place, MemberTable const& table)
+std::vector<std::string> watchersOf(std::string_view dataCentre, MemberTable const& table)
 {
-    std::uint64_t const key = hashText(place);
+    std::uint64_t const key = hashText(dataCentre);
     std::vector<std::pair<std::uint64_t, std::string>> ranked;
     for (auto const& [name, record] : table.entries()) {
-        if (record->member.state == MemberState::Active && record->member.place == place)
+        if (record->member.state == MemberState::Active && record->member.dataCentre == dataCentre)
             ranked.emplace_back(mixHash(hashText(name), key), name);
     }
     std::sort(ranked.rbegin(), ranked.rend());
-    if (ranked.size() > watchersPerPlace)
-        ranked.resize(watchersPerPlace);
+    if (ranked.size() > watchersPerDataCentre)
+        ranked.resize(watchersPerDataCentre);
     std::vector<std::string> names;
     names.reserve(ranked.size());
     for (std::pair<std::uint64_t, std::string> const& candidate : ranked)
--- a/src/runtime/AgentDaemon.cpp
+++ b/src/runtime/AgentDaemon.cpp
@@ -38,7 +38,7 @@
         Member self;
         self.role = MemberRole::Agent;
         self.name = settings.common.name;
-        self.place = settings.common.place;
+        self.dataCentre = settings.common.dataCentre;
         self.service = settings.service;
         self.incarnation = firstIncarnation();
         self.data = settings.common.data;
@@ -71,7 +71,7 @@
     {
         AgentOptions options;
         options.name = settings.common.name;
-        options.place = settings.common.place;
+        options.dataCentre = settings.common.dataCentre;
         options.self = settings.common.data;
         options.service = hashService(settings.service);
         options.coldStart = isColdStart(settings);
--- a/src/runtime/DaemonCore.cpp
+++ b/src/runtime/DaemonCore.cpp
@@ -15,12 +15,17 @@
 
 } // namespace
 
+DaemonCore::PacketPort::PacketPort(asio::io_context& loop, PacketLoop packetLoop, PacketFilter& packetFilter)
+    : packets(std::move(packetLoop))
+    , filter(packetFilter)
+    , readiness(loop, packets.nativeHandle())
+{
+}
+
 DaemonCore::DaemonCore(CommonSettings const& settings, FleetKeys keys, Handlers handlers)
     : settings_(settings)
     , handlers_(std::move(handlers))
-    , packetReadiness_(loop_)
-    , control_(loop_, settings.control, std::move(keys), [this](Endpoint from, std::span<std::byte const> bytes) { handlers_.control(from, bytes); })
-    , http_(loop_, settings.http, [this](HttpRequest const& request) { return answer(request); })
+    , control_(makeControlTransport(loop_, settings, std::move(keys), [this](Endpoint from, std::span<std::byte const> bytes) { handlers_.control(from, bytes); }))
     , stopSignals_(loop_, SIGTERM, SIGINT)
     , keySignals_(loop_, SIGHUP)
     , ticker_(loop_)
@@ -35,26 +40,42 @@
     waitForStop();
     waitForKeys();
     waitForTick();
-    waitForPackets();
-    logEvent(LogLevel::Info, "started", { { "name", settings_.name }, { "place", settings_.place }, { "data", formatEndpoint(settings_.data) }, { "control", formatEndpoint(settings_.control) }, { "http", formatEndpoint(settings_.http) }, { "insecure", settings_.insecure } });
+    for (std::unique_ptr<PacketPort> const& port : ports_)
+        waitForPackets(*port);
+    logEvent(LogLevel::Info, "started", { { "name", settings_.name }, { "data_centre", settings_.dataCentre }, { "data", formatEndpoint(settings_.data) }, { "control", formatEndpoint(settings_.control) }, { "http", formatEndpoint(settings_.http) }, { "insecure", settings_.insecure } });
     loop_.run();
     logEvent(LogLevel::Info, "ended", { { "name", settings_.name }, { "status", result_.ok() ? "ok" : messageOf(result_) } });
     return result_;
 }
 
 absl::Status DaemonCore::bindAll()
+{
+    absl::Status status = openPort(settings_.data, *handlers_.packets);
+    for (std::pair<Endpoint, PacketFilter*> const& port : handlers_.packetPorts) {
+        if (status.ok())
+            status = openPort(port.first, *port.second);
+    }
+    if (status.ok())
+        status = control_->start();
+    http_.push_back(std::make_unique<HttpServer>(loop_, settings_.http, [this](HttpRequest const& request) { return answer(request); }));
+    for (std::pair<Endpoint, HttpServer::Handler> const& port : handlers_.httpPorts)
+        http_.push_back(std::make_unique<HttpServer>(loop_, port.first, port.second));
+    for (std::unique_ptr<HttpServer> const& server : http_) {
+        if (status.ok())
+            status = server->start();
+    }
+    return status;
+}
+
+absl::Status DaemonCore::openPort(Endpoint address, PacketFilter& filter)
 {
     PacketLoopOptions options;
-    options.bind = settings_.data;
+    options.bind = address;
     absl::StatusOr<PacketLoop> packets = PacketLoop::open(options);
     if (!packets.ok())
         return packets.status();
-    packets_ = std::move(*packets);
-    packetReadiness_.assign(packets_->nativeHandle());
-    absl::Status status = control_.start();
-    if (status.ok())
-        status = http_.start();
-    return status;
+    ports_.push_back(std::make_unique<PacketPort>(loop_, std::move(*packets), filter));
+    return absl::OkStatus();
 }
 
 void DaemonCore::finish(absl::Status const& status)
@@ -66,16 +87,18 @@
     ticker_.cancel();
     stopSignals_.cancel();
     keySignals_.cancel();
-    packetReadiness_.release();
-    http_.stop();
-    control_.stop();
+    for (std::unique_ptr<PacketPort> const& port : ports_)
+        port->readiness.release();
+    for (std::unique_ptr<HttpServer> const& server : http_)
+        server->stop();
+    control_->stop();
     loop_.stop();
 }
 
 void DaemonCore::sendControl(std::vector<ControlMessage> const& messages)
 {
     for (ControlMessage const& message : messages)
-        control_.send(message.to, message.bytes);
+        control_->send(message.to, message.bytes);
 }
 
 void DaemonCore::waitForStop()
@@ -109,34 +132,36 @@
         if (error || finished_)
             return;
         TimePoint const now = std::chrono::steady_clock::now();
-        control_.tick(now);
+        control_->tick(now);
         handlers_.tick(now);
         waitForTick();
     });
 }
 
-void DaemonCore::waitForPackets()
+void DaemonCore::waitForPackets(PacketPort& port)
 {
-    packetReadiness_.async_wait(asio::posix::stream_descriptor::wait_read, [this](asio::error_code const& error) {
+    port.readiness.async_wait(asio::posix::stream_descriptor::wait_read, [this, &port](asio::error_code const& error) {
         if (error || finished_)
             return;
         for (int batch = 0; batch < batchesPerTurn; ++batch) {
-            if (packets_->runOnce(*handlers_.packets) < PacketLoop::batchSize)
+            if (port.packets.runOnce(port.filter) < PacketLoop::batchSize)
                 break;
         }
-        waitForPackets();
+        waitForPackets(port);
     });
 }
 
-void DaemonCore::sendData(Endpoint to, std::span<std::byte const> bytes) noexcept
+void DaemonCore::sendData(Endpoint to, std::span<std::byte const> bytes, std::size_t port) noexcept
 {
-    packets_->send(to, bytes);
+    // Before the sockets are open there is nobody to answer.
+    if (port < ports_.size())
+        ports_[port]->packets.send(to, bytes);
 }
 
 void DaemonCore::reloadKeys()
 {
     absl::StatusOr<FleetKeys> const keys = loadKeys(settings_);
-    absl::Status const status = keys.ok() ? control_.setKeys(*keys) : keys.status();
+    absl::Status const status = keys.ok() ? control_->setKeys(*keys) : keys.status();
     if (!status.ok()) {
         // A wrong file must not stop a process that works with the keys it has.
         logEvent(LogLevel::Error, "keys_not_read", { { "file", settings_.keysFile }, { "error", messageOf(status) } });
@@ -163,21 +188,34 @@
 std::string DaemonCore::metricsText()
 {
     MetricsPage page;
-    ControlSocketCounts const& control = control_.counts();
+    ControlSocketCounts const& control = control_->counts();
     page.addCounter("plantaindrift_control_messages_total", "Control messages by direction.", { { "direction", "received" } }, static_cast<double>(control.received));
     page.addCounter("plantaindrift_control_messages_total", "Control messages by direction.", { { "direction", "sent" } }, static_cast<double>(control.sent));
     page.addCounter("plantaindrift_control_messages_dropped_total", "Control messages not sent because the queue to the peer was full.", {}, static_cast<double>(control.dropped));
     page.addCounter("plantaindrift_control_peers_refused_total", "Control connections refused because the peer has no accepted key.", {}, static_cast<double>(control.refusedPeers));
-    PacketLoopCounts const data = packets_->counts();
+    addPacketMetrics(page);
+    page.addGauge("plantaindrift_ready", "1 if /readyz answers ready.", {}, handlers_.ready() ? 1 : 0);
+    page.addProcess();
+    handlers_.metrics(page);
+    return page.text();
+}
+
+void DaemonCore::addPacketMetrics(MetricsPage& page) const
+{
+    PacketLoopCounts data;
+    for (std::unique_ptr<PacketPort> const& port : ports_) {
+        PacketLoopCounts const counts = port->packets.counts();
+        data.received += counts.received;
+        data.sent += counts.sent;
+        data.oversized += counts.oversized;
+        data.sendFailed += counts.sendFailed;
+        data.receiveErrors += counts.receiveErrors;
+    }
     page.addCounter("plantaindrift_datagrams_total", "Datagrams of the packet path by direction.", { { "direction", "received" } }, static_cast<double>(data.received));
     page.addCounter("plantaindrift_datagrams_total", "Datagrams of the packet path by direction.", { { "direction", "sent" } }, static_cast<double>(data.sent));
     page.addCounter("plantaindrift_datagram_errors_total", "Datagrams lost in this process by reason.", { { "reason", "oversized" } }, static_cast<double>(data.oversized));
     page.addCounter("plantaindrift_datagram_errors_total", "Datagrams lost in this process by reason.", { { "reason", "send" } }, static_cast<double>(data.sendFailed));
     page.addCounter("plantaindrift_datagram_errors_total", "Datagrams lost in this process by reason.", { { "reason", "receive" } }, static_cast<double>(data.receiveErrors));
-    page.addGauge("plantaindrift_ready", "1 if /readyz answers ready.", {}, handlers_.ready() ? 1 : 0);
-    page.addProcess();
-    handlers_.metrics(page);
-    return page.text();
 }
 
 absl::StatusOr<FleetKeys> loadKeys(CommonSettings const& settings)
--- a/src/runtime/DaemonCore.h
+++ b/src/runtime/DaemonCore.h
@@ -3,7 +3,7 @@
 #include "plantaindrift/membership/EntryControl.h"
 #include "plantaindrift/runtime/HttpServer.h"
 #include "plantaindrift/runtime/Log.h"
-#include "runtime/ControlSocket.h"
+#include "runtime/ControlTransport.h"
 #include "runtime/MetricsPage.h"
 #include "runtime/PacketLoop.h"
 #include "runtime/Settings.h"
@@ -24,8 +24,10 @@
 public:
     /// \brief The parts in which daemons differ; all run on the loop.
     struct Handlers {
-        PacketFilter* packets { nullptr };
-        ControlSocket::Receiver control;
+        PacketFilter* packets { nullptr }; ///< at the data endpoint of the settings
+        std::vector<std::pair<Endpoint, PacketFilter*>> packetPorts; ///< further UDP endpoints, from port 1 on
+        std::vector<std::pair<Endpoint, HttpServer::Handler>> httpPorts; ///< further HTTP endpoints
+        ControlTransport::Receiver control;
         std::function<void(TimePoint)> tick; ///< every 100 ms
         std::function<void(KeyRing const&)> keys; ///< keys were read again
         std::function<bool()> ready;
@@ -46,18 +48,26 @@
 
     [[nodiscard]] asio::io_context& loop() noexcept { return loop_; }
     /// \brief Sends one datagram of the packet path that answers no other.
-    void sendData(Endpoint to, std::span<std::byte const> bytes) noexcept;
+    ///
+    /// \param port  0 for the data endpoint, else the number of the further endpoint
+    void sendData(Endpoint to, std::span<std::byte const> bytes, std::size_t port = 0) noexcept;
 
     [[nodiscard]] bool isStopping() const noexcept { return stopping_; }
 
 private:
+    struct PacketPort {
+        PacketPort(asio::io_context& loop, PacketLoop packetLoop, PacketFilter& packetFilter);
+        PacketLoop packets;
+        PacketFilter& filter;
+        asio::posix::stream_descriptor readiness;
+    };
+
     CommonSettings settings_;
     Handlers handlers_;
     asio::io_context loop_;
-    std::optional<PacketLoop> packets_;
-    asio::posix::stream_descriptor packetReadiness_;
-    ControlSocket control_;
-    HttpServer http_;
+    std::vector<std::unique_ptr<PacketPort>> ports_;
+    std::unique_ptr<ControlTransport> control_;
+    std::vector<std::unique_ptr<HttpServer>> http_;
     asio::signal_set stopSignals_;
     asio::signal_set keySignals_;
     asio::steady_timer ticker_;
@@ -69,7 +79,9 @@
     void waitForStop();
     void waitForKeys();
     void waitForTick();
-    void waitForPackets();
+    [[nodiscard]] absl::Status openPort(Endpoint address, PacketFilter& filter);
+    void waitForPackets(PacketPort& port);
+    void addPacketMetrics(MetricsPage& page) const;
     void reloadKeys();
     HttpAnswer answer(HttpRequest const& request);
     std::string metricsText();
@@ -82,8 +94,9 @@
 ///
 /// \param settings   as read from the settings file
 /// \param checkOnly  ends after the checks
-template <typename Daemon, typename Settings>
-[[nodiscard]] absl::Status runDaemon(absl::StatusOr<Settings> const& settings, bool checkOnly)
+/// \param arguments  further ones of the daemon's constructor
+template <typename Daemon, typename Settings, typename... Arguments>
+[[nodiscard]] absl::Status runDaemon(absl::StatusOr<Settings> const& settings, bool checkOnly, Arguments const&... arguments)
 {
     if (!settings.ok())
         return settings.status();
@@ -93,7 +106,7 @@
     if (checkOnly)
         return absl::OkStatus();
     startLog(settings->common.logLevel, settings->common.logFile);
-    Daemon daemon(*settings, *keys);
+    Daemon daemon(*settings, *keys, arguments...);
     return daemon.run();
 }
 
--- a/src/runtime/EntryDaemon.cpp
+++ b/src/runtime/EntryDaemon.cpp
@@ -32,7 +32,7 @@
         Member self;
         self.role = MemberRole::Entry;
         self.name = settings.common.name;
-        self.place = settings.common.place;
+        self.dataCentre = settings.common.dataCentre;
         self.incarnation = firstIncarnation();
         self.data = settings.common.data;
         self.control = settings.common.control;
--- a/src/runtime/HttpClient.cpp
+++ b/src/runtime/HttpClient.cpp
@@ -17,32 +17,59 @@
 
 } // namespace
 
-absl::StatusOr<HttpResult> sendHttp(std::string const& method, std::string const& url, std::string const& body, std::chrono::milliseconds timeout)
+struct HttpClient::State {
+    struct Deleter {
+        void operator()(CURL* handle) const noexcept { curl_easy_cleanup(handle); }
+    };
+    std::unique_ptr<CURL, Deleter> handle;
+    std::unique_ptr<curl_slist, decltype(&curl_slist_free_all)> headers { nullptr, &curl_slist_free_all };
+};
+
+HttpClient::HttpClient()
+    : state_(std::make_unique<State>())
 {
     static CURLcode const initialized = curl_global_init(CURL_GLOBAL_DEFAULT);
-    std::unique_ptr<CURL, decltype(&curl_easy_cleanup)> const handle(curl_easy_init(), &curl_easy_cleanup);
-    if (initialized != CURLE_OK || handle == nullptr)
+    if (initialized != CURLE_OK)
+        return;
+    state_->handle.reset(curl_easy_init());
+    state_->headers.reset(curl_slist_append(nullptr, "Content-Type: application/json"));
+}
+
+HttpClient::~HttpClient() = default;
+
+absl::StatusOr<HttpResult> HttpClient::send(std::string const& method, std::string const& url, std::string const& body, std::chrono::milliseconds timeout)
+{
+    CURL* const handle = state_->handle.get();
+    if (handle == nullptr)
         return makeError(ErrorKind::Internal, "libcurl cannot be initialized; check the installation");
     HttpResult result;
-    curl_easy_setopt(handle.get(), CURLOPT_URL, url.c_str());
-    curl_easy_setopt(handle.get(), CURLOPT_CUSTOMREQUEST, method.c_str());
+    // Connections stay open across the reset.
+    curl_easy_reset(handle);
+    curl_easy_setopt(handle, CURLOPT_URL, url.c_str());
+    curl_easy_setopt(handle, CURLOPT_CUSTOMREQUEST, method.c_str());
     // Signals for timeouts are unsafe in a process with threads.
-    curl_easy_setopt(handle.get(), CURLOPT_NOSIGNAL, 1L);
-    curl_easy_setopt(handle.get(), CURLOPT_NOPROXY, "*");
-    curl_easy_setopt(handle.get(), CURLOPT_TIMEOUT_MS, static_cast<long>(timeout.count()));
-    curl_easy_setopt(handle.get(), CURLOPT_WRITEFUNCTION, &appendBody);
-    curl_easy_setopt(handle.get(), CURLOPT_WRITEDATA, &result.body);
+    curl_easy_setopt(handle, CURLOPT_NOSIGNAL, 1L);
+    curl_easy_setopt(handle, CURLOPT_NOPROXY, "*");
+    curl_easy_setopt(handle, CURLOPT_TIMEOUT_MS, static_cast<long>(timeout.count()));
+    curl_easy_setopt(handle, CURLOPT_WRITEFUNCTION, &appendBody);
+    curl_easy_setopt(handle, CURLOPT_WRITEDATA, &result.body);
     if (method != "GET") {
-        curl_easy_setopt(handle.get(), CURLOPT_POSTFIELDS, body.c_str());
-        curl_easy_setopt(handle.get(), CURLOPT_POSTFIELDSIZE, static_cast<long>(body.size()));
+        curl_easy_setopt(handle, CURLOPT_HTTPHEADER, state_->headers.get());
+        curl_easy_setopt(handle, CURLOPT_POSTFIELDS, body.c_str());
+        curl_easy_setopt(handle, CURLOPT_POSTFIELDSIZE, static_cast<long>(body.size()));
     }
-    CURLcode const code = curl_easy_perform(handle.get());
+    CURLcode const code = curl_easy_perform(handle);
     if (code == CURLE_OPERATION_TIMEDOUT)
         return makeError(ErrorKind::DeadlinePassed, url + " did not answer in time; check that the process runs and is not overloaded");
     if (code != CURLE_OK)
         return makeError(ErrorKind::Refused, url + ": " + curl_easy_strerror(code) + "; check the address and that the process runs");
-    curl_easy_getinfo(handle.get(), CURLINFO_RESPONSE_CODE, &result.status);
+    curl_easy_getinfo(handle, CURLINFO_RESPONSE_CODE, &result.status);
     return result;
 }
 
+absl::StatusOr<HttpResult> sendHttp(std::string const& method, std::string const& url, std::string const& body, std::chrono::milliseconds timeout)
+{
+    return HttpClient().send(method, url, body, timeout);
+}
+
 } // namespace plantaindrift
--- a/src/runtime/PlatformThread.cpp
+++ b/src/runtime/PlatformThread.cpp
@@ -2,7 +2,7 @@
 
 #include "plantaindrift/base/Error.h"
 #include "plantaindrift/base/Hash.h"
-#include "plantaindrift/platform/HttpObjectStore.h"
+#include "plantaindrift/store/HttpObjectStore.h"
 
 #include <algorithm>
 #include <asio/post.hpp>
@@ -50,7 +50,7 @@
     , store_(std::move(store))
     , changes_(*store_)
     , name_(settings.name)
-    , place_(settings.place)
+    , dataCentre_(settings.dataCentre)
     , poll_(settings.platformPoll)
     , handlers_(std::move(handlers))
     , random_(static_cast<std::uint32_t>(hashText(settings.name)))
@@ -116,7 +116,7 @@
         return;
     EntryStatus status;
     status.name = name_;
-    status.place = place_;
+    status.dataCentre = dataCentre_;
     status.position = position;
     status.timeMilliseconds = std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::system_clock::now().time_since_epoch()).count();
     status.ageMilliseconds = static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(now - lastAnswer_).count());
--- a/src/runtime/PlatformThread.h
+++ b/src/runtime/PlatformThread.h
@@ -2,9 +2,9 @@
 
 #include "plantaindrift/configuration/ChangeLog.h"
 #include "plantaindrift/membership/Member.h"
-#include "plantaindrift/platform/ChangeStore.h"
-#include "plantaindrift/platform/ObjectStore.h"
-#include "plantaindrift/platform/StatusObjects.h"
+#include "plantaindrift/store/ChangeStore.h"
+#include "plantaindrift/store/ObjectStore.h"
+#include "plantaindrift/store/StatusObjects.h"
 #include "runtime/Settings.h"
 
 #include <asio/io_context.hpp>
@@ -57,7 +57,7 @@
     std::unique_ptr<ObjectStore> store_;
     ChangeStore changes_;
     std::string name_;
-    std::string place_;
+    std::string dataCentre_;
     std::chrono::seconds poll_;
     Handlers handlers_;
     std::minstd_rand random_;
--- a/src/runtime/Settings.cpp
+++ b/src/runtime/Settings.cpp
@@ -238,7 +238,7 @@
     {
         std::vector<Binding> bindings;
         bindings.push_back(bindText("name", true, common.name));
-        bindings.push_back(bindText("place", true, common.place));
+        bindings.push_back(bindText("data_centre", true, common.dataCentre));
         bindings.push_back(bindEndpoint("data", true, common.data));
         bindings.push_back(bindEndpoint("control", true, common.control));
         bindings.push_back(bindEndpoint("http", true, common.http));
@@ -250,6 +250,7 @@
         bindings.push_back(bindDuration("platform.poll_s", 1, 3600, common.platformPoll));
         bindings.push_back(bindChoice<LogLevel>("log.level", { { "debug", LogLevel::Debug }, { "info", LogLevel::Info }, { "warning", LogLevel::Warning }, { "error", LogLevel::Error } }, common.logLevel));
         bindings.push_back(bindText("log.file", false, common.logFile));
+        bindings.push_back(bindChoice<ControlTransportKind>("control_transport", { { "zeromq", ControlTransportKind::Zeromq }, { "datagram", ControlTransportKind::Datagram } }, common.controlTransport));
         return bindings;
     }
 
@@ -362,6 +363,38 @@
     return settings;
 }
 
+absl::StatusOr<RelayEntrySettings> readRelayEntrySettings(std::string const& file)
+{
+    RelayEntrySettings settings;
+    std::vector<Binding> bindings = commonBindings(settings.common);
+    bindings.push_back(bindEndpoint("relay", true, settings.relay));
+    bindings.push_back(bindEndpoints("seeds", settings.seeds));
+    bindings.push_back(bindUnsigned("limits.control_bytes_per_second", 500, 1U << 30U, settings.controlBytesPerSecond));
+    bindings.push_back(bindUnsigned("limits.remembered_flows", 1024, 1U << 24U, settings.rememberedFlows));
+    bindings.push_back(bindDuration("forward_after_stop_ms", 0, 600000, settings.forwardAfterStop));
+    absl::Status const status = readInto(file, settings.common, std::move(bindings));
+    if (!status.ok())
+        return status;
+    return settings;
+}
+
+absl::StatusOr<RelayAgentSettings> readRelayAgentSettings(std::string const& file)
+{
+    RelayAgentSettings settings;
+    std::vector<Binding> bindings = commonBindings(settings.common);
+    bindings.push_back(bindText("service", true, settings.service));
+    bindings.push_back(bindEndpoints("entries", settings.entries));
+    bindings.push_back(bindEndpoint("target.address", true, settings.target));
+    bindings.push_back(bindEndpoint("target.output", true, settings.targetOutput));
+    bindings.push_back(bindEndpoint("target.announcements", true, settings.announcements));
+    bindings.push_back(bindDuration("target.announcement_interval_ms", 10, 60000, settings.announcementInterval));
+    bindings.push_back(bindDuration("quiet_wait_ms", 0, 60000, settings.quietWait));
+    absl::Status const status = readInto(file, settings.common, std::move(bindings));
+    if (!status.ok())
+        return status;
+    return settings;
+}
+
 absl::StatusOr<FleetKeys> readKeys(std::string const& file)
 {
     absl::StatusOr<toml::table> const table = parseFile(file);
--- a/src/runtime/Settings.h
+++ b/src/runtime/Settings.h
@@ -25,11 +25,17 @@
 /// \brief Keys in use: the first signs and connects, all are accepted.
 using FleetKeys = std::vector<FleetKey>;
 
+/// \brief How control messages travel.
+enum class ControlTransportKind : std::uint8_t {
+    Zeromq, ///< one connection a peer, encrypted
+    Datagram ///< signed UDP datagrams: no connection that can go silent, and no reconnection after a restart
+};
+
 /// \brief Settings that entries and agents share.
 struct CommonSettings {
     std::string file; ///< where the settings came from
     std::string name;
-    std::string place;
+    std::string dataCentre;
     Endpoint data; ///< UDP endpoint of the packet path
     Endpoint control; ///< TCP endpoint of control messages
     Endpoint http; ///< metrics and readiness
@@ -39,6 +45,7 @@
     std::string platformAuthorityFile;
     std::chrono::milliseconds platformTimeout { 2000 };
     std::chrono::seconds platformPoll { 60 };
+    ControlTransportKind controlTransport { ControlTransportKind::Zeromq };
     LogLevel logLevel { LogLevel::Info };
     std::string logFile;
 };
@@ -83,6 +90,28 @@
     std::chrono::milliseconds flowsInterval { 10000 };
 };
 
+/// \brief Settings of an entry that relays segments.
+struct RelayEntrySettings {
+    CommonSettings common; ///< data: where callers' segments arrive
+    Endpoint relay; ///< UDP endpoint where agents send notices and load
+    std::vector<Endpoint> seeds; ///< control endpoints of other entries
+    std::uint32_t controlBytesPerSecond { 3000 };
+    std::uint32_t rememberedFlows { 1U << 17U };
+    std::chrono::milliseconds forwardAfterStop { 2500 };
+};
+
+/// \brief Settings of an agent that relays segments.
+struct RelayAgentSettings {
+    CommonSettings common; ///< data: where entries and other agents send segments
+    std::string service;
+    std::vector<Endpoint> entries; ///< control endpoints of entries
+    Endpoint target; ///< UDP endpoint where the target takes segments
+    Endpoint targetOutput; ///< UDP endpoint to which the target sends its segments
+    Endpoint announcements; ///< HTTP endpoint at which the target announces itself
+    std::chrono::milliseconds announcementInterval { 1200 }; ///< between the target's announcements
+    std::chrono::milliseconds quietWait { 1500 }; ///< longest wait for a moment without requests before a stop
+};
+
 /// \brief Reads and checks the settings of an entry.
 ///
 /// Every error is InvalidSettings; its text is "FILE:LINE:COLUMN: what is wrong; what to do", one line each.
@@ -91,6 +120,9 @@
 /// \brief Reads and checks the settings of an agent.
 [[nodiscard]] absl::StatusOr<AgentSettings> readAgentSettings(std::string const& file);
 
+[[nodiscard]] absl::StatusOr<RelayEntrySettings> readRelayEntrySettings(std::string const& file);
+[[nodiscard]] absl::StatusOr<RelayAgentSettings> readRelayAgentSettings(std::string const& file);
+
 /// \brief Reads a key file: one or two [[key]] tables, the one that signs first.
 [[nodiscard]] absl::StatusOr<FleetKeys> readKeys(std::string const& file);
 
--- a/src/platform/ChangeStore.cpp
+++ b/src/store/ChangeStore.cpp
@@ -1,4 +1,4 @@
-#include "plantaindrift/platform/ChangeStore.h"
+#include "plantaindrift/store/ChangeStore.h"
 
 #include "configuration/ServiceJson.h"
 #include "plantaindrift/base/Error.h"
--- a/src/platform/CircuitBreaker.cpp
+++ b/src/store/CircuitBreaker.cpp
@@ -1,4 +1,4 @@
-#include "platform/CircuitBreaker.h"
+#include "store/CircuitBreaker.h"
 
 #include <algorithm>
 
--- a/src/platform/HttpObjectStore.cpp
+++ b/src/store/HttpObjectStore.cpp
@@ -1,8 +1,8 @@
-#include "plantaindrift/platform/HttpObjectStore.h"
+#include "plantaindrift/store/HttpObjectStore.h"
 
 #include "configuration/JsonObject.h"
 #include "plantaindrift/base/Error.h"
-#include "platform/CircuitBreaker.h"
+#include "store/CircuitBreaker.h"
 
 #include <charconv>
 #include <curl/curl.h>
--- a/src/platform/StatusObjects.cpp
+++ b/src/store/StatusObjects.cpp
@@ -1,4 +1,4 @@
-#include "plantaindrift/platform/StatusObjects.h"
+#include "plantaindrift/store/StatusObjects.h"
 
 #include "configuration/JsonObject.h"
 #include "plantaindrift/base/Error.h"
@@ -109,7 +109,7 @@
         Member member;
         member.role = takeRole(object);
         member.name = object.takeName("name");
-        member.place = nameOrEmpty(object, "place");
+        member.dataCentre = nameOrEmpty(object, "data_centre");
         member.service = nameOrEmpty(object, "service");
         member.incarnation = object.takeNumber("incarnation", anyNumber);
         member.state = takeState(object);
@@ -137,7 +137,7 @@
     {
         EntryStatus status;
         status.name = object.takeName("name");
-        status.place = nameOrEmpty(object, "place");
+        status.dataCentre = nameOrEmpty(object, "data_centre");
         status.position = object.takeNumber("position", anyNumber);
         status.timeMilliseconds = static_cast<std::int64_t>(object.takeNumber("time_ms", timeRange));
         status.ageMilliseconds = object.takeNumber("age_ms", anyNumber);
@@ -177,7 +177,7 @@
         { "format", objectFormat },
         { "role", roleNames[static_cast<std::size_t>(member.role)] },
         { "name", member.name },
-        { "place", member.place },
+        { "data_centre", member.dataCentre },
         { "service", member.service },
         { "incarnation", member.incarnation },
         { "state", memberStateName(member.state) },
@@ -292,7 +292,7 @@
     return printJson({
         { "format", objectFormat },
         { "name", status.name },
-        { "place", status.place },
+        { "data_centre", status.dataCentre },
         { "position", status.position },
         { "time_ms", status.timeMilliseconds },
         { "age_ms", status.ageMilliseconds },
--- a/standins/platform/VersionedObjects.h
+++ b/standins/platform/VersionedObjects.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "plantaindrift/platform/ObjectStore.h"
+#include "plantaindrift/store/ObjectStore.h"
 
 #include <cstdint>
 #include <map>
--- a/tests/CatchUpTests.cpp
+++ b/tests/CatchUpTests.cpp
@@ -11,16 +11,16 @@
 
 namespace {
 
-constexpr std::array<char const*, 4> places { "ratnapura", "kegalle", "balangoda", "embilipitiya" };
+constexpr std::array<char const*, 4> dataCentres { "ratnapura", "kegalle", "balangoda", "embilipitiya" };
 
 void startFleet(ControlFleet& fleet, int entries, int agents, std::uint64_t changes)
 {
     for (std::uint32_t index = 1; index <= 3; ++index)
         fleet.seeds.push_back(ControlFleet::endpointOf(index));
     for (int index = 0; index < entries; ++index)
-        fleet.addEntry("entry-" + std::to_string(index), places[static_cast<std::size_t>(index) % places.size()]);
+        fleet.addEntry("entry-" + std::to_string(index), dataCentres[static_cast<std::size_t>(index) % dataCentres.size()]);
     for (int index = 0; index < agents; ++index)
-        fleet.addAgent("agent-" + std::to_string(index), places[static_cast<std::size_t>(index) % places.size()], "service-" + std::to_string(index / 3));
+        fleet.addAgent("agent-" + std::to_string(index), dataCentres[static_cast<std::size_t>(index) % dataCentres.size()], "service-" + std::to_string(index / 3));
     BOOST_REQUIRE((fleet.runUntil([&fleet] { return fleet.isConverged(); }, 120s) <= 120s));
     std::vector<ConfigurationChange> all;
     for (std::uint64_t position = 1; position <= changes; ++position)
--- a/tests/ChangeLogTests.cpp
+++ b/tests/ChangeLogTests.cpp
@@ -138,7 +138,7 @@
 {
     Service service = makeService("izposoja", 8080);
     service.addresses.push_back({ { 0x0A000002, 53 }, Protocol::Udp });
-    service.places = { "Bohinj", "Kranj" };
+    service.dataCentres = { "Bohinj", "Kranj" };
     service.idempotent = true;
     service.limits = { 100, 3, 2, 8 };
     service.slowStart = std::chrono::seconds(12);
--- a/tests/ChangeStoreTests.cpp
+++ b/tests/ChangeStoreTests.cpp
@@ -2,7 +2,7 @@
 // late or operators race, and against snapshots that differ from the log.
 
 #include "plantaindrift/plantaindrift.h"
-#include "plantaindrift/platform/ChangeStore.h"
+#include "plantaindrift/store/ChangeStore.h"
 #include "support/FakeObjectStore.h"
 
 #include <boost/test/unit_test.hpp>
--- a/tests/CommandLineTests.cpp
+++ b/tests/CommandLineTests.cpp
@@ -2,8 +2,8 @@
 // safe to repeat. Runs the real program against the platform stand-in over loopback.
 
 #include "plantaindrift/plantaindrift.h"
-#include "plantaindrift/platform/ChangeStore.h"
-#include "plantaindrift/platform/StatusObjects.h"
+#include "plantaindrift/store/ChangeStore.h"
+#include "plantaindrift/store/StatusObjects.h"
 #include "runtime/Settings.h"
 #include "support/PlatformProcess.h"
 
@@ -325,7 +325,7 @@
     Member member;
     member.name = "rota-1";
     member.service = "rota-desk";
-    member.place = "Kegalle";
+    member.dataCentre = "Kegalle";
     BOOST_TEST_REQUIRE(deployment.store->create(announcementKey("rota-desk", "rota-1"), encodeMember(member)).ok());
     BOOST_TEST_REQUIRE(deployment.run({ "drain", "rota-desk", "rota-1", "--author=ana", "--reason=update" }).exitCode == 0);
     nlohmann::json const status = nlohmann::json::parse(deployment.run({ "status", "--output=json" }).output);
--- a/tests/ConfigurationFileTests.cpp
+++ b/tests/ConfigurationFileTests.cpp
@@ -28,7 +28,7 @@
     "name = \"a\"",
     "addresses = [\"10.0.0.1:80/tcp\"]",
     "targets = [\"a-*\"]",
-    "places = [\"Kranj\"]",
+    "data_centres = [\"Kranj\"]",
     "idempotent = false",
     "connections = 2000",
     "slots = 7",
@@ -61,7 +61,7 @@
 std::string const hugeName(5000, 'n');
 std::string const longNameLine = "name = \"" + longName + '"';
 std::string const hugeKeyLine = hugeName + " = 1";
-std::string const deepLine = "places = " + std::string(2000, '[') + std::string(2000, ']');
+std::string const deepLine = "data_centres = " + std::string(2000, '[') + std::string(2000, ']');
 
 std::vector<WrongFile> const wrongFiles {
     { 1, "", "1:1", "format", "write format = 1" },
@@ -118,10 +118,10 @@
     { 6, "targets = [\"*a\"]", "6:12", "targets", "followed by '*'" },
     { 6, "targets = [\"a*b\"]", "6:12", "targets", "followed by '*'" },
     { 6, "targets = [\"a\", \"a\"]", "6:17", "targets", "remove one of the two" },
-    { 7, "places = [\"\"]", "7:11", "places", "use 1 to 63 letters" },
-    { 7, "places = [\"Kranj\", \"Kranj\"]", "7:20", "places", "remove one of the two" },
-    { 7, "places = {}", "7:10", "places", "write it as [" },
-    { 7, deepLine, "7:266", "syntax", "correct the TOML here" },
+    { 7, "data_centres = [\"\"]", "7:17", "data_centres", "use 1 to 63 letters" },
+    { 7, "data_centres = [\"Kranj\", \"Kranj\"]", "7:26", "data_centres", "remove one of the two" },
+    { 7, "data_centres = {}", "7:16", "data_centres", "write it as [" },
+    { 7, deepLine, "7:272", "syntax", "correct the TOML here" },
     { 8, "idempotent = 0", "8:14", "idempotent", "use true or false" },
     { 8, "idempotent = \"false\"", "8:14", "idempotent", "use true or false" },
     { 9, "connections = 0", "9:15", "connections", "from 1 to 1000000" },
@@ -191,7 +191,7 @@
     { "/services/0/after/addresses/1", R"({"endpoint": "10.0.0.1:80", "protocol": "tcp"})", "field services[0].after.addresses names an address twice", "remove one" },
     { "/services/0/after/targets", "[]", "field services[0].after.targets is empty", "at least one target" },
     { "/services/0/after/targets", "[\"*a\"]", "field services[0].after.targets[0] is not valid", "followed by '*'" },
-    { "/services/0/after/places", "[\"x\", \"x\"]", "field services[0].after.places has an element twice", "remove one" },
+    { "/services/0/after/data_centres", "[\"x\", \"x\"]", "field services[0].after.data_centres has an element twice", "remove one" },
     { "/services/0/after/idempotent", "0", "field services[0].after.idempotent is not a boolean", "true or false" },
     { "/services/0/after/slots", "0", "field services[0].after.slots is 0", "from 1 to 65535" },
     { "/services/0/after/slots", "65536", "field services[0].after.slots is 65536", "from 1 to 65535" },
@@ -236,7 +236,7 @@
     absl::StatusOr<Configuration> const configuration = parseConfiguration(fileWith(0, ""), "a.toml");
     BOOST_TEST_REQUIRE(configuration.ok(), configuration.status());
     BOOST_TEST(configuration->services.front().drain.deadline.count() == 3600);
-    BOOST_TEST(configuration->services.front().places.front() == "Kranj");
+    BOOST_TEST(configuration->services.front().dataCentres.front() == "Kranj");
 }
 
 BOOST_AUTO_TEST_CASE(WrongFilesAreRefusedWithPlaceAndRemedy)
@@ -361,10 +361,10 @@
     for (unsigned seed = 1; seed <= 50; ++seed) {
         std::mt19937 random(seed);
         std::vector<std::string> names { "a", "b", "c", "d.e", "f_g" };
-        std::vector<std::string> places { "Kranj", "Bohinj", "Radovljica" };
+        std::vector<std::string> dataCentres { "Kranj", "Bohinj", "Radovljica" };
         std::vector<std::uint16_t> ports { 80, 443, 9, 10 };
         std::shuffle(names.begin(), names.end(), random);
-        std::shuffle(places.begin(), places.end(), random);
+        std::shuffle(dataCentres.begin(), dataCentres.end(), random);
         std::shuffle(ports.begin(), ports.end(), random);
         Configuration configuration;
         for (std::string const& name : names) {
@@ -372,7 +372,7 @@
             service.addresses.clear();
             for (std::uint16_t const port : ports)
                 service.addresses.push_back({ { static_cast<std::uint32_t>(0x0A000000 + name.front()), port }, Protocol::Udp });
-            service.places = places;
+            service.dataCentres = dataCentres;
             configuration.services.push_back(service);
         }
         static std::string const first = printConfiguration(configuration);
--- a/tests/ConfigurationSpreadTests.cpp
+++ b/tests/ConfigurationSpreadTests.cpp
@@ -13,7 +13,7 @@
 
 namespace {
 
-constexpr std::array<char const*, 4> places { "ratnapura", "kegalle", "balangoda", "embilipitiya" };
+constexpr std::array<char const*, 4> dataCentres { "ratnapura", "kegalle", "balangoda", "embilipitiya" };
 
 /// \brief The change log of the platform, read by the watchers after each step.
 struct PlatformLog {
@@ -56,7 +56,7 @@
     for (std::uint32_t index = 1; index <= 3; ++index)
         fleet.seeds.push_back(ControlFleet::endpointOf(index));
     for (int index = 0; index < entries; ++index)
-        fleet.addEntry("entry-" + std::to_string(index), places[static_cast<std::size_t>(index) % places.size()]);
+        fleet.addEntry("entry-" + std::to_string(index), dataCentres[static_cast<std::size_t>(index) % dataCentres.size()]);
 }
 
 struct Scene {
@@ -113,7 +113,7 @@
     Scene scene({ 33, 0.05, 0, 1ms, 20ms }, 24);
     std::vector<std::string> watchers;
     for (std::string const& name : scene.fleet.entryNames()) {
-        bool const kegalle = scene.fleet.self(name).place == "kegalle" || scene.fleet.self(name).place == "balangoda";
+        bool const kegalle = scene.fleet.self(name).dataCentre == "kegalle" || scene.fleet.self(name).dataCentre == "balangoda";
         if (kegalle && scene.fleet.entry(name).isWatcher())
             watchers.push_back(name);
     }
@@ -133,13 +133,13 @@
 BOOST_AUTO_TEST_CASE(ChangesArriveAcrossAHealedCut)
 {
     Scene scene({ 34, 0.05, 0, 1ms, 20ms }, 16);
-    scene.fleet.cut([](Member const& member) { return member.place == "kegalle"; });
-    // The watchers of the cut place lose the platform as well.
+    scene.fleet.cut([](Member const& member) { return member.dataCentre == "kegalle"; });
+    // The watchers of the cut data centre lose the platform as well.
     scene.fleet.afterStep = [&scene] {
         for (std::string const& name : scene.fleet.entryNames()) {
             EntryControl& entry = scene.fleet.entry(name);
             std::uint64_t const position = entry.changeLog().position();
-            bool const reaches = scene.fleet.self(name).place != "kegalle" && entry.isWatcher();
+            bool const reaches = scene.fleet.self(name).dataCentre != "kegalle" && entry.isWatcher();
             if (reaches && position < scene.platform.changes.size())
                 entry.addChanges(std::span(scene.platform.changes).subspan(position), scene.fleet.now());
         }
@@ -194,7 +194,7 @@
     ControlFleet fleet({ 37, 0.1, 0.1, 1ms, 200ms });
     startFleet(fleet, 8);
     for (int index = 0; index < 6; ++index)
-        fleet.addAgent("agent-" + std::to_string(index), places[0], "rota-desk");
+        fleet.addAgent("agent-" + std::to_string(index), dataCentres[0], "rota-desk");
     PlatformLog platform;
     std::map<std::string, std::uint32_t> slots;
     int reverts = 0;
@@ -227,7 +227,7 @@
     startFleet(fleet, 6);
     constexpr int services = 5;
     for (int index = 0; index < 3 * services; ++index)
-        fleet.addAgent("agent-" + std::to_string(index), places[0], "service-" + std::to_string(index % services));
+        fleet.addAgent("agent-" + std::to_string(index), dataCentres[0], "service-" + std::to_string(index % services));
     PlatformLog platform;
     fleet.afterStep = [&] { platform.serve(fleet); };
     fleet.run(10s);
@@ -252,7 +252,7 @@
     BOOST_TEST(fleet.entry("entry-0-next").changeLog().position() == 12U);
 
     // An entry that joins now gets the copies from its peers.
-    fleet.addEntry("joiner", places[1]);
+    fleet.addEntry("joiner", dataCentres[1]);
     BOOST_TEST((fleet.runUntil(allHaveIt, 20s) <= 20s));
 
     // The platform returns and is read from the start: nothing may revert while the log is shorter than the copies.
--- a/tests/ControlBudgetTests.cpp
+++ b/tests/ControlBudgetTests.cpp
@@ -46,10 +46,10 @@
     for (std::uint32_t index = 1; index <= entries; ++index)
         fleet.seeds.push_back(ControlFleet::endpointOf(index));
     for (int index = 0; index < entries; ++index)
-        fleet.addEntry("entry-" + std::to_string(100 + index), "place-" + std::to_string(index % 4));
+        fleet.addEntry("entry-" + std::to_string(100 + index), "data-centre-" + std::to_string(index % 4));
     fleet.run(30s);
     for (int index = 0; index < joins; ++index)
-        fleet.addAgent("target-" + std::to_string(10000 + index), "place-" + std::to_string(index % 4), "service-" + std::to_string(index % 330));
+        fleet.addAgent("target-" + std::to_string(10000 + index), "data-centre-" + std::to_string(index % 4), "service-" + std::to_string(index % 330));
     Rates quiet;
     for (int minute = 0; minute < 4; ++minute) {
         Rates const rates = runMinute(fleet);
--- a/tests/ControlFleet.h
+++ b/tests/ControlFleet.h
@@ -47,10 +47,10 @@
     std::vector<Endpoint> seeds;
     std::uint32_t bytesPerSecond { 3000 };
 
-    EntryControl& addEntry(std::string const& name, std::string const& place, std::uint64_t incarnation = 1)
+    EntryControl& addEntry(std::string const& name, std::string const& dataCentre, std::uint64_t incarnation = 1)
     {
         EntryControlOptions options;
-        options.self = makeMember(MemberRole::Entry, name, place, incarnation);
+        options.self = makeMember(MemberRole::Entry, name, dataCentre, incarnation);
         options.seeds = seeds;
         options.randomSeed = options_.seed;
         options.bytesPerSecond = bytesPerSecond;
@@ -59,10 +59,10 @@
         return *node.entry;
     }
 
-    AgentControl& addAgent(std::string const& name, std::string const& place, std::string const& service, std::uint64_t incarnation = 1)
+    AgentControl& addAgent(std::string const& name, std::string const& dataCentre, std::string const& service, std::uint64_t incarnation = 1)
     {
         AgentControlOptions options;
-        options.self = makeMember(MemberRole::Agent, name, place, incarnation);
+        options.self = makeMember(MemberRole::Agent, name, dataCentre, incarnation);
         options.self.service = service;
         options.entries = seeds;
         options.randomSeed = options_.seed;
@@ -71,7 +71,7 @@
         return *node.agent;
     }
 
-    /// \brief Starts entries with the endpoints and places of earlier ones and new names.
+    /// \brief Starts entries with the endpoints and data centres of earlier ones and new names.
     void restartAt(std::span<Member const> earlier)
     {
         for (Member const& old : earlier) {
@@ -251,12 +251,12 @@
         std::string bytes;
     };
 
-    Member makeMember(MemberRole role, std::string const& name, std::string const& place, std::uint64_t incarnation)
+    Member makeMember(MemberRole role, std::string const& name, std::string const& dataCentre, std::uint64_t incarnation)
     {
         Member member;
         member.role = role;
         member.name = name;
-        member.place = place;
+        member.dataCentre = dataCentre;
         member.incarnation = incarnation;
         member.control = endpointOf(++lastIndex_);
         member.data = { member.control.address, 6081 };
--- a/tests/ControlMessageTests.cpp
+++ b/tests/ControlMessageTests.cpp
@@ -25,7 +25,7 @@
     Member member;
     member.role = MemberRole::Agent;
     member.name = "agent-9";
-    member.place = "kranj";
+    member.dataCentre = "kranj";
     member.service = "izposoja";
     member.incarnation = 77;
     member.state = MemberState::Suspect;
@@ -44,7 +44,7 @@
     service.name = "izposoja";
     service.addresses = { { { 0xC0A80001, 443 }, Protocol::Tcp }, { { 0xC0A80001, 5000 }, Protocol::Udp } };
     service.targets = { "a", "b-*" };
-    service.places = { "bohinj", "kranj" };
+    service.dataCentres = { "bohinj", "kranj" };
     service.idempotent = true;
     service.limits = { 11, 12, 13, 14 };
     service.slowStart = 15s;
--- a/tests/GracefulStopTests.cpp
+++ b/tests/GracefulStopTests.cpp
@@ -3,9 +3,9 @@
 
 #include "plantaindrift/configuration/ChangeLog.h"
 #include "plantaindrift/packet/Encapsulation.h"
-#include "plantaindrift/platform/HttpObjectStore.h"
 #include "plantaindrift/runtime/HttpClient.h"
 #include "plantaindrift/runtime/HttpServer.h"
+#include "plantaindrift/store/HttpObjectStore.h"
 #include "support/PlatformProcess.h"
 
 #include <boost/test/unit_test.hpp>
@@ -176,7 +176,7 @@
     std::string writeSettings(std::string const& name, Endpoint data, Endpoint control, Endpoint http, std::string const& more)
     {
         std::string path = folder_ / (name + ".toml");
-        std::ofstream(path) << "name = \"" << name << "\"\nplace = \"kegalle\"\ninsecure = true\ndata = \"" << formatEndpoint(data) << "\"\ncontrol = \"" << formatEndpoint(control)
+        std::ofstream(path) << "name = \"" << name << "\"\ndata_centre = \"kegalle\"\ninsecure = true\ndata = \"" << formatEndpoint(data) << "\"\ncontrol = \"" << formatEndpoint(control)
                             << "\"\nhttp = \"" << formatEndpoint(http) << "\"\n"
                             << more << "[platform]\nurl = \"" << platform.url() << "\"\npoll_s = 1\n";
         return path;
--- a/tests/HttpObjectStoreTests.cpp
+++ b/tests/HttpObjectStoreTests.cpp
@@ -2,7 +2,7 @@
 // calls that load a platform that is down.
 
 #include "plantaindrift/plantaindrift.h"
-#include "platform/CircuitBreaker.h"
+#include "store/CircuitBreaker.h"
 #include "support/PlatformProcess.h"
 
 #include <asio.hpp>
--- a/tests/MemberTableTests.cpp
+++ b/tests/MemberTableTests.cpp
@@ -20,7 +20,7 @@
 {
     Member member;
     member.name = name;
-    member.place = "kranj";
+    member.dataCentre = "kranj";
     member.service = "izposoja";
     member.incarnation = incarnation;
     member.state = state;
--- a/tests/MembershipConvergenceTests.cpp
+++ b/tests/MembershipConvergenceTests.cpp
@@ -13,7 +13,7 @@
 
 namespace {
 
-constexpr std::array<char const*, 3> places { "bohinj", "radovljica", "kranj" };
+constexpr std::array<char const*, 3> dataCentres { "bohinj", "radovljica", "kranj" };
 
 // Entries and agents of today's size; seeds are the first three entries.
 void startFleet(ControlFleet& fleet, int entries, int agents)
@@ -21,9 +21,9 @@
     for (std::uint32_t index = 1; index <= 3; ++index)
         fleet.seeds.push_back(ControlFleet::endpointOf(index));
     for (int index = 0; index < entries; ++index)
-        fleet.addEntry("entry-" + std::to_string(index), places[static_cast<std::size_t>(index) % places.size()]);
+        fleet.addEntry("entry-" + std::to_string(index), dataCentres[static_cast<std::size_t>(index) % dataCentres.size()]);
     for (int index = 0; index < agents; ++index)
-        fleet.addAgent("agent-" + std::to_string(index), places[static_cast<std::size_t>(index) % places.size()], index % 2 == 0 ? "izposoja" : "pregled");
+        fleet.addAgent("agent-" + std::to_string(index), dataCentres[static_cast<std::size_t>(index) % dataCentres.size()], index % 2 == 0 ? "izposoja" : "pregled");
 }
 
 void settle(ControlFleet& fleet)
@@ -220,7 +220,7 @@
         ControlFleet fleet({ 21, loss, 0.02, 1ms, 20ms });
         startFleet(fleet, 9, 21);
         settle(fleet);
-        fleet.cut([](Member const& member) { return member.place == "bohinj"; });
+        fleet.cut([](Member const& member) { return member.dataCentre == "bohinj"; });
         fleet.run(60s);
         BOOST_TEST((fleet.stateAt("entry-1", "agent-0") == MemberState::Dead));
         BOOST_TEST((fleet.stateAt("entry-0", "agent-1") == MemberState::Dead));
@@ -239,7 +239,7 @@
     ControlFleet fleet({ 22, 0, 0, 1ms, 20ms });
     startFleet(fleet, 6, 9);
     settle(fleet);
-    fleet.cut([](Member const& member) { return member.place == "kranj"; });
+    fleet.cut([](Member const& member) { return member.dataCentre == "kranj"; });
     fleet.run(MemberTable::tombstoneLifetime + 60s);
     fleet.cut({});
     Duration const passed = fleet.runUntil([&fleet] { return fleet.isConverged(); }, 120s);
@@ -307,7 +307,7 @@
     startFleet(fleet, 6, 12);
     settle(fleet);
     fleet.kill("agent-5");
-    fleet.cut([](Member const& member) { return member.place == "bohinj"; });
+    fleet.cut([](Member const& member) { return member.dataCentre == "bohinj"; });
     fleet.run(30s);
     fleet.cut({});
     settle(fleet);
--- a/tests/MonitorSelectionTests.cpp
+++ b/tests/MonitorSelectionTests.cpp
@@ -1,5 +1,5 @@
 // Guards against members without monitors, nodes that disagree about the monitors, choices that depend on the
-// order of events, and places without watchers.
+// order of events, and data centres without watchers.
 
 #include "plantaindrift/membership/MonitorSelection.h"
 #include "plantaindrift/membership/WatcherSelection.h"
@@ -118,20 +118,20 @@
         Member member;
         member.role = MemberRole::Entry;
         member.name = entryName(index);
-        member.place = index % 2 == 0 ? "kegalle" : "ratnapura";
+        member.dataCentre = index % 2 == 0 ? "kegalle" : "ratnapura";
         member.incarnation = 1;
         table.merge(member, now);
         left.insert(member.name);
     }
     while (!left.empty()) {
-        for (std::string const place : { "kegalle", "ratnapura" }) {
-            std::vector<std::string> const watchers = watchersOf(place, table);
-            std::size_t const live = static_cast<std::size_t>(std::count_if(left.begin(), left.end(), [&table, &place](std::string const& name) { return table.find(name)->member.place == place; }));
-            BOOST_TEST(watchers.size() == std::min(live, watchersPerPlace));
+        for (std::string const dataCentre : { "kegalle", "ratnapura" }) {
+            std::vector<std::string> const watchers = watchersOf(dataCentre, table);
+            std::size_t const live = static_cast<std::size_t>(std::count_if(left.begin(), left.end(), [&table, &dataCentre](std::string const& name) { return table.find(name)->member.dataCentre == dataCentre; }));
+            BOOST_TEST(watchers.size() == std::min(live, watchersPerDataCentre));
             for (std::string const& name : watchers)
                 BOOST_TEST(left.contains(name));
         }
-        std::vector<std::string> const watchers = watchersOf(table.find(*left.begin())->member.place, table);
+        std::vector<std::string> const watchers = watchersOf(table.find(*left.begin())->member.dataCentre, table);
         Member dead = table.find(watchers.front())->member;
         dead.state = MemberState::Dead;
         table.merge(dead, now);
--- a/tests/PacketLoopTests.cpp
+++ b/tests/PacketLoopTests.cpp
@@ -37,7 +37,7 @@
     std::vector<Endpoint> senders;
 };
 
-/// Sends a header and the datagram without its first bytes on to one place.
+/// Sends a header and the datagram without its first bytes on to one data centre.
 class Rewriter : public PacketFilter {
 public:
     Rewriter(Endpoint to, Bytes header, std::size_t removedBytes)
--- a/tests/SettingsTests.cpp
+++ b/tests/SettingsTests.cpp
@@ -37,7 +37,7 @@
 };
 
 std::string const entryText = "name = \"e1\"\n"
-                              "place = \"kegalle\"\n"
+                              "data_centre = \"kegalle\"\n"
                               "data = \"127.0.0.1:6081\"\n"
                               "control = \"127.0.0.1:6082\"\n"
                               "http = \"127.0.0.1:6083\"\n"
@@ -53,7 +53,7 @@
 // What is appended to the valid settings of six lines, and what the error says.
 struct ErrorRow {
     std::string appended;
-    std::string place; ///< ":LINE:COLUMN: "
+    std::string dataCentre; ///< ":LINE:COLUMN: "
     std::string problem;
     std::string remedy;
 };
@@ -70,7 +70,7 @@
     std::string const message(status.message());
     BOOST_TEST((errorKind(status) == ErrorKind::InvalidSettings), row.appended);
     BOOST_TEST(exitCode(status) == 2, row.appended);
-    BOOST_TEST(message.find(file + row.place) != std::string::npos, message);
+    BOOST_TEST(message.find(file + row.dataCentre) != std::string::npos, message);
     BOOST_TEST(message.find(row.problem) != std::string::npos, message);
     BOOST_TEST(message.find(row.remedy) != std::string::npos, message);
 }
@@ -103,7 +103,7 @@
 BOOST_AUTO_TEST_CASE(ErrorsNameLineColumnAndRemedy)
 {
     std::vector<ErrorRow> const rows {
-        { "colour = 3\n", ":7:1: ", "unknown key 'colour'", "remove it or use one of: name, place" },
+        { "colour = 3\n", ":7:1: ", "unknown key 'colour'", "remove it or use one of: name, data_centre" },
         { "[limits]\n  cache = 3\n", ":8:3: ", "unknown key 'limits.cache'", "limits.flow_cache_entries" },
         { "[plattform]\nurl = \"http://10.0.0.9:80\"\n", ":7:2: ", "unknown key 'plattform'", "platform.url" },
         { "seeds = \"10.0.0.1:6082\"\n", ":7:9: ", "key 'seeds'", "give a list of IPv4 addresses" },
--- a/tests/StatusObjectsTests.cpp
+++ b/tests/StatusObjectsTests.cpp
@@ -2,7 +2,7 @@
 // requests that are lost or doubled when answers are lost.
 
 #include "plantaindrift/plantaindrift.h"
-#include "plantaindrift/platform/StatusObjects.h"
+#include "plantaindrift/store/StatusObjects.h"
 #include "support/FakeObjectStore.h"
 
 #include <boost/test/unit_test.hpp>
@@ -17,7 +17,7 @@
 {
     Member member;
     member.name = name;
-    member.place = "Kranj";
+    member.dataCentre = "Kranj";
     member.service = service;
     member.incarnation = 0xFFFFFFFFFFFFFFFFU;
     member.state = MemberState::Draining;
--- a/tests/support/FakeObjectStore.h
+++ b/tests/support/FakeObjectStore.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "plantaindrift/base/Error.h"
-#include "plantaindrift/platform/ObjectStore.h"
+#include "plantaindrift/store/ObjectStore.h"
 #include "platform/VersionedObjects.h"
 
 #include <cstdint>
