--- /dev/null
+++ b/include/plantaindrift/relay/AgentRelay.h
@@ -0,0 +1,106 @@
+#pragma once
+
+#include "plantaindrift/base/Types.h"
+#include "plantaindrift/membership/ServiceView.h"
+#include "plantaindrift/packet/Encapsulation.h"
+#include "plantaindrift/relay/RelayMessage.h"
+#include "plantaindrift/relay/RelaySender.h"
+#include "plantaindrift/relay/Segment.h"
+
+#include <array>
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <memory>
+#include <span>
+#include <string>
+#include <string_view>
+
+namespace plantaindrift {
+
+/// \brief What an agent did with a segment.
+enum class AgentRelayOutcome : std::uint8_t {
+    Admitted, ///< offered to the local target as a new flow
+    Delivered, ///< of a flow of the local target
+    Tried, ///< of an unknown flow, given to the local target, which returns it if it does not hold the flow
+    PassedFirst, ///< a request to open a flow, sent on to another agent
+    PassedKnown, ///< of a flow that another agent owns
+    Searched, ///< of an unknown flow, sent on to the next candidate
+    Answered, ///< from the local target to the caller
+    Refused, ///< the caller was told that no flow was opened
+    Reset, ///< the target lost the flow; the caller was told
+    DroppedService, ///< another service's segment
+    DroppedUnknown, ///< no agent is left that could own the flow
+    DroppedMalformed
+};
+
+inline constexpr std::size_t agentRelayOutcomes = 12;
+
+/// \brief Lower-case name of an outcome, for logs and metrics.
+[[nodiscard]] std::string_view agentRelayOutcomeName(AgentRelayOutcome outcome) noexcept;
+
+/// \brief Settings of an agent's relay.
+struct AgentRelayOptions {
+    std::string name;
+    Endpoint self; ///< where entries and other agents send segments
+    Endpoint target; ///< where the local target takes segments
+    std::string service;
+    KeyRing keys;
+    std::uint64_t randomSeed { 1 };
+    std::uint16_t callerPort { 0 }; ///< UDP port at which callers receive
+    std::size_t flows { 1U << 14U }; ///< flows known at most
+};
+
+/// \brief State of the local target as it reported it itself.
+struct TargetState {
+    bool accepting { false }; ///< lives, is of the agent's service and does not drain
+    std::uint16_t slots { 1 };
+    std::uint32_t connections { 2000 };
+    std::chrono::milliseconds coldFor { 0 }; ///< remaining time in which it is slow after its start
+};
+
+/// \brief Admits flows to the local target, delivers their segments and counts the target's load.
+///
+/// Holds the only state of flows; after a restart it is rebuilt from what the target sends and returns. Does no I/O of
+/// its own. Not thread-safe.
+class AgentRelay {
+public:
+    AgentRelay(AgentRelayOptions const& options, SegmentCodec const& codec, RelaySender& sender, TimePoint now);
+    ~AgentRelay();
+    AgentRelay(AgentRelay const&) = delete;
+    AgentRelay& operator=(AgentRelay const&) = delete;
+
+    void setKeys(KeyRing const& keys);
+
+    /// \brief Replaces the targets of the own service.
+    void setView(ServiceView const& view);
+
+    /// \brief Takes the target's report; effective for the next segment.
+    void setTarget(TargetState const& target, TimePoint now);
+
+    /// \brief The target was replaced by a new one: its flows are gone.
+    void forgetFlows();
+
+    /// \brief Takes no new flows from now on, because this process ends.
+    void beginStop(TimePoint now, std::uint32_t nowSeconds);
+
+    /// \brief Decides one datagram of an entry or another agent.
+    [[nodiscard]] RelayVerdict decide(std::span<std::byte const> datagram, Endpoint from, TimePoint now, std::uint32_t nowSeconds) noexcept;
+
+    /// \brief Decides one datagram of the local target.
+    [[nodiscard]] RelayVerdict decideTarget(std::span<std::byte const> datagram, TimePoint now, std::uint32_t nowSeconds) noexcept;
+
+    /// \brief Periodic work, every 100 ms: sends load, tells other agents of owned flows, forgets idle flows.
+    void tick(TimePoint now, std::uint32_t nowSeconds);
+
+    [[nodiscard]] TargetLoad load() const noexcept;
+
+    /// \brief Segments by outcome since start.
+    [[nodiscard]] std::array<std::uint64_t, agentRelayOutcomes> const& outcomes() const noexcept;
+
+private:
+    struct State;
+    std::unique_ptr<State> state_;
+};
+
+} // namespace plantaindrift
--- /dev/null
+++ b/include/plantaindrift/relay/EntryRelay.h
@@ -0,0 +1,92 @@
+#pragma once
+
+#include "plantaindrift/base/Types.h"
+#include "plantaindrift/configuration/Configuration.h"
+#include "plantaindrift/membership/ServiceView.h"
+#include "plantaindrift/packet/Encapsulation.h"
+#include "plantaindrift/relay/RelayMessage.h"
+#include "plantaindrift/relay/RelaySender.h"
+#include "plantaindrift/relay/Segment.h"
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+#include <memory>
+#include <span>
+#include <string>
+#include <string_view>
+
+namespace plantaindrift {
+
+/// \brief What an entry did with a segment of a caller.
+enum class EntryRelayOutcome : std::uint8_t {
+    FirstForwarded, ///< asks to open a flow
+    CopyForwarded, ///< a repeated request to open a flow, sent to another target
+    OwnerForwarded, ///< of a flow whose owner is known here
+    SearchForwarded, ///< of a flow whose owner is looked for
+    RefusedNoRoute, ///< no service has the address
+    RefusedNoTarget, ///< no target takes new flows
+    DroppedMalformed,
+    DroppedNoRoute,
+    DroppedNoTarget
+};
+
+inline constexpr std::size_t entryRelayOutcomes = 9;
+
+/// \brief Lower-case name of an outcome, for logs and metrics.
+[[nodiscard]] std::string_view entryRelayOutcomeName(EntryRelayOutcome outcome) noexcept;
+
+/// \brief Settings of an entry's relay.
+struct EntryRelayOptions {
+    Endpoint self; ///< where agents send notices and load
+    std::string dataCentre;
+    KeyRing keys;
+    std::uint64_t randomSeed { 1 };
+    std::size_t flows { 1U << 17U }; ///< flows remembered at most
+    std::uint16_t callerPort { 0 }; ///< UDP port at which callers receive
+};
+
+/// \brief Chooses a target for new flows by expected time, and sends known flows to their owner.
+///
+/// Knows nothing that must last: an unknown flow is looked for along the agents of its service. Does no I/O of its own.
+/// Not thread-safe.
+class EntryRelay {
+public:
+    /// \param codec   format of the callers' segments
+    /// \param sender  takes subscriptions to agents
+    EntryRelay(EntryRelayOptions const& options, SegmentCodec const& codec, RelaySender& sender);
+    ~EntryRelay();
+    EntryRelay(EntryRelay const&) = delete;
+    EntryRelay& operator=(EntryRelay const&) = delete;
+
+    /// \brief Replaces the routes; known flows stay with their owners.
+    void setConfiguration(Configuration const& configuration);
+
+    /// \brief Replaces one service's targets; load that was heard is kept.
+    void setView(ServiceView const& view, TimePoint now);
+
+    void setKeys(KeyRing const& keys);
+
+    /// \brief Decides one datagram of a caller.
+    [[nodiscard]] RelayVerdict decide(std::span<std::byte const> datagram, TimePoint now, std::uint32_t nowSeconds) noexcept;
+
+    /// \brief Takes a notice or load from an agent. \returns false if it is malformed or not authenticated
+    bool receive(Endpoint from, std::span<std::byte const> datagram, TimePoint now, std::uint32_t nowSeconds) noexcept;
+
+    /// \brief Periodic work, every 100 ms: renews subscriptions and forgets idle flows.
+    void tick(TimePoint now, std::uint32_t nowSeconds);
+
+    /// \brief True if some service has a route and a target that answered.
+    [[nodiscard]] bool canServe() const noexcept;
+
+    /// \brief Segments by outcome since start.
+    [[nodiscard]] std::array<std::uint64_t, entryRelayOutcomes> const& outcomes() const noexcept;
+
+    [[nodiscard]] std::size_t flowCount() const noexcept;
+
+private:
+    struct State;
+    std::unique_ptr<State> state_;
+};
+
+} // namespace plantaindrift
--- /dev/null
+++ b/include/plantaindrift/relay/RelayMessage.h
@@ -0,0 +1,124 @@
+#pragma once
+
+#include "plantaindrift/base/Types.h"
+#include "plantaindrift/packet/Encapsulation.h"
+
+#include <array>
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <span>
+
+namespace plantaindrift {
+
+/// \brief What a relay datagram carries.
+enum class RelayKind : std::uint8_t {
+    Packet = 1, ///< a segment on its way from an entry to the target's agent
+    Notice = 2, ///< agent to entry: the sender owns this flow; with its load
+    Load = 3, ///< agent to entry: load of the sender's target
+    Subscribe = 4, ///< entry to agent: send load at this interval
+    Redirect = 5, ///< agent to agent: the sender owns these flows
+    Query = 6 ///< agent to agent: who owns this flow; the owner answers with a Redirect
+};
+
+/// \brief Load of a target as its agent counts it.
+struct TargetLoad {
+    bool accepting { false }; ///< takes new flows
+    std::uint16_t slots { 1 }; ///< requests served at once
+    std::uint16_t busy { 0 }; ///< requests in progress or queued
+    std::uint16_t flows { 0 }; ///< open flows
+    std::uint16_t serviceTenths { 0 }; ///< time of one request at the target, in 0.1 ms; 0 if not measured yet
+
+    friend bool operator==(TargetLoad const&, TargetLoad const&) = default;
+};
+
+/// \brief Most agents that one relayed packet names.
+inline constexpr std::size_t maximumRelayCandidates = 4;
+
+/// \brief An agent that a packet may be passed to.
+struct RelayCandidate {
+    Endpoint agent;
+    std::uint16_t costTenths { 0 }; ///< what the entry expects a request to take there, in 0.1 ms
+
+    friend bool operator==(RelayCandidate const&, RelayCandidate const&) = default;
+};
+
+/// \brief Route of one packet along agents.
+struct RelayRoute {
+    ServiceHash service {};
+    Endpoint entry; ///< takes notices of this flow
+    std::uint8_t hops { 0 }; ///< times the packet was passed on between agents
+    std::uint8_t count { 0 };
+    std::array<RelayCandidate, maximumRelayCandidates> candidates {}; ///< agents that were not asked yet
+
+    [[nodiscard]] std::span<RelayCandidate const> candidateSpan() const noexcept { return { candidates.data(), count }; }
+};
+
+/// \brief The two ends of a relayed flow.
+struct RelayFlow {
+    Endpoint caller;
+    Endpoint service;
+
+    friend constexpr bool operator==(RelayFlow const&, RelayFlow const&) noexcept = default;
+};
+
+/// \brief Hash of a relayed flow; equal in every process.
+[[nodiscard]] std::uint64_t hashRelayFlow(RelayFlow const& flow) noexcept;
+
+/// \brief Most bytes of a relay datagram before the segment.
+inline constexpr std::size_t maximumRelayHeaderBytes = 96;
+
+/// \brief Most flows that one Redirect names.
+inline constexpr std::size_t maximumRedirectedFlows = 64;
+
+/// \brief Most bytes of a relay datagram that carries no segment.
+inline constexpr std::size_t maximumRelayMessageBytes = maximumRelayHeaderBytes + maximumRedirectedFlows * 12;
+
+/// \brief A decoded relay datagram; the fields in use depend on its kind.
+struct DecodedRelay {
+    DatagramError error { DatagramError::None };
+    RelayKind kind { RelayKind::Packet };
+    RelayRoute route; ///< Packet
+    std::span<std::byte const> segment; ///< Packet; inside the datagram
+    RelayFlow flow; ///< Notice, Query
+    TargetLoad load; ///< Notice, Load
+    ServiceHash service {}; ///< Load, Redirect, Query
+    std::chrono::milliseconds interval { 0 }; ///< Subscribe
+    std::span<std::byte const> redirected; ///< Redirect: flows as written; inside the datagram
+
+    /// \brief Number of flows that a Redirect names.
+    [[nodiscard]] std::size_t flowCount() const noexcept;
+
+    /// \brief A flow that a Redirect names.
+    [[nodiscard]] RelayFlow flowAt(std::size_t index) const noexcept;
+};
+
+/// \brief Signs relay datagrams with the first key and the sender's time.
+struct RelaySeal {
+    KeyRing const& keys;
+    std::uint32_t nowSeconds { 0 }; ///< wall clock, seconds since 1970
+};
+
+/// \brief Writes what precedes a relayed segment.
+///
+/// \param output  at least maximumRelayHeaderBytes
+/// \returns       bytes written
+[[nodiscard]] std::size_t writeRelayPacket(RelayRoute const& route, std::span<std::byte const> segment, RelaySeal const& seal, std::span<std::byte> output) noexcept;
+
+[[nodiscard]] std::size_t writeRelayNotice(RelayFlow const& flow, TargetLoad const& load, RelaySeal const& seal, std::span<std::byte> output) noexcept;
+[[nodiscard]] std::size_t writeRelayLoad(ServiceHash service, TargetLoad const& load, RelaySeal const& seal, std::span<std::byte> output) noexcept;
+[[nodiscard]] std::size_t writeRelaySubscribe(std::chrono::milliseconds interval, RelaySeal const& seal, std::span<std::byte> output) noexcept;
+[[nodiscard]] std::size_t writeRelayQuery(ServiceHash service, RelayFlow const& flow, RelaySeal const& seal, std::span<std::byte> output) noexcept;
+
+/// \param flows   at most maximumRedirectedFlows
+/// \param output  at least maximumRelayMessageBytes
+[[nodiscard]] std::size_t writeRelayRedirect(ServiceHash service, std::span<RelayFlow const> flows, RelaySeal const& seal, std::span<std::byte> output) noexcept;
+
+/// \brief Checks and decodes a relay datagram.
+///
+/// \param datagram    the whole UDP payload
+/// \param keys        accepted keys
+/// \param nowSeconds  wall clock, seconds since 1970
+[[nodiscard]] DecodedRelay decodeRelay(std::span<std::byte const> datagram, KeyRing const& keys, std::uint32_t nowSeconds) noexcept;
+
+} // namespace plantaindrift
--- /dev/null
+++ b/include/plantaindrift/store/FleetStore.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include "plantaindrift/configuration/Configuration.h"
+#include "plantaindrift/membership/Member.h"
+
+#include "absl/status/status.h"
+#include "absl/status/statusor.h"
+
+#include <chrono>
+#include <cstdint>
+#include <optional>
+#include <vector>
+
+namespace plantaindrift {
+
+/// \brief A configuration and its version; versions only grow, in steps of any size.
+struct VersionedConfiguration {
+    std::uint64_t version { 0 };
+    Configuration configuration;
+};
+
+/// \brief What a fleet keeps in a store that others own: the whole configuration as one object, and its members.
+///
+/// Calls block. Errors: PlatformUnreachable, OutcomeUnknown, Refused (asked too often), InvalidMessage.
+class FleetStore {
+public:
+    virtual ~FleetStore() = default;
+
+    /// \brief The newest configuration; nothing if none was written yet.
+    [[nodiscard]] virtual absl::StatusOr<std::optional<VersionedConfiguration>> readConfiguration() = 0;
+
+    /// \brief Waits for a change after the last read or wait.
+    ///
+    /// \returns the newest configuration; nothing if the time passed without a change
+    [[nodiscard]] virtual absl::StatusOr<std::optional<VersionedConfiguration>> awaitConfiguration(std::chrono::milliseconds time) = 0;
+
+    /// \brief Members as they announced themselves; may lack the last seconds.
+    [[nodiscard]] virtual absl::StatusOr<std::vector<Member>> readMembers() = 0;
+
+    /// \brief Writes a member's record, whatever stood there.
+    [[nodiscard]] virtual absl::Status writeMember(Member const& member) = 0;
+};
+
+} // namespace plantaindrift
--- /dev/null
+++ b/src/relay/AgentRelay.cpp
@@ -0,0 +1,716 @@
+#include "plantaindrift/relay/AgentRelay.h"
+
+#include "plantaindrift/base/Hash.h"
+#include "relay/HashTable.h"
+#include "relay/RequestCount.h"
+#include "relay/TargetCost.h"
+
+#include <algorithm>
+#include <chrono>
+#include <limits>
+#include <optional>
+#include <vector>
+
+namespace plantaindrift {
+
+namespace {
+
+    constexpr std::array<std::string_view, agentRelayOutcomes> outcomeNames {
+        "admitted", "delivered", "tried", "passed_first", "passed_known", "searched",
+        "answered", "refused", "reset", "dropped_service", "dropped_unknown", "dropped_malformed"
+    };
+
+    // A flow without packets for this time, or older, may be discarded by the system that callers rely on.
+    constexpr std::chrono::seconds flowLifetime { 60 };
+
+    // Segments that a caller repeats after both ends have finished come within this time.
+    constexpr std::chrono::seconds closingLifetime { 5 };
+
+    // Redirects of flows that end sooner would cost more than a search.
+    constexpr std::chrono::milliseconds redirectAge { 300 };
+    constexpr std::chrono::seconds redirectRenewal { 20 };
+    constexpr std::chrono::seconds redirectLifetime { 50 };
+
+    // Agents that rank first for a flow and hold a redirect to its owner.
+    constexpr std::size_t redirectHolders = 2;
+
+    // An entry that has not subscribed for this time takes no more load.
+    constexpr std::chrono::seconds subscriptionLifetime { 3 };
+
+    // A packet takes less than this on each pass; more passes mean that agents disagree about its owner.
+    constexpr std::uint8_t mostPasses = 64;
+    constexpr std::uint8_t mostFirstPasses = 3;
+
+    // Gain that is worth a pass: both loads may have changed since they were sent.
+    constexpr double passGainShare = 0.5;
+    constexpr double passGainTenths = 30;
+
+    // Sequence numbers that a caller may have acknowledged on one flow: some megabytes.
+    constexpr std::uint32_t acknowledgedRange = 1U << 26U;
+
+    constexpr std::size_t trials = 1024;
+    constexpr std::size_t redirectNotes = 1U << 15U;
+
+    struct FlowRecord {
+        std::uint64_t hash { 0 };
+        bool used { false };
+        bool established { false }; ///< the caller acknowledged this target's answer
+        bool answered { false }; ///< the target answered the opening segment
+        bool closing { false };
+        bool lost { false }; ///< the target was replaced or does not hold the flow any more
+        bool pending { false }; ///< a request is in progress
+        bool hasRequest { false };
+        std::uint32_t targetSequence { 0 }; ///< of the target's answer to the opening segment
+        std::uint32_t requestEnd { 0 }; ///< sequence number after the caller's last data
+        RelayFlow flow;
+        Endpoint entry; ///< entry that sends the flow's segments
+        TimePoint opened;
+        TimePoint last;
+        TimePoint requested; ///< last data of the request in progress
+        TimePoint redirected;
+        std::uint16_t busyAtRequest { 0 };
+    };
+
+    struct RedirectNote {
+        std::uint64_t hash { 0 };
+        bool used { false };
+        Endpoint owner;
+        TimePoint expires;
+    };
+
+    /// Route of a segment given to the target, in case the target returns it.
+    struct Trial {
+        std::uint32_t token { 0 };
+        std::uint64_t hash { 0 };
+        RelayRoute route;
+    };
+
+    struct Subscriber {
+        Endpoint entry;
+        std::chrono::milliseconds interval { 0 };
+        TimePoint renewed;
+        TimePoint sent;
+    };
+
+    struct Peer {
+        std::uint64_t nameHash { 0 };
+        Endpoint agent;
+        bool draining { false };
+        bool dead { false };
+    };
+
+    // One segment on its way through the filters.
+    struct Work {
+        std::span<std::byte const> datagram;
+        Segment segment;
+        RelayFlow flow;
+        std::uint64_t hash { 0 };
+        RelayRoute route;
+        TimePoint now;
+        std::uint32_t nowSeconds { 0 };
+    };
+
+} // namespace
+
+std::string_view agentRelayOutcomeName(AgentRelayOutcome outcome) noexcept
+{
+    return outcomeNames[static_cast<std::size_t>(outcome)];
+}
+
+struct AgentRelay::State {
+    State(AgentRelayOptions const& given, SegmentCodec const& segmentCodec, RelaySender& messageSender, TimePoint now)
+        : options(given)
+        , codec(segmentCodec)
+        , sender(messageSender)
+        , service(hashService(given.service))
+        , nameHash(hashText(given.name))
+        , started(now)
+        , flows(given.flows)
+        , notes(redirectNotes)
+        , trialRing(trials)
+    {
+    }
+
+    AgentRelayOptions options;
+    SegmentCodec const& codec;
+    RelaySender& sender;
+    ServiceHash service {};
+    std::uint64_t nameHash { 0 };
+    TimePoint started;
+    TargetState target;
+    bool stopping { false };
+    RequestCount requests;
+    HashTable<FlowRecord> flows;
+    HashTable<RedirectNote> notes;
+    std::vector<Trial> trialRing;
+    std::uint32_t lastToken { 0 };
+    std::vector<Subscriber> subscribers;
+    std::vector<Peer> peers; ///< all targets of the service but the own one
+    TimePoint lastSweep;
+    std::array<std::uint64_t, agentRelayOutcomes> outcomes {};
+    std::array<std::byte, maximumRelayHeaderBytes + 64> header {};
+
+    [[nodiscard]] bool isAccepting() const noexcept { return target.accepting && !stopping && flows.size() < target.connections; }
+
+    [[nodiscard]] TargetLoad load() const noexcept
+    {
+        TargetLoad load;
+        load.accepting = isAccepting();
+        load.slots = std::max<std::uint16_t>(target.slots, 1);
+        load.busy = static_cast<std::uint16_t>(std::min<std::size_t>(requests.busy(), std::numeric_limits<std::uint16_t>::max()));
+        load.flows = static_cast<std::uint16_t>(std::min<std::size_t>(flows.size(), std::numeric_limits<std::uint16_t>::max()));
+        load.serviceTenths = requests.serviceTenths();
+        return load;
+    }
+
+    RelayVerdict count(AgentRelayOutcome outcome) noexcept
+    {
+        ++outcomes[static_cast<std::size_t>(outcome)];
+        return {};
+    }
+
+    [[nodiscard]] std::span<std::byte const> headerSpan(std::size_t bytes) const noexcept { return std::span<std::byte const>(header).first(bytes); }
+
+    // ---- verdicts ----
+
+    /// Gives the segment to the target; the target returns what it does not hold with the token.
+    RelayVerdict deliver(Work const& work, AgentRelayOutcome outcome, bool mayReturn) noexcept
+    {
+        ++outcomes[static_cast<std::size_t>(outcome)];
+        std::uint32_t token = 0;
+        if (mayReturn) {
+            token = ++lastToken;
+            trialRing[token % trials] = { token, work.hash, work.route };
+        }
+        codec.copyHeader(work.datagram, token, header);
+        return { options.target, headerSpan(codec.headerBytes()), work.datagram.subspan(codec.headerBytes()) };
+    }
+
+    RelayVerdict pass(Work& work, Endpoint to, AgentRelayOutcome outcome) noexcept
+    {
+        if (work.route.hops >= mostPasses)
+            return count(AgentRelayOutcome::DroppedUnknown);
+        ++outcomes[static_cast<std::size_t>(outcome)];
+        ++work.route.hops;
+        // A returned segment travels on without the mark, so its header is copied behind the relay header.
+        std::array<std::byte, 64> segmentHeader;
+        codec.copyHeader(work.datagram, 0, segmentHeader);
+        std::span<std::byte const> const head = std::span<std::byte const>(segmentHeader).first(codec.headerBytes());
+        std::size_t const bytes = writePacketHeader(work, head);
+        return { to, headerSpan(bytes), work.datagram.subspan(codec.headerBytes()) };
+    }
+
+    std::size_t writePacketHeader(Work const& work, std::span<std::byte const> segmentHeader) noexcept
+    {
+        // The tag covers the segment as it travels: the new header and the unchanged data.
+        std::array<std::byte, 2048> segment;
+        std::span<std::byte const> const data = work.datagram.subspan(segmentHeader.size());
+        std::size_t const size = std::min(segment.size(), segmentHeader.size() + data.size());
+        std::copy(segmentHeader.begin(), segmentHeader.end(), segment.begin());
+        std::size_t const tagged = std::min<std::size_t>(data.size(), 64);
+        std::copy_n(data.begin(), tagged, segment.begin() + static_cast<std::ptrdiff_t>(segmentHeader.size()));
+        std::size_t const bytes = writeRelayPacket(work.route, std::span<std::byte const>(segment).first(size), { options.keys, work.nowSeconds }, header);
+        std::copy(segmentHeader.begin(), segmentHeader.end(), header.begin() + static_cast<std::ptrdiff_t>(bytes));
+        return bytes + segmentHeader.size();
+    }
+
+    RelayVerdict reset(Work const& work, AgentRelayOutcome outcome) noexcept
+    {
+        ++outcomes[static_cast<std::size_t>(outcome)];
+        codec.writeReset(work.segment, header);
+        return { { work.flow.caller.address, options.callerPort }, headerSpan(codec.headerBytes()), {} };
+    }
+
+    void notifyEntry(Work const& work) noexcept
+    {
+        if (!work.route.entry.isSet())
+            return;
+        std::array<std::byte, maximumRelayHeaderBytes> message;
+        std::size_t const bytes = writeRelayNotice(work.flow, load(), { options.keys, work.nowSeconds }, message);
+        sender.send(work.route.entry, std::span<std::byte const>(message).first(bytes));
+    }
+
+    // ---- first segments ----
+
+    RelayVerdict decideFirst(Work& work) noexcept
+    {
+        FlowRecord* const known = flows.find(work.hash);
+        if (known != nullptr && !known->closing && !known->lost)
+            return admit(work);
+        RelayCandidate* const better = findBetter(work);
+        if (better != nullptr)
+            return passFirst(work, *better);
+        if (isAccepting())
+            return admit(work);
+        return passToAnyPeer(work);
+    }
+
+    RelayCandidate* findBetter(Work& work) const noexcept
+    {
+        if (work.route.count == 0 || work.route.hops >= mostFirstPasses)
+            return nullptr;
+        std::array<RelayCandidate, maximumRelayCandidates>::iterator const begin = work.route.candidates.begin();
+        std::array<RelayCandidate, maximumRelayCandidates>::iterator const cheapest = std::min_element(begin, begin + work.route.count, [](RelayCandidate const& left, RelayCandidate const& right) { return left.costTenths < right.costTenths; });
+        if (!isAccepting())
+            return &*cheapest;
+        double const own = targetCost(load(), 0);
+        double const service = std::max<double>(requests.serviceTenths(), passGainTenths);
+        bool const isWorth = own > cheapest->costTenths + passGainTenths + passGainShare * service;
+        return isWorth ? &*cheapest : nullptr;
+    }
+
+    RelayVerdict passFirst(Work& work, RelayCandidate& candidate) noexcept
+    {
+        Endpoint const to = candidate.agent;
+        std::swap(candidate, work.route.candidates[work.route.count - 1]);
+        --work.route.count;
+        return pass(work, to, AgentRelayOutcome::PassedFirst);
+    }
+
+    RelayVerdict passToAnyPeer(Work& work) noexcept
+    {
+        if (work.route.hops >= mostFirstPasses)
+            return refuse(work);
+        Peer const* chosen = nullptr;
+        std::uint64_t best = 0;
+        for (Peer const& peer : peers) {
+            std::uint64_t const score = searchScore(peer.nameHash, work.hash + work.route.hops);
+            if (!peer.draining && !peer.dead && (chosen == nullptr || score > best)) {
+                chosen = &peer;
+                best = score;
+            }
+        }
+        return chosen == nullptr ? refuse(work) : pass(work, chosen->agent, AgentRelayOutcome::PassedFirst);
+    }
+
+    RelayVerdict refuse(Work const& work) noexcept
+    {
+        // An earlier copy may have opened the flow elsewhere, which a reset would break.
+        if (work.segment.acknowledgement != 0)
+            return count(AgentRelayOutcome::DroppedUnknown);
+        return reset(work, AgentRelayOutcome::Refused);
+    }
+
+    RelayVerdict admit(Work const& work) noexcept
+    {
+        FlowRecord* record = flows.find(work.hash);
+        if (record != nullptr && (record->closing || record->lost)) {
+            erase(*record);
+            record = nullptr;
+        }
+        if (record == nullptr) {
+            record = flows.insert(work.hash);
+            if (record == nullptr)
+                return count(AgentRelayOutcome::DroppedUnknown);
+            record->flow = work.flow;
+            record->opened = work.now;
+        }
+        record->last = work.now;
+        record->entry = work.route.entry;
+        notifyEntry(work);
+        return deliver(work, AgentRelayOutcome::Admitted, true);
+    }
+
+    // ---- later segments ----
+
+    RelayVerdict decideLater(Work& work) noexcept
+    {
+        FlowRecord* const record = flows.find(work.hash);
+        if (record == nullptr)
+            return decideUnknown(work);
+        if (record->lost)
+            return work.segment.reset ? count(AgentRelayOutcome::DroppedUnknown) : reset(work, AgentRelayOutcome::Reset);
+        if (!record->established && !belongsHere(*record, work.segment))
+            return decideForeign(work);
+        record->established = true;
+        track(*record, work);
+        if (work.route.hops > 0 || record->entry != work.route.entry)
+            notifyEntry(work);
+        record->entry = work.route.entry;
+        return deliver(work, AgentRelayOutcome::Delivered, false);
+    }
+
+    /// Several targets may have answered the opening segment; the caller acknowledges one of them.
+    static bool belongsHere(FlowRecord const& record, Segment const& segment) noexcept
+    {
+        return record.answered && segment.acknowledges && segment.acknowledgement - record.targetSequence < acknowledgedRange;
+    }
+
+    RelayVerdict decideForeign(Work& work) noexcept
+    {
+        if (work.route.count > 0) {
+            RelayCandidate& candidate = work.route.candidates[work.route.count - 1];
+            return passKnown(work, candidate.agent);
+        }
+        return decideUnknown(work);
+    }
+
+    RelayVerdict passKnown(Work& work, Endpoint owner) noexcept
+    {
+        work.route.count = 0;
+        return pass(work, owner, AgentRelayOutcome::PassedKnown);
+    }
+
+    RelayVerdict decideUnknown(Work& work) noexcept
+    {
+        RedirectNote* const note = notes.find(work.hash);
+        if (note != nullptr && note->expires > work.now && note->owner != options.self)
+            return passKnown(work, note->owner);
+        // After a restart only the target knows its older flows.
+        bool const isYoung = work.now - started < flowLifetime;
+        if (isYoung)
+            return deliver(work, AgentRelayOutcome::Tried, true);
+        return searchOn(work);
+    }
+
+    /// Sends the segment to the agent that ranks after this one.
+    RelayVerdict searchOn(Work& work) noexcept
+    {
+        if (work.route.count > 0)
+            return passKnown(work, work.route.candidates.front().agent);
+        std::uint64_t const own = searchScore(nameHash, work.hash);
+        Peer const* next = nullptr;
+        std::uint64_t best = 0;
+        for (Peer const& peer : peers) {
+            std::uint64_t const score = searchScore(peer.nameHash, work.hash);
+            if (!peer.dead && score < own && (next == nullptr || score > best)) {
+                next = &peer;
+                best = score;
+            }
+        }
+        if (next == nullptr)
+            return count(AgentRelayOutcome::DroppedUnknown);
+        return pass(work, next->agent, AgentRelayOutcome::Searched);
+    }
+
+    void track(FlowRecord& record, Work const& work) noexcept
+    {
+        Segment const& segment = work.segment;
+        record.last = work.now;
+        if (segment.closing || segment.reset) {
+            record.closing = true;
+            endRequest(record);
+            return;
+        }
+        std::uint32_t const end = segment.sequence + segment.dataBytes;
+        bool const isNew = !record.hasRequest || static_cast<std::int32_t>(end - record.requestEnd) > 0;
+        if (segment.dataBytes == 0 || !isNew)
+            return;
+        record.hasRequest = true;
+        record.requestEnd = end;
+        record.requested = work.now;
+        if (!record.pending) {
+            record.busyAtRequest = static_cast<std::uint16_t>(requests.busy());
+            record.pending = true;
+            requests.begin();
+        }
+    }
+
+    void endRequest(FlowRecord& record) noexcept
+    {
+        if (record.pending)
+            requests.cancel();
+        record.pending = false;
+    }
+
+    void erase(FlowRecord& record) noexcept
+    {
+        endRequest(record);
+        flows.erase(record);
+    }
+
+    // ---- segments of the target ----
+
+    RelayVerdict decideAnswer(Work const& work) noexcept
+    {
+        FlowRecord* record = flows.find(work.hash);
+        if (record == nullptr) {
+            // The target holds flows from before this process started.
+            record = flows.insert(work.hash);
+            if (record != nullptr) {
+                record->flow = work.flow;
+                record->opened = work.now;
+                record->established = !work.segment.opening;
+            }
+        }
+        if (record != nullptr)
+            trackAnswer(*record, work);
+        ++outcomes[static_cast<std::size_t>(AgentRelayOutcome::Answered)];
+        return { { work.flow.caller.address, options.callerPort }, {}, work.datagram };
+    }
+
+    void trackAnswer(FlowRecord& record, Work const& work) noexcept
+    {
+        Segment const& segment = work.segment;
+        record.last = work.now;
+        if (segment.opening) {
+            record.answered = true;
+            record.targetSequence = segment.sequence;
+        }
+        if (segment.dataBytes > 0 && record.pending) {
+            record.pending = false;
+            requests.finish(work.now - record.requested, record.busyAtRequest < target.slots);
+        }
+        if (segment.closing || segment.reset)
+            record.closing = true;
+    }
+
+    RelayVerdict decideReturned(Work& work) noexcept
+    {
+        FlowRecord* const record = flows.find(work.hash);
+        Trial const& trial = trialRing[work.segment.token % trials];
+        bool const isTrial = work.segment.token != 0 && trial.token == work.segment.token && trial.hash == work.hash;
+        if (isTrial)
+            work.route = trial.route;
+        else
+            work.route.service = service;
+        if (work.segment.isFirst()) {
+            if (record != nullptr && !record->established)
+                erase(*record);
+            if (work.route.count > 0 && work.route.hops < mostFirstPasses)
+                return passFirst(work, work.route.candidates.front());
+            return passToAnyPeer(work);
+        }
+        if (record != nullptr && record->established)
+            return loseFlow(*record, work);
+        if (record != nullptr)
+            erase(*record);
+        return searchOn(work);
+    }
+
+    /// The target does not hold a flow that was open there: it restarted, or discarded the flow.
+    RelayVerdict loseFlow(FlowRecord& record, Work const& work) noexcept
+    {
+        endRequest(record);
+        if (record.closing || work.segment.closing || work.segment.reset) {
+            erase(record);
+            return count(AgentRelayOutcome::DroppedUnknown);
+        }
+        record.lost = true;
+        return reset(work, AgentRelayOutcome::Reset);
+    }
+
+    // ---- messages ----
+
+    void noteSubscription(Endpoint from, std::chrono::milliseconds interval, TimePoint now, std::uint32_t nowSeconds)
+    {
+        for (Subscriber& subscriber : subscribers) {
+            if (subscriber.entry == from) {
+                subscriber.interval = interval;
+                subscriber.renewed = now;
+                return;
+            }
+        }
+        subscribers.push_back({ from, interval, now, now });
+        sendLoad(from, nowSeconds);
+    }
+
+    void sendLoad(Endpoint to, std::uint32_t nowSeconds) noexcept
+    {
+        std::array<std::byte, maximumRelayHeaderBytes> message;
+        std::size_t const bytes = writeRelayLoad(service, load(), { options.keys, nowSeconds }, message);
+        sender.send(to, std::span<std::byte const>(message).first(bytes));
+    }
+
+    void sendLoadToAll(TimePoint now, std::uint32_t nowSeconds) noexcept
+    {
+        for (Subscriber& subscriber : subscribers) {
+            subscriber.sent = now;
+            sendLoad(subscriber.entry, nowSeconds);
+        }
+    }
+
+    void noteRedirect(Endpoint owner, DecodedRelay const& decoded, TimePoint now)
+    {
+        if (decoded.service != service)
+            return;
+        for (std::size_t index = 0; index < decoded.flowCount(); ++index) {
+            RedirectNote* const note = notes.insert(hashRelayFlow(decoded.flowAt(index)));
+            if (note == nullptr)
+                return;
+            note->owner = owner;
+            note->expires = now + redirectLifetime;
+        }
+    }
+
+    // ---- periodic steps ----
+
+    void sendDueLoads(TimePoint now, std::uint32_t nowSeconds)
+    {
+        std::erase_if(subscribers, [now](Subscriber const& subscriber) { return now - subscriber.renewed > subscriptionLifetime; });
+        for (Subscriber& subscriber : subscribers) {
+            if (now - subscriber.sent < subscriber.interval)
+                continue;
+            subscriber.sent = now;
+            sendLoad(subscriber.entry, nowSeconds);
+        }
+    }
+
+    /// Tells the agents that rank first for a flow that it is owned here.
+    void sendRedirects(TimePoint now, std::uint32_t nowSeconds)
+    {
+        std::vector<std::pair<Endpoint, std::vector<RelayFlow>>> batches;
+        flows.forEach([&](FlowRecord& record) {
+            bool const isOpen = record.established && !record.closing && !record.lost;
+            if (!isOpen || now - record.opened < redirectAge || now - record.redirected < redirectRenewal)
+                return;
+            record.redirected = now;
+            addRedirects(record, batches);
+        });
+        for (std::pair<Endpoint, std::vector<RelayFlow>> const& batch : batches)
+            sendRedirect(batch.first, batch.second, nowSeconds);
+    }
+
+    void addRedirects(FlowRecord const& record, std::vector<std::pair<Endpoint, std::vector<RelayFlow>>>& batches) const
+    {
+        std::uint64_t const own = searchScore(nameHash, record.hash);
+        std::array<std::pair<std::uint64_t, Endpoint>, redirectHolders> holders {};
+        for (Peer const& peer : peers) {
+            std::pair<std::uint64_t, Endpoint> holder { searchScore(peer.nameHash, record.hash), peer.agent };
+            // Only agents that rank before this one are asked first.
+            if (peer.dead || holder.first < own)
+                continue;
+            for (std::pair<std::uint64_t, Endpoint>& best : holders) {
+                if (holder.first > best.first)
+                    std::swap(holder, best);
+            }
+        }
+        for (std::pair<std::uint64_t, Endpoint> const& holder : holders) {
+            if (!holder.second.isSet())
+                continue;
+            std::vector<std::pair<Endpoint, std::vector<RelayFlow>>>::iterator const batch = std::find_if(batches.begin(), batches.end(), [&holder](std::pair<Endpoint, std::vector<RelayFlow>> const& one) { return one.first == holder.second; });
+            if (batch == batches.end())
+                batches.push_back({ holder.second, { record.flow } });
+            else
+                batch->second.push_back(record.flow);
+        }
+    }
+
+    void sendRedirect(Endpoint to, std::span<RelayFlow const> owned, std::uint32_t nowSeconds)
+    {
+        std::array<std::byte, maximumRelayMessageBytes> message;
+        while (!owned.empty()) {
+            std::size_t const named = std::min(owned.size(), maximumRedirectedFlows);
+            std::size_t const bytes = writeRelayRedirect(service, owned.first(named), { options.keys, nowSeconds }, message);
+            sender.send(to, std::span<std::byte const>(message).first(bytes));
+            owned = owned.subspan(named);
+        }
+    }
+
+    void sweep(TimePoint now)
+    {
+        constexpr std::chrono::seconds sweepPeriod { 1 };
+        if (now - lastSweep < sweepPeriod)
+            return;
+        lastSweep = now;
+        flows.eraseIf([this, now](FlowRecord& record) {
+            bool const isEnding = record.closing || (!record.established && !record.answered);
+            Duration const lifetime = isEnding ? Duration(closingLifetime) : Duration(flowLifetime);
+            bool const isOld = now - record.last > lifetime;
+            if (isOld)
+                endRequest(record);
+            return isOld;
+        });
+        notes.eraseIf([now](RedirectNote const& note) { return note.expires <= now; });
+    }
+};
+
+AgentRelay::AgentRelay(AgentRelayOptions const& options, SegmentCodec const& codec, RelaySender& sender, TimePoint now)
+    : state_(std::make_unique<State>(options, codec, sender, now))
+{
+}
+
+AgentRelay::~AgentRelay() = default;
+
+void AgentRelay::setKeys(KeyRing const& keys)
+{
+    state_->options.keys = keys;
+}
+
+void AgentRelay::setView(ServiceView const& view)
+{
+    std::vector<Peer> peers;
+    for (ViewTarget const& target : view.targets) {
+        if (target.name != state_->options.name)
+            peers.push_back({ hashText(target.name), target.data, target.draining, target.dead });
+    }
+    bool const isChanged = !std::equal(peers.begin(), peers.end(), state_->peers.begin(), state_->peers.end(), [](Peer const& left, Peer const& right) { return left.agent == right.agent && left.dead == right.dead; });
+    state_->peers = std::move(peers);
+    // Other agents may rank first now.
+    if (isChanged)
+        state_->flows.forEach([](FlowRecord& record) { record.redirected = {}; });
+}
+
+void AgentRelay::setTarget(TargetState const& target, TimePoint now)
+{
+    state_->target = target;
+    state_->requests.setCold(now + target.coldFor);
+}
+
+void AgentRelay::forgetFlows()
+{
+    state_->flows.forEach([this](FlowRecord& record) {
+        state_->endRequest(record);
+        record.lost = true;
+    });
+    state_->requests.reset();
+}
+
+void AgentRelay::beginStop(TimePoint now, std::uint32_t nowSeconds)
+{
+    state_->stopping = true;
+    state_->sendLoadToAll(now, nowSeconds);
+}
+
+RelayVerdict AgentRelay::decide(std::span<std::byte const> datagram, Endpoint from, TimePoint now, std::uint32_t nowSeconds) noexcept
+{
+    DecodedRelay const decoded = decodeRelay(datagram, state_->options.keys, nowSeconds);
+    if (decoded.error != DatagramError::None)
+        return state_->count(AgentRelayOutcome::DroppedMalformed);
+    if (decoded.kind == RelayKind::Subscribe) {
+        state_->noteSubscription(from, decoded.interval, now, nowSeconds);
+        return {};
+    }
+    if (decoded.kind == RelayKind::Redirect) {
+        state_->noteRedirect(from, decoded, now);
+        return {};
+    }
+    std::optional<Segment> const segment = decoded.kind == RelayKind::Packet ? state_->codec.read(decoded.segment) : std::nullopt;
+    if (!segment || segment->returned)
+        return state_->count(AgentRelayOutcome::DroppedMalformed);
+    if (decoded.route.service != state_->service)
+        return state_->count(AgentRelayOutcome::DroppedService);
+    RelayFlow const flow { segment->source, segment->destination };
+    Work work { decoded.segment, *segment, flow, hashRelayFlow(flow), decoded.route, now, nowSeconds };
+    return segment->isFirst() ? state_->decideFirst(work) : state_->decideLater(work);
+}
+
+RelayVerdict AgentRelay::decideTarget(std::span<std::byte const> datagram, TimePoint now, std::uint32_t nowSeconds) noexcept
+{
+    std::optional<Segment> const segment = state_->codec.read(datagram);
+    if (!segment)
+        return state_->count(AgentRelayOutcome::DroppedMalformed);
+    RelayFlow const flow = segment->returned ? RelayFlow { segment->source, segment->destination } : RelayFlow { segment->destination, segment->source };
+    Work work { datagram, *segment, flow, hashRelayFlow(flow), {}, now, nowSeconds };
+    return segment->returned ? state_->decideReturned(work) : state_->decideAnswer(work);
+}
+
+void AgentRelay::tick(TimePoint now, std::uint32_t nowSeconds)
+{
+    state_->requests.tick(now);
+    state_->sendDueLoads(now, nowSeconds);
+    state_->sendRedirects(now, nowSeconds);
+    state_->sweep(now);
+}
+
+TargetLoad AgentRelay::load() const noexcept
+{
+    return state_->load();
+}
+
+std::array<std::uint64_t, agentRelayOutcomes> const& AgentRelay::outcomes() const noexcept
+{
+    return state_->outcomes;
+}
+
+} // namespace plantaindrift
--- /dev/null
+++ b/src/relay/HashTable.h
@@ -0,0 +1,118 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <vector>
+
+namespace plantaindrift {
+
+/// \brief Bounded open-addressing table with linear probing, filled to at most one half; allocates only when it grows.
+///
+/// A record has the members `std::uint64_t hash` and `bool used`. Pointers stay valid until the next insert or erase.
+template <typename Record>
+class HashTable {
+public:
+    /// \param most  records kept at most
+    explicit HashTable(std::size_t most)
+        : most_(most)
+    {
+        records_.resize(firstCapacity);
+    }
+
+    [[nodiscard]] Record* find(std::uint64_t hash) noexcept
+    {
+        for (std::size_t index = home(hash);; index = next(index)) {
+            Record& record = records_[index];
+            if (!record.used)
+                return nullptr;
+            if (record.hash == hash)
+                return &record;
+        }
+    }
+
+    /// \brief Finds or adds a record. \returns null at the bound
+    Record* insert(std::uint64_t hash)
+    {
+        if (Record* const found = find(hash))
+            return found;
+        if (size_ >= most_)
+            return nullptr;
+        if ((size_ + 1) * 2 > records_.size())
+            grow();
+        return place(hash);
+    }
+
+    void erase(Record& record) noexcept
+    {
+        std::size_t hole = static_cast<std::size_t>(&record - records_.data());
+        for (std::size_t index = next(hole); records_[index].used; index = next(index)) {
+            std::size_t const wanted = home(records_[index].hash);
+            bool const staysReachable = hole <= index ? (hole < wanted && wanted <= index) : (hole < wanted || wanted <= index);
+            if (staysReachable)
+                continue;
+            records_[hole] = records_[index];
+            hole = index;
+        }
+        records_[hole] = Record {};
+        --size_;
+    }
+
+    /// \brief Visits every record and erases those for which the visitor returns true; one may be visited twice.
+    template <typename Visitor>
+    void eraseIf(Visitor visitor)
+    {
+        for (std::size_t index = 0; index < records_.size();) {
+            if (records_[index].used && visitor(records_[index]))
+                erase(records_[index]);
+            else
+                ++index;
+        }
+    }
+
+    template <typename Visitor>
+    void forEach(Visitor visitor)
+    {
+        for (Record& record : records_) {
+            if (record.used)
+                visitor(record);
+        }
+    }
+
+    [[nodiscard]] std::size_t size() const noexcept { return size_; }
+
+private:
+    static constexpr std::size_t firstCapacity = 256;
+
+    [[nodiscard]] std::size_t home(std::uint64_t hash) const noexcept { return hash & (records_.size() - 1); }
+    [[nodiscard]] std::size_t next(std::size_t index) const noexcept { return (index + 1) & (records_.size() - 1); }
+
+    Record* place(std::uint64_t hash) noexcept
+    {
+        std::size_t index = home(hash);
+        while (records_[index].used)
+            index = next(index);
+        Record& record = records_[index];
+        record = Record {};
+        record.hash = hash;
+        record.used = true;
+        ++size_;
+        return &record;
+    }
+
+    void grow()
+    {
+        std::vector<Record> old(records_.size() * 2);
+        old.swap(records_);
+        size_ = 0;
+        for (Record const& record : old) {
+            if (record.used)
+                *place(record.hash) = record;
+        }
+    }
+
+    std::vector<Record> records_;
+    std::size_t most_;
+    std::size_t size_ { 0 };
+};
+
+} // namespace plantaindrift
--- /dev/null
+++ b/src/relay/RelayMessage.cpp
@@ -0,0 +1,388 @@
+#include "plantaindrift/relay/RelayMessage.h"
+
+#include "packet/Tag.h"
+#include "packet/Wire.h"
+#include "plantaindrift/base/Hash.h"
+
+#include <algorithm>
+
+namespace plantaindrift {
+
+namespace {
+
+    constexpr std::uint8_t relayMagic = 0xD5;
+
+    struct CommonFields {
+        wire::big_uint8_buf_t magic;
+        wire::big_uint8_buf_t kind;
+        wire::big_uint8_buf_t keyEpoch;
+        wire::big_uint8_buf_t count; ///< candidates of a Packet, flows of a Redirect
+        wire::big_uint32_buf_t sentSeconds;
+        Tag tag;
+    };
+    static_assert(sizeof(CommonFields) == 24);
+    constexpr std::size_t tagOffset = sizeof(CommonFields) - tagBytes;
+
+    struct EndpointField {
+        wire::big_uint32_buf_t address;
+        wire::big_uint16_buf_t port;
+    };
+    static_assert(sizeof(EndpointField) == 6);
+
+    struct FlowField {
+        EndpointField caller;
+        EndpointField service;
+    };
+    static_assert(sizeof(FlowField) == 12);
+
+    struct LoadField {
+        wire::big_uint8_buf_t accepting;
+        wire::big_uint16_buf_t slots;
+        wire::big_uint16_buf_t busy;
+        wire::big_uint16_buf_t flows;
+        wire::big_uint16_buf_t serviceTenths;
+    };
+    static_assert(sizeof(LoadField) == 9);
+
+    struct RouteFields {
+        wire::big_uint64_buf_t service;
+        EndpointField entry;
+        wire::big_uint8_buf_t hops;
+    };
+    static_assert(sizeof(RouteFields) == 15);
+
+    struct CandidateField {
+        EndpointField agent;
+        wire::big_uint16_buf_t costTenths;
+    };
+    static_assert(sizeof(CandidateField) == 8);
+    static_assert(sizeof(CommonFields) + sizeof(RouteFields) + maximumRelayCandidates * sizeof(CandidateField) <= maximumRelayHeaderBytes);
+
+    /// Segment bytes under the tag; a format's header is shorter.
+    constexpr std::size_t taggedSegmentBytes = 64;
+
+    EndpointField toField(Endpoint endpoint) noexcept
+    {
+        EndpointField field;
+        field.address = endpoint.address;
+        field.port = endpoint.port;
+        return field;
+    }
+
+    Endpoint fromField(EndpointField const& field) noexcept
+    {
+        return { field.address.value(), field.port.value() };
+    }
+
+    FlowField toField(RelayFlow const& flow) noexcept
+    {
+        return { toField(flow.caller), toField(flow.service) };
+    }
+
+    RelayFlow fromField(FlowField const& field) noexcept
+    {
+        return { fromField(field.caller), fromField(field.service) };
+    }
+
+    LoadField toField(TargetLoad const& load) noexcept
+    {
+        LoadField field;
+        field.accepting = load.accepting ? 1 : 0;
+        field.slots = load.slots;
+        field.busy = load.busy;
+        field.flows = load.flows;
+        field.serviceTenths = load.serviceTenths;
+        return field;
+    }
+
+    TargetLoad fromField(LoadField const& field) noexcept
+    {
+        return { field.accepting.value() != 0, field.slots.value(), field.busy.value(), field.flows.value(), field.serviceTenths.value() };
+    }
+
+    /// Appends fixed-layout records to a datagram; the output has room for them.
+    class Writer {
+    public:
+        Writer(RelayKind kind, std::size_t count, RelaySeal const& seal, std::span<std::byte> output) noexcept
+            : seal_(seal)
+            , output_(output)
+        {
+            CommonFields fields;
+            fields.magic = relayMagic;
+            fields.kind = static_cast<std::uint8_t>(kind);
+            fields.keyEpoch = seal.keys.keys.front().epoch;
+            fields.count = static_cast<std::uint8_t>(count);
+            fields.sentSeconds = seal.nowSeconds;
+            fields.tag.fill(0);
+            add(fields);
+        }
+
+        template <typename Record>
+        void add(Record const& record) noexcept
+        {
+            wire::write(record, output_.subspan(size_));
+            size_ += sizeof(Record);
+        }
+
+        [[nodiscard]] std::size_t finish(std::span<std::byte const> segment) noexcept;
+
+    private:
+        RelaySeal const& seal_;
+        std::span<std::byte> output_;
+        std::size_t size_ { 0 };
+    };
+
+    /// The segment's length makes a datagram that was cut or extended after the tagged bytes invalid.
+    Tag computeRelayTag(std::span<std::byte const> header, std::span<std::byte const> segment, DatagramKey const& key) noexcept
+    {
+        std::array<std::byte, maximumRelayMessageBytes + sizeof(wire::big_uint32_buf_t) + taggedSegmentBytes> input;
+        std::span<std::byte> const all { input };
+        std::copy(header.begin(), header.end(), input.begin());
+        std::span<std::byte> const tagField = all.subspan(tagOffset, tagBytes);
+        std::fill(tagField.begin(), tagField.end(), std::byte { 0 });
+        wire::big_uint32_buf_t length;
+        length = static_cast<std::uint32_t>(segment.size());
+        wire::write(length, all.subspan(header.size()));
+        std::span<std::byte const> const tagged = segment.first(std::min(segment.size(), taggedSegmentBytes));
+        std::size_t const offset = header.size() + sizeof(length);
+        std::copy(tagged.begin(), tagged.end(), all.subspan(offset).begin());
+        return computeTag(all.first(offset + tagged.size()), key);
+    }
+
+    std::size_t Writer::finish(std::span<std::byte const> segment) noexcept
+    {
+        Tag const tag = computeRelayTag(output_.first(size_), segment, seal_.keys.keys.front());
+        wire::write(tag, output_.subspan(tagOffset));
+        return size_;
+    }
+
+    /// Takes fixed-layout records from the front of a datagram.
+    class Reader {
+    public:
+        explicit Reader(std::span<std::byte const> bytes) noexcept
+            : bytes_(bytes)
+        {
+        }
+
+        template <typename Record>
+        [[nodiscard]] bool take(Record& record) noexcept
+        {
+            if (bytes_.size() < sizeof(Record))
+                return false;
+            record = wire::read<Record>(bytes_);
+            bytes_ = bytes_.subspan(sizeof(Record));
+            return true;
+        }
+
+        [[nodiscard]] bool takeBytes(std::size_t count, std::span<std::byte const>& taken) noexcept
+        {
+            if (bytes_.size() < count)
+                return false;
+            taken = bytes_.first(count);
+            bytes_ = bytes_.subspan(count);
+            return true;
+        }
+
+        [[nodiscard]] std::span<std::byte const> rest() const noexcept { return bytes_; }
+
+    private:
+        std::span<std::byte const> bytes_;
+    };
+
+    bool readPacket(Reader& reader, std::size_t count, DecodedRelay& decoded) noexcept
+    {
+        RouteFields fields;
+        if (count > maximumRelayCandidates || !reader.take(fields))
+            return false;
+        decoded.route.service = ServiceHash { fields.service.value() };
+        decoded.route.entry = fromField(fields.entry);
+        decoded.route.hops = fields.hops.value();
+        decoded.route.count = static_cast<std::uint8_t>(count);
+        for (std::size_t index = 0; index < count; ++index) {
+            CandidateField candidate;
+            if (!reader.take(candidate))
+                return false;
+            decoded.route.candidates[index] = { fromField(candidate.agent), candidate.costTenths.value() };
+            if (!decoded.route.candidates[index].agent.isSet())
+                return false;
+        }
+        return !reader.rest().empty();
+    }
+
+    bool readNotice(Reader& reader, std::size_t /*count*/, DecodedRelay& decoded) noexcept
+    {
+        FlowField flow;
+        LoadField load;
+        if (!reader.take(flow) || !reader.take(load))
+            return false;
+        decoded.flow = fromField(flow);
+        decoded.load = fromField(load);
+        return decoded.load.slots > 0;
+    }
+
+    bool readService(Reader& reader, DecodedRelay& decoded) noexcept
+    {
+        wire::big_uint64_buf_t service;
+        if (!reader.take(service))
+            return false;
+        decoded.service = ServiceHash { service.value() };
+        return true;
+    }
+
+    bool readLoad(Reader& reader, std::size_t /*count*/, DecodedRelay& decoded) noexcept
+    {
+        LoadField load;
+        if (!readService(reader, decoded) || !reader.take(load))
+            return false;
+        decoded.load = fromField(load);
+        return decoded.load.slots > 0;
+    }
+
+    bool readSubscribe(Reader& reader, std::size_t /*count*/, DecodedRelay& decoded) noexcept
+    {
+        wire::big_uint16_buf_t interval;
+        if (!reader.take(interval) || interval.value() == 0)
+            return false;
+        decoded.interval = std::chrono::milliseconds { interval.value() };
+        return true;
+    }
+
+    bool readRedirect(Reader& reader, std::size_t count, DecodedRelay& decoded) noexcept
+    {
+        if (count == 0 || count > maximumRedirectedFlows || !readService(reader, decoded))
+            return false;
+        return reader.takeBytes(count * sizeof(FlowField), decoded.redirected);
+    }
+
+    bool readQuery(Reader& reader, std::size_t /*count*/, DecodedRelay& decoded) noexcept
+    {
+        FlowField flow;
+        if (!readService(reader, decoded) || !reader.take(flow))
+            return false;
+        decoded.flow = fromField(flow);
+        return true;
+    }
+
+    using BodyReader = bool (*)(Reader&, std::size_t, DecodedRelay&) noexcept;
+    constexpr std::array<BodyReader, 7> bodyReaders { nullptr, readPacket, readNotice, readLoad, readSubscribe, readRedirect, readQuery };
+
+    DecodedRelay refused(DatagramError error) noexcept
+    {
+        DecodedRelay decoded;
+        decoded.error = error;
+        return decoded;
+    }
+
+    wire::big_uint64_buf_t toField(ServiceHash service) noexcept
+    {
+        wire::big_uint64_buf_t field;
+        field = static_cast<std::uint64_t>(service);
+        return field;
+    }
+
+} // namespace
+
+std::uint64_t hashRelayFlow(RelayFlow const& flow) noexcept
+{
+    std::uint64_t const caller = (std::uint64_t { flow.caller.address } << 16U) | flow.caller.port;
+    std::uint64_t const service = (std::uint64_t { flow.service.address } << 16U) | flow.service.port;
+    return mixHash(caller, service);
+}
+
+std::size_t DecodedRelay::flowCount() const noexcept
+{
+    return redirected.size() / sizeof(FlowField);
+}
+
+RelayFlow DecodedRelay::flowAt(std::size_t index) const noexcept
+{
+    return fromField(wire::read<FlowField>(redirected.subspan(index * sizeof(FlowField))));
+}
+
+std::size_t writeRelayPacket(RelayRoute const& route, std::span<std::byte const> segment, RelaySeal const& seal, std::span<std::byte> output) noexcept
+{
+    Writer writer(RelayKind::Packet, route.count, seal, output);
+    RouteFields fields;
+    fields.service = static_cast<std::uint64_t>(route.service);
+    fields.entry = toField(route.entry);
+    fields.hops = route.hops;
+    writer.add(fields);
+    for (RelayCandidate const& candidate : route.candidateSpan()) {
+        CandidateField field;
+        field.agent = toField(candidate.agent);
+        field.costTenths = candidate.costTenths;
+        writer.add(field);
+    }
+    return writer.finish(segment);
+}
+
+std::size_t writeRelayNotice(RelayFlow const& flow, TargetLoad const& load, RelaySeal const& seal, std::span<std::byte> output) noexcept
+{
+    Writer writer(RelayKind::Notice, 0, seal, output);
+    writer.add(toField(flow));
+    writer.add(toField(load));
+    return writer.finish({});
+}
+
+std::size_t writeRelayLoad(ServiceHash service, TargetLoad const& load, RelaySeal const& seal, std::span<std::byte> output) noexcept
+{
+    Writer writer(RelayKind::Load, 0, seal, output);
+    writer.add(toField(service));
+    writer.add(toField(load));
+    return writer.finish({});
+}
+
+std::size_t writeRelaySubscribe(std::chrono::milliseconds interval, RelaySeal const& seal, std::span<std::byte> output) noexcept
+{
+    Writer writer(RelayKind::Subscribe, 0, seal, output);
+    wire::big_uint16_buf_t field;
+    field = static_cast<std::uint16_t>(std::clamp<std::int64_t>(interval.count(), 1, 0xFFFF));
+    writer.add(field);
+    return writer.finish({});
+}
+
+std::size_t writeRelayQuery(ServiceHash service, RelayFlow const& flow, RelaySeal const& seal, std::span<std::byte> output) noexcept
+{
+    Writer writer(RelayKind::Query, 0, seal, output);
+    writer.add(toField(service));
+    writer.add(toField(flow));
+    return writer.finish({});
+}
+
+std::size_t writeRelayRedirect(ServiceHash service, std::span<RelayFlow const> flows, RelaySeal const& seal, std::span<std::byte> output) noexcept
+{
+    std::span<RelayFlow const> const named = flows.first(std::min(flows.size(), maximumRedirectedFlows));
+    Writer writer(RelayKind::Redirect, named.size(), seal, output);
+    writer.add(toField(service));
+    for (RelayFlow const& flow : named)
+        writer.add(toField(flow));
+    return writer.finish({});
+}
+
+DecodedRelay decodeRelay(std::span<std::byte const> datagram, KeyRing const& keys, std::uint32_t nowSeconds) noexcept
+{
+    Reader reader(datagram);
+    CommonFields common;
+    if (!reader.take(common))
+        return refused(DatagramError::Truncated);
+    std::size_t const kind = common.kind.value();
+    if (common.magic.value() != relayMagic || kind == 0 || kind >= bodyReaders.size())
+        return refused(DatagramError::BadRoute);
+    DecodedRelay decoded;
+    decoded.kind = static_cast<RelayKind>(kind);
+    if (!bodyReaders[kind](reader, common.count.value(), decoded))
+        return refused(DatagramError::Truncated);
+    decoded.segment = reader.rest();
+    bool const isPacket = decoded.kind == RelayKind::Packet;
+    if (!isPacket && !decoded.segment.empty())
+        return refused(DatagramError::BadRoute);
+    DatagramKey const* const key = findKey(keys, common.keyEpoch.value());
+    std::span<std::byte const> const header = datagram.first(datagram.size() - decoded.segment.size());
+    if (key == nullptr || !isEqualTag(common.tag, computeRelayTag(header, decoded.segment, *key)))
+        return refused(DatagramError::Unauthenticated);
+    if (isStale(common.sentSeconds.value(), nowSeconds))
+        return refused(DatagramError::Stale);
+    return decoded;
+}
+
+} // namespace plantaindrift
--- /dev/null
+++ b/src/relay/TargetCost.cpp
@@ -0,0 +1,44 @@
+#include "relay/TargetCost.h"
+
+#include "plantaindrift/base/Hash.h"
+
+#include <algorithm>
+
+namespace plantaindrift {
+
+namespace {
+
+    // Until a target's first answer is measured; a request that a small server answers at once takes tens of milliseconds.
+    constexpr double assumedServiceTenths = 300;
+
+    // Part of a service time that a fully busy target costs more than an idle one.
+    constexpr double busyShare = 0.5;
+
+    // An open flow without a request in progress sends a request of 55 ms about once a second.
+    constexpr double idleFlowShare = 0.05;
+
+    constexpr double mostTenths = 65535;
+
+} // namespace
+
+double targetCost(TargetLoad const& load, std::uint32_t extra) noexcept
+{
+    double const service = load.serviceTenths > 0 ? load.serviceTenths : assumedServiceTenths;
+    double const slots = std::max<std::uint16_t>(load.slots, 1);
+    double const requests = static_cast<double>(load.busy) + extra;
+    double const waiting = std::max(0.0, requests + 1 - slots);
+    double const spread = busyShare * std::min(requests, slots) + idleFlowShare * load.flows;
+    return service * (1 + (waiting + spread) / slots);
+}
+
+std::uint16_t toCostTenths(double cost) noexcept
+{
+    return static_cast<std::uint16_t>(std::clamp(cost, 0.0, mostTenths));
+}
+
+std::uint64_t searchScore(std::uint64_t nameHash, std::uint64_t flowHash) noexcept
+{
+    return mixHash(nameHash, flowHash);
+}
+
+} // namespace plantaindrift
--- /dev/null
+++ b/src/runtime/FleetStoreThread.cpp
@@ -0,0 +1,159 @@
+#include "runtime/FleetStoreThread.h"
+
+#include "plantaindrift/base/Error.h"
+#include "plantaindrift/base/Hash.h"
+#include "plantaindrift/runtime/Log.h"
+
+#include <algorithm>
+#include <asio/post.hpp>
+
+namespace plantaindrift {
+
+namespace {
+
+    // A wait that lasts longer notices a connection that has gone silent too late for a change in force within 3 s.
+    constexpr std::chrono::milliseconds watchTime { 2000 };
+
+    // Before the first configuration is written.
+    constexpr std::chrono::milliseconds absentRetry { 300 };
+
+    constexpr std::chrono::milliseconds firstBackoff { 100 };
+    constexpr std::chrono::milliseconds longestBackoff { 1500 };
+
+} // namespace
+
+FleetStoreThread::FleetStoreThread(asio::io_context& loop, std::unique_ptr<FleetStore> store, Member const& self, Handlers handlers)
+    : loop_(loop)
+    , store_(std::move(store))
+    , self_(self)
+    , handlers_(std::move(handlers))
+    , random_(static_cast<std::uint32_t>(mixHash(hashText(self.name), self.incarnation)))
+    , backoff_(firstBackoff)
+{
+}
+
+FleetStoreThread::~FleetStoreThread()
+{
+    requestStop();
+    if (thread_.joinable())
+        thread_.join();
+}
+
+void FleetStoreThread::start()
+{
+    thread_ = std::thread([this] { run(); });
+}
+
+void FleetStoreThread::requestStop()
+{
+    stopping_ = true;
+    wake_.notify_all();
+}
+
+bool FleetStoreThread::isDone() const noexcept
+{
+    return hasMembers_ && isWritten_ && !handlers_.configuration;
+}
+
+void FleetStoreThread::run()
+{
+    while (!stopping_ && !isDone()) {
+        absl::Status const status = step();
+        noteResult(status);
+        if (status.ok())
+            continue;
+        std::uniform_int_distribution<std::int64_t> jitter(backoff_.count() / 4, backoff_.count());
+        pause(std::chrono::milliseconds { jitter(random_) });
+        backoff_ = std::min(backoff_ * 2, longestBackoff);
+    }
+}
+
+absl::Status FleetStoreThread::step()
+{
+    ++calls_;
+    // Without the configuration nothing is served; without the members the seeds still name peers.
+    if (handlers_.configuration && !hasConfiguration_)
+        return readConfiguration();
+    if (!hasMembers_)
+        return readMembers();
+    if (!isWritten_)
+        return writeSelf();
+    return awaitConfiguration();
+}
+
+absl::Status FleetStoreThread::readMembers()
+{
+    absl::StatusOr<std::vector<Member>> members = store_->readMembers();
+    if (!members.ok())
+        return members.status();
+    hasMembers_ = true;
+    isWritten_ = std::any_of(members->begin(), members->end(), [this](Member const& member) {
+        bool const sameRole = member.role == self_.role && member.service == self_.service;
+        return member.name == self_.name && sameRole && member.data == self_.data && member.control == self_.control && member.dataCentre == self_.dataCentre;
+    });
+    asio::post(loop_, [this, found = std::move(*members)] { handlers_.members(found); });
+    return absl::OkStatus();
+}
+
+absl::Status FleetStoreThread::writeSelf()
+{
+    absl::Status status = store_->writeMember(self_);
+    isWritten_ = status.ok();
+    return status;
+}
+
+absl::Status FleetStoreThread::readConfiguration()
+{
+    absl::StatusOr<std::optional<VersionedConfiguration>> configuration = store_->readConfiguration();
+    if (!configuration.ok())
+        return configuration.status();
+    hasConfiguration_ = configuration->has_value();
+    if (!hasConfiguration_ && hasMembers_ && isWritten_)
+        pause(absentRetry);
+    if (!hasConfiguration_ && !hasMembers_)
+        return readMembers();
+    if (!hasConfiguration_ && !isWritten_)
+        return writeSelf();
+    post(std::move(*configuration));
+    return absl::OkStatus();
+}
+
+absl::Status FleetStoreThread::awaitConfiguration()
+{
+    absl::StatusOr<std::optional<VersionedConfiguration>> configuration = store_->awaitConfiguration(watchTime);
+    if (!configuration.ok()) {
+        // What the wait has missed is in the next read.
+        hasConfiguration_ = false;
+        return configuration.status();
+    }
+    post(std::move(*configuration));
+    return absl::OkStatus();
+}
+
+void FleetStoreThread::post(std::optional<VersionedConfiguration> configuration)
+{
+    if (!configuration)
+        return;
+    asio::post(loop_, [this, found = std::move(*configuration)] { handlers_.configuration(found); });
+}
+
+void FleetStoreThread::noteResult(absl::Status const& status)
+{
+    if (status.ok())
+        backoff_ = firstBackoff;
+    if (status.ok() == reachable_)
+        return;
+    reachable_ = status.ok();
+    std::string const problem(status.message());
+    asio::post(loop_, [problem, reached = status.ok()] {
+        logEvent(reached ? LogLevel::Info : LogLevel::Warning, reached ? "store_reached" : "store_lost", { { "problem", problem } });
+    });
+}
+
+void FleetStoreThread::pause(std::chrono::milliseconds time)
+{
+    std::unique_lock<std::mutex> lock(mutex_);
+    wake_.wait_for(lock, time, [this] { return stopping_.load(); });
+}
+
+} // namespace plantaindrift
--- /dev/null
+++ b/src/runtime/FleetStoreThread.h
@@ -0,0 +1,77 @@
+#pragma once
+
+#include "plantaindrift/store/FleetStore.h"
+
+#include <asio/io_context.hpp>
+#include <atomic>
+#include <chrono>
+#include <condition_variable>
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <random>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace plantaindrift {
+
+/// \brief Reads a FleetStore on a thread of its own and posts what it finds to the loop.
+///
+/// Starts with the members and the configuration, writes the own record if the store lacks it, then waits for changes.
+/// After a failure it waits with exponential backoff and full jitter.
+class FleetStoreThread {
+public:
+    /// \brief What the loop is told; all run on the loop.
+    struct Handlers {
+        std::function<void(VersionedConfiguration const&)> configuration; ///< unset: the configuration is not read
+        std::function<void(std::vector<Member> const&)> members;
+    };
+
+    FleetStoreThread(asio::io_context& loop, std::unique_ptr<FleetStore> store, Member const& self, Handlers handlers);
+    ~FleetStoreThread();
+    FleetStoreThread(FleetStoreThread const&) = delete;
+    FleetStoreThread& operator=(FleetStoreThread const&) = delete;
+
+    void start();
+
+    /// \brief Ends the thread after the call that is under way.
+    void requestStop();
+
+    /// \brief True while the last call was answered.
+    [[nodiscard]] bool isReachable() const noexcept { return reachable_; }
+
+    /// \brief Calls to the store since start.
+    [[nodiscard]] std::uint64_t calls() const noexcept { return calls_; }
+
+private:
+    asio::io_context& loop_;
+    std::unique_ptr<FleetStore> store_;
+    Member self_;
+    Handlers handlers_;
+    std::minstd_rand random_;
+    std::atomic<bool> stopping_ { false };
+    std::atomic<bool> reachable_ { true };
+    std::atomic<std::uint64_t> calls_ { 0 };
+    std::mutex mutex_;
+    std::condition_variable wake_;
+    std::chrono::milliseconds backoff_;
+    bool hasMembers_ { false };
+    bool isWritten_ { false };
+    bool hasConfiguration_ { false };
+    std::thread thread_;
+
+    void run();
+    [[nodiscard]] absl::Status step();
+    [[nodiscard]] absl::Status readMembers();
+    [[nodiscard]] absl::Status writeSelf();
+    [[nodiscard]] absl::Status readConfiguration();
+    [[nodiscard]] absl::Status awaitConfiguration();
+    void post(std::optional<VersionedConfiguration> configuration);
+    void noteResult(absl::Status const& status);
+    void pause(std::chrono::milliseconds time);
+    [[nodiscard]] bool isDone() const noexcept;
+};
+
+} // namespace plantaindrift
--- /dev/null
+++ b/src/runtime/RelayAgentDaemon.cpp
@@ -0,0 +1,259 @@
+#include "plantaindrift/runtime/RelayDaemon.h"
+
+#include "plantaindrift/base/Hash.h"
+#include "plantaindrift/membership/AgentControl.h"
+#include "plantaindrift/relay/AgentRelay.h"
+#include "runtime/DaemonCore.h"
+#include "runtime/FleetStoreThread.h"
+
+#include <asio/steady_timer.hpp>
+#include <optional>
+
+namespace plantaindrift {
+
+namespace {
+
+    constexpr std::chrono::milliseconds quietPoll { 5 };
+
+    Member agentMember(RelayAgentSettings const& settings)
+    {
+        Member self;
+        self.role = MemberRole::Agent;
+        self.name = settings.common.name;
+        self.dataCentre = settings.common.dataCentre;
+        self.service = settings.service;
+        self.incarnation = firstIncarnation();
+        self.data = settings.common.data;
+        self.control = settings.common.control;
+        return self;
+    }
+
+    AgentControlOptions controlOptions(RelayAgentSettings const& settings, Member const& self)
+    {
+        AgentControlOptions options;
+        options.self = self;
+        options.entries = settings.entries;
+        options.sharesLoad = false;
+        options.randomSeed = mixHash(hashText(self.name), self.incarnation);
+        return options;
+    }
+
+    AgentRelayOptions relayOptions(RelayAgentSettings const& settings, Member const& self, KeyRing const& keys)
+    {
+        AgentRelayOptions options;
+        options.name = self.name;
+        options.self = self.data;
+        options.target = settings.target;
+        options.service = settings.service;
+        options.keys = keys;
+        options.randomSeed = mixHash(hashText(self.name), self.incarnation);
+        options.callerPort = settings.common.data.port;
+        return options;
+    }
+
+    class RelayAgentDaemon final : public PacketFilter, private RelaySender {
+    public:
+        RelayAgentDaemon(RelayAgentSettings const& settings, FleetKeys const& keys, RelayPlatform const& platform)
+            : settings_(settings)
+            , platform_(platform)
+            , self_(agentMember(settings))
+            , relay_(relayOptions(settings, self_, keyRing(keys)), platform.codec(), *this, std::chrono::steady_clock::now())
+            , announcements_(settings.service, settings.target, settings.announcementInterval, std::chrono::steady_clock::now())
+            , control_(controlOptions(settings, self_))
+            , answers_(*this)
+            , core_(settings.common, keys, handlers())
+            , stopTimer_(core_.loop())
+        {
+        }
+
+        absl::Status run()
+        {
+            relay_.setTarget(announcements_.state(std::chrono::steady_clock::now()), std::chrono::steady_clock::now());
+            if (!settings_.common.platformUrl.empty()) {
+                FleetStoreThread::Handlers handlers;
+                handlers.members = [this](std::vector<Member> const& members) { addMembers(members); };
+                store_.emplace(core_.loop(), platform_.openStore(settings_.common.platformUrl), self_, std::move(handlers));
+                store_->start();
+            }
+            return core_.run();
+        }
+
+        [[nodiscard]] PacketVerdict decide(std::span<std::byte const> datagram, Endpoint from, PacketTime const& time) noexcept override
+        {
+            RelayVerdict const verdict = relay_.decide(datagram, from, time.now, time.nowSeconds);
+            return { verdict.to, verdict.header, verdict.payload };
+        }
+
+    private:
+        // Takes what the target sends.
+        class AnswerFilter final : public PacketFilter {
+        public:
+            explicit AnswerFilter(RelayAgentDaemon& daemon)
+                : daemon_(daemon)
+            {
+            }
+
+            [[nodiscard]] PacketVerdict decide(std::span<std::byte const> datagram, Endpoint /*from*/, PacketTime const& time) noexcept override
+            {
+                RelayVerdict const verdict = daemon_.relay_.decideTarget(datagram, time.now, time.nowSeconds);
+                return { verdict.to, verdict.header, verdict.payload };
+            }
+
+        private:
+            RelayAgentDaemon& daemon_;
+        };
+
+        RelayAgentSettings settings_;
+        RelayPlatform const& platform_;
+        Member self_;
+        AgentRelay relay_;
+        TargetAnnouncements announcements_;
+        AgentControl control_;
+        AnswerFilter answers_;
+        DaemonCore core_;
+        asio::steady_timer stopTimer_;
+        std::optional<FleetStoreThread> store_;
+        TimePoint stopDeadline_;
+        std::uint64_t refusedAnnouncements_ { 0 };
+
+        void send(Endpoint to, std::span<std::byte const> datagram) noexcept override { core_.sendData(to, datagram); }
+
+        DaemonCore::Handlers handlers()
+        {
+            DaemonCore::Handlers handlers;
+            handlers.packets = this;
+            handlers.packetPorts.emplace_back(settings_.targetOutput, &answers_);
+            handlers.httpPorts.emplace_back(settings_.announcements, [this](HttpRequest const& request) { return takeAnnouncement(request); });
+            handlers.control = [this](Endpoint from, std::span<std::byte const> bytes) { receiveControl(from, bytes); };
+            handlers.tick = [this](TimePoint now) { tick(now); };
+            handlers.keys = [this](KeyRing const& keys) { relay_.setKeys(keys); };
+            handlers.ready = [this] { return !core_.isStopping(); };
+            handlers.metrics = [this](MetricsPage& page) { addMetrics(page); };
+            handlers.stop = [this] { beginStop(); };
+            return handlers;
+        }
+
+        HttpAnswer takeAnnouncement(HttpRequest const& request)
+        {
+            absl::StatusOr<TargetAnnouncement> const announcement = platform_.readAnnouncement(request);
+            if (!announcement.ok()) {
+                ++refusedAnnouncements_;
+                logEvent(LogLevel::Warning, "announcement_refused", { { "path", request.path }, { "problem", messageOf(announcement.status()) } });
+                return { 400, "{}", "application/json" };
+            }
+            TimePoint const now = std::chrono::steady_clock::now();
+            bool const wasAccepting = announcements_.state(now).accepting;
+            AnnouncementOutcome const outcome = announcements_.take(*announcement, now);
+            if (outcome == AnnouncementOutcome::NewTarget)
+                relay_.forgetFlows();
+            applyTarget(now);
+            bool const isAccepting = announcements_.state(now).accepting;
+            if (outcome != AnnouncementOutcome::Taken || wasAccepting != isAccepting)
+                logEvent(LogLevel::Info, "target_announced", { { "id", announcement->id }, { "outcome", announcementOutcomeName(outcome) }, { "sequence", announcement->sequence }, { "started_ms", announcement->startedMilliseconds }, { "draining", announcement->draining }, { "leaving", announcement->leaving } });
+            return { 200, "{}", "application/json" };
+        }
+
+        void applyTarget(TimePoint now)
+        {
+            TargetState const state = announcements_.state(now);
+            relay_.setTarget(state, now);
+            control_.setDraining(!state.accepting, now);
+            core_.sendControl(control_.takeMessages());
+        }
+
+        void receiveControl(Endpoint from, std::span<std::byte const> bytes)
+        {
+            control_.receive(from, bytes, std::chrono::steady_clock::now());
+            applyControl();
+        }
+
+        void addMembers(std::vector<Member> const& members)
+        {
+            std::vector<Endpoint> entries;
+            for (Member const& member : members) {
+                if (member.role == MemberRole::Entry)
+                    entries.push_back(member.control);
+            }
+            control_.addEntries(entries, std::chrono::steady_clock::now());
+            applyControl();
+        }
+
+        void tick(TimePoint now)
+        {
+            applyTarget(now);
+            TargetLoad const load = relay_.load();
+            control_.tick(now, static_cast<double>(load.busy) / load.slots);
+            applyControl();
+            relay_.tick(now, wallSeconds());
+        }
+
+        void applyControl()
+        {
+            std::optional<ServiceView> const view = control_.takeChangedView();
+            if (view) {
+                relay_.setView(*view);
+                logEvent(LogLevel::Info, "view_changed", { { "service", view->service }, { "targets", view->targets.size() }, { "fingerprint", view->fingerprint } });
+            }
+            core_.sendControl(control_.takeMessages());
+        }
+
+        // The target goes on while this process is replaced, so the stop waits for a moment without requests.
+        void beginStop()
+        {
+            TimePoint const now = std::chrono::steady_clock::now();
+            relay_.beginStop(now, wallSeconds());
+            if (store_)
+                store_->requestStop();
+            stopDeadline_ = now + settings_.quietWait;
+            waitForQuiet();
+        }
+
+        void waitForQuiet()
+        {
+            bool const isQuiet = relay_.load().busy == 0;
+            if (isQuiet || std::chrono::steady_clock::now() >= stopDeadline_) {
+                logEvent(LogLevel::Info, "left", { { "name", self_.name }, { "quiet", isQuiet } });
+                core_.finish(absl::OkStatus());
+                return;
+            }
+            stopTimer_.expires_after(quietPoll);
+            stopTimer_.async_wait([this](asio::error_code const& error) {
+                if (!error)
+                    waitForQuiet();
+            });
+        }
+
+        void addMetrics(MetricsPage& page) const
+        {
+            MetricsPage::Labels const service { { "service", self_.service } };
+            for (std::size_t outcome = 0; outcome < agentRelayOutcomes; ++outcome) {
+                std::string const name(agentRelayOutcomeName(static_cast<AgentRelayOutcome>(outcome)));
+                page.addCounter("plantaindrift_agent_segments_total", "Segments by outcome.", { { "service", self_.service }, { "outcome", name } }, static_cast<double>(relay_.outcomes()[outcome]));
+            }
+            TargetLoad const load = relay_.load();
+            page.addGauge("plantaindrift_agent_open_flows", "Flows in the flow table.", service, load.flows);
+            page.addGauge("plantaindrift_agent_busy", "Requests in progress or queued at the target.", service, load.busy);
+            page.addGauge("plantaindrift_agent_service_seconds", "Mean time of a request that does not wait.", service, load.serviceTenths / 10000.0);
+            page.addGauge("plantaindrift_agent_accepting", "1 if the target takes new flows.", service, load.accepting ? 1 : 0);
+            page.addCounter("plantaindrift_agent_announcements_refused_total", "Announcements that could not be read.", {}, static_cast<double>(refusedAnnouncements_));
+        }
+    };
+
+    absl::StatusOr<RelayAgentSettings> readSettings(RelayPlatform const& platform, std::string const& file)
+    {
+        absl::StatusOr<RelayAgentSettings> settings = readRelayAgentSettings(file);
+        if (!settings.ok())
+            return settings;
+        for (Endpoint& entry : settings->entries)
+            entry = platform.seedEndpoint(entry, settings->common.control.port);
+        return settings;
+    }
+
+} // namespace
+
+absl::Status runRelayAgent(RelayPlatform const& platform, std::string const& settingsFile, bool checkOnly)
+{
+    return runDaemon<RelayAgentDaemon>(readSettings(platform, settingsFile), checkOnly, platform);
+}
+
+} // namespace plantaindrift
--- /dev/null
+++ b/src/runtime/RelayEntryDaemon.cpp
@@ -0,0 +1,254 @@
+#include "plantaindrift/runtime/RelayDaemon.h"
+
+#include "plantaindrift/base/Hash.h"
+#include "plantaindrift/membership/EntryControl.h"
+#include "plantaindrift/relay/EntryRelay.h"
+#include "runtime/DaemonCore.h"
+#include "runtime/FleetStoreThread.h"
+
+#include <asio/steady_timer.hpp>
+#include <optional>
+
+namespace plantaindrift {
+
+namespace {
+
+    // Number of the endpoint at which agents send notices and load.
+    constexpr std::size_t relayPort = 1;
+
+    Member entryMember(RelayEntrySettings const& settings)
+    {
+        Member self;
+        self.role = MemberRole::Entry;
+        self.name = settings.common.name;
+        self.dataCentre = settings.common.dataCentre;
+        self.incarnation = firstIncarnation();
+        self.data = settings.relay;
+        self.control = settings.common.control;
+        return self;
+    }
+
+    EntryControlOptions controlOptions(RelayEntrySettings const& settings, Member const& self)
+    {
+        EntryControlOptions options;
+        options.self = self;
+        options.seeds = settings.seeds;
+        options.randomSeed = mixHash(hashText(self.name), self.incarnation);
+        options.bytesPerSecond = settings.controlBytesPerSecond;
+        return options;
+    }
+
+    EntryRelayOptions relayOptions(RelayEntrySettings const& settings, Member const& self, KeyRing const& keys)
+    {
+        EntryRelayOptions options;
+        options.self = settings.relay;
+        options.dataCentre = self.dataCentre;
+        options.keys = keys;
+        options.randomSeed = mixHash(hashText(self.name), self.incarnation);
+        options.flows = settings.rememberedFlows;
+        options.callerPort = settings.common.data.port;
+        return options;
+    }
+
+    class RelayEntryDaemon final : public PacketFilter, private RelaySender {
+    public:
+        RelayEntryDaemon(RelayEntrySettings const& settings, FleetKeys const& keys, RelayPlatform const& platform)
+            : settings_(settings)
+            , platform_(platform)
+            , self_(entryMember(settings))
+            , relay_(relayOptions(settings, self_, keyRing(keys)), platform.codec(), *this)
+            , control_(controlOptions(settings, self_))
+            , messages_(*this)
+            , core_(settings.common, keys, handlers())
+            , stopTimer_(core_.loop())
+        {
+        }
+
+        absl::Status run()
+        {
+            if (!settings_.common.platformUrl.empty()) {
+                FleetStoreThread::Handlers handlers;
+                handlers.configuration = [this](VersionedConfiguration const& found) { addConfiguration(found); };
+                handlers.members = [this](std::vector<Member> const& members) { addMembers(members); };
+                store_.emplace(core_.loop(), platform_.openStore(settings_.common.platformUrl), self_, std::move(handlers));
+                store_->start();
+            }
+            return core_.run();
+        }
+
+        [[nodiscard]] PacketVerdict decide(std::span<std::byte const> datagram, Endpoint /*from*/, PacketTime const& time) noexcept override
+        {
+            RelayVerdict const verdict = relay_.decide(datagram, time.now, time.nowSeconds);
+            return { verdict.to, verdict.header, verdict.payload };
+        }
+
+    private:
+        // Takes what agents send to the relay endpoint.
+        class MessageFilter final : public PacketFilter {
+        public:
+            explicit MessageFilter(RelayEntryDaemon& daemon)
+                : daemon_(daemon)
+            {
+            }
+
+            [[nodiscard]] PacketVerdict decide(std::span<std::byte const> datagram, Endpoint from, PacketTime const& time) noexcept override
+            {
+                if (!daemon_.relay_.receive(from, datagram, time.now, time.nowSeconds))
+                    ++daemon_.refusedMessages_;
+                return {};
+            }
+
+        private:
+            RelayEntryDaemon& daemon_;
+        };
+
+        RelayEntrySettings settings_;
+        RelayPlatform const& platform_;
+        Member self_;
+        EntryRelay relay_;
+        EntryControl control_;
+        MessageFilter messages_;
+        DaemonCore core_;
+        asio::steady_timer stopTimer_;
+        std::optional<FleetStoreThread> store_;
+        std::uint64_t configurationVersion_ { 0 };
+        std::uint64_t refusedMessages_ { 0 };
+        bool wasReady_ { false };
+
+        void send(Endpoint to, std::span<std::byte const> datagram) noexcept override { core_.sendData(to, datagram, relayPort); }
+
+        DaemonCore::Handlers handlers()
+        {
+            DaemonCore::Handlers handlers;
+            handlers.packets = this;
+            handlers.packetPorts.emplace_back(settings_.relay, &messages_);
+            handlers.control = [this](Endpoint from, std::span<std::byte const> bytes) { receiveControl(from, bytes); };
+            handlers.tick = [this](TimePoint now) { tick(now); };
+            handlers.keys = [this](KeyRing const& keys) { relay_.setKeys(keys); };
+            handlers.ready = [this] { return isReady(); };
+            handlers.metrics = [this](MetricsPage& page) { addMetrics(page); };
+            handlers.stop = [this] { beginStop(); };
+            return handlers;
+        }
+
+        [[nodiscard]] bool isReady() const { return !core_.isStopping() && relay_.canServe(); }
+
+        void receiveControl(Endpoint from, std::span<std::byte const> bytes)
+        {
+            control_.receive(from, bytes, std::chrono::steady_clock::now());
+            applyControl();
+        }
+
+        void tick(TimePoint now)
+        {
+            control_.tick(now);
+            applyControl();
+            relay_.tick(now, wallSeconds());
+            noteReadiness();
+        }
+
+        void noteReadiness()
+        {
+            bool const ready = isReady();
+            if (ready == wasReady_)
+                return;
+            wasReady_ = ready;
+            logEvent(LogLevel::Info, ready ? "ready" : "not_ready", { { "name", self_.name }, { "version", control_.changeLog().position() } });
+        }
+
+        void addConfiguration(VersionedConfiguration const& found)
+        {
+            control_.addSnapshot(found.version, found.configuration, std::chrono::steady_clock::now());
+            applyControl();
+        }
+
+        void addMembers(std::vector<Member> const& members)
+        {
+            logEvent(LogLevel::Info, "members_read", { { "members", members.size() } });
+            TimePoint const now = std::chrono::steady_clock::now();
+            control_.addMembers(members, now);
+            applyControl();
+            relay_.tick(now, wallSeconds());
+        }
+
+        // Hands the packet path what control decided, and sends what it wants to say.
+        void applyControl()
+        {
+            if (control_.configurationVersion() != configurationVersion_)
+                applyConfiguration();
+            for (ServiceView const& view : control_.takeChangedViews())
+                applyView(view);
+            core_.sendControl(control_.takeMessages());
+        }
+
+        void applyConfiguration()
+        {
+            configurationVersion_ = control_.configurationVersion();
+            Configuration const& configuration = control_.changeLog().configuration();
+            relay_.setConfiguration(configuration);
+            std::size_t addresses = 0;
+            for (Service const& service : configuration.services)
+                addresses += service.addresses.size();
+            logEvent(LogLevel::Info, "configuration_applied", { { "version", control_.changeLog().position() }, { "services", configuration.services.size() }, { "addresses", addresses } });
+        }
+
+        void applyView(ServiceView const& view)
+        {
+            relay_.setView(view, std::chrono::steady_clock::now());
+            logEvent(LogLevel::Info, "view_changed", { { "service", view.service }, { "targets", view.targets.size() }, { "fingerprint", view.fingerprint } });
+        }
+
+        void beginStop()
+        {
+            noteReadiness();
+            if (store_)
+                store_->requestStop();
+            stopTimer_.expires_after(settings_.forwardAfterStop);
+            stopTimer_.async_wait([this](asio::error_code const& error) {
+                if (!error)
+                    endStop();
+            });
+        }
+
+        void endStop()
+        {
+            control_.leave(std::chrono::steady_clock::now());
+            core_.sendControl(control_.takeMessages());
+            logEvent(LogLevel::Info, "left", { { "name", self_.name } });
+            core_.finish(absl::OkStatus());
+        }
+
+        void addMetrics(MetricsPage& page) const
+        {
+            for (std::size_t outcome = 0; outcome < entryRelayOutcomes; ++outcome) {
+                std::string const name(entryRelayOutcomeName(static_cast<EntryRelayOutcome>(outcome)));
+                page.addCounter("plantaindrift_entry_segments_total", "Segments of callers by outcome.", { { "outcome", name } }, static_cast<double>(relay_.outcomes()[outcome]));
+            }
+            page.addGauge("plantaindrift_entry_flows", "Flows whose owner is remembered.", {}, static_cast<double>(relay_.flowCount()));
+            page.addCounter("plantaindrift_flow_messages_refused_total", "Relay messages that are malformed, stale or not authenticated.", {}, static_cast<double>(refusedMessages_));
+            page.addGauge("plantaindrift_configuration_position", "Applied version of the configuration.", {}, static_cast<double>(control_.changeLog().position()));
+            if (store_) {
+                page.addGauge("plantaindrift_store_reachable", "1 if the last call to the store was answered.", {}, store_->isReachable() ? 1 : 0);
+                page.addCounter("plantaindrift_store_calls_total", "Calls to the store.", {}, static_cast<double>(store_->calls()));
+            }
+        }
+    };
+
+    absl::StatusOr<RelayEntrySettings> readSettings(RelayPlatform const& platform, std::string const& file)
+    {
+        absl::StatusOr<RelayEntrySettings> settings = readRelayEntrySettings(file);
+        if (!settings.ok())
+            return settings;
+        for (Endpoint& seed : settings->seeds)
+            seed = platform.seedEndpoint(seed, settings->common.control.port);
+        return settings;
+    }
+
+} // namespace
+
+absl::Status runRelayEntry(RelayPlatform const& platform, std::string const& settingsFile, bool checkOnly)
+{
+    return runDaemon<RelayEntryDaemon>(readSettings(platform, settingsFile), checkOnly, platform);
+}
+
+} // namespace plantaindrift
