Search for the owner of a flow at all agents at once; resets of flows that no target holds; decision lines

Cause: a search went along the rendezvous order of the agents, one after the other. After a loss of power nobody answered packets of flows that died with their servers.

Now the first agent asks all others at once; the owner delivers and tells the entry. Agents whose target does not hold the flow say so, and when all have, the caller gets a reset. An agent whose target has ended leaves the membership at its own end.

--- a/include/plantaindrift/membership/AgentControl.h
+++ b/include/plantaindrift/membership/AgentControl.h
@@ -37,6 +37,9 @@
     /// \brief The service's view if it changed since the last call.
     [[nodiscard]] std::optional<ServiceView> takeChangedView();
 
+    /// \brief True if the last reply of a monitor named the own view's fingerprint.
+    [[nodiscard]] bool isViewConfirmed() const noexcept;
+
     /// \brief The service's declaration if it changed since the last call.
     [[nodiscard]] std::optional<Service> takeChangedService();
 
--- a/include/plantaindrift/relay/AgentRelay.h
+++ b/include/plantaindrift/relay/AgentRelay.h
@@ -4,6 +4,7 @@
 #include "plantaindrift/membership/ServiceView.h"
 #include "plantaindrift/packet/Encapsulation.h"
 #include "plantaindrift/relay/RelayMessage.h"
+#include "plantaindrift/relay/RelayObserver.h"
 #include "plantaindrift/relay/RelaySender.h"
 #include "plantaindrift/relay/Segment.h"
 
@@ -65,7 +66,8 @@
 /// its own. Not thread-safe.
 class AgentRelay {
 public:
-    AgentRelay(AgentRelayOptions const& options, SegmentCodec const& codec, RelaySender& sender, TimePoint now);
+    /// \param observer  is told of everything but deliveries to the owner and answers
+    AgentRelay(AgentRelayOptions const& options, SegmentCodec const& codec, RelaySender& sender, RelayObserver& observer, TimePoint now);
     ~AgentRelay();
     AgentRelay(AgentRelay const&) = delete;
     AgentRelay& operator=(AgentRelay const&) = delete;
@@ -73,7 +75,13 @@
     void setKeys(KeyRing const& keys);
 
     /// \brief Replaces the targets of the own service.
-    void setView(ServiceView const& view);
+    void setView(ServiceView const& view, TimePoint now);
+
+    /// \brief Tells whether a monitor has the same view.
+    ///
+    /// A caller is told that its flow is lost only with a view that was the monitors' for a while: the agent that owns
+    /// the flow may be missing in another one.
+    void setViewConfirmed(bool confirmed) noexcept;
 
     /// \brief Takes the target's report; effective for the next segment.
     void setTarget(TargetState const& target, TimePoint now);
--- a/include/plantaindrift/relay/EntryRelay.h
+++ b/include/plantaindrift/relay/EntryRelay.h
@@ -5,6 +5,7 @@
 #include "plantaindrift/membership/ServiceView.h"
 #include "plantaindrift/packet/Encapsulation.h"
 #include "plantaindrift/relay/RelayMessage.h"
+#include "plantaindrift/relay/RelayObserver.h"
 #include "plantaindrift/relay/RelaySender.h"
 #include "plantaindrift/relay/Segment.h"
 
@@ -54,7 +55,8 @@
 public:
     /// \param codec   format of the callers' segments
     /// \param sender  takes subscriptions to agents
-    EntryRelay(EntryRelayOptions const& options, SegmentCodec const& codec, RelaySender& sender);
+    /// \param observer  is told of new flows, searches and refusals
+    EntryRelay(EntryRelayOptions const& options, SegmentCodec const& codec, RelaySender& sender, RelayObserver& observer);
     ~EntryRelay();
     EntryRelay(EntryRelay const&) = delete;
     EntryRelay& operator=(EntryRelay const&) = delete;
--- a/include/plantaindrift/relay/RelayMessage.h
+++ b/include/plantaindrift/relay/RelayMessage.h
@@ -18,7 +18,14 @@
     Load = 3, ///< agent to entry: load of the sender's target
     Subscribe = 4, ///< entry to agent: send load at this interval
     Redirect = 5, ///< agent to agent: the sender owns these flows
-    Query = 6 ///< agent to agent: who owns this flow; the owner answers with a Redirect
+    Absent = 6 ///< agent to agent: the sender's target does not hold this flow
+};
+
+/// \brief What an agent does with a packet of a flow that it does not know.
+enum class RelaySearch : std::uint8_t {
+    Start, ///< ask the other agents of the service
+    Probe, ///< nothing: others were asked as well
+    ReportedProbe ///< tell the sender that the flow is not here
 };
 
 /// \brief Load of a target as its agent counts it.
@@ -48,6 +55,7 @@
     ServiceHash service {};
     Endpoint entry; ///< takes notices of this flow
     std::uint8_t hops { 0 }; ///< times the packet was passed on between agents
+    RelaySearch search { RelaySearch::Start };
     std::uint8_t count { 0 };
     std::array<RelayCandidate, maximumRelayCandidates> candidates {}; ///< agents that were not asked yet
 
@@ -80,9 +88,9 @@
     RelayKind kind { RelayKind::Packet };
     RelayRoute route; ///< Packet
     std::span<std::byte const> segment; ///< Packet; inside the datagram
-    RelayFlow flow; ///< Notice, Query
+    RelayFlow flow; ///< Notice, Absent
     TargetLoad load; ///< Notice, Load
-    ServiceHash service {}; ///< Load, Redirect, Query
+    ServiceHash service {}; ///< Load, Redirect, Absent
     std::chrono::milliseconds interval { 0 }; ///< Subscribe
     std::span<std::byte const> redirected; ///< Redirect: flows as written; inside the datagram
 
@@ -108,7 +116,7 @@
 [[nodiscard]] std::size_t writeRelayNotice(RelayFlow const& flow, TargetLoad const& load, RelaySeal const& seal, std::span<std::byte> output) noexcept;
 [[nodiscard]] std::size_t writeRelayLoad(ServiceHash service, TargetLoad const& load, RelaySeal const& seal, std::span<std::byte> output) noexcept;
 [[nodiscard]] std::size_t writeRelaySubscribe(std::chrono::milliseconds interval, RelaySeal const& seal, std::span<std::byte> output) noexcept;
-[[nodiscard]] std::size_t writeRelayQuery(ServiceHash service, RelayFlow const& flow, RelaySeal const& seal, std::span<std::byte> output) noexcept;
+[[nodiscard]] std::size_t writeRelayAbsent(ServiceHash service, RelayFlow const& flow, RelaySeal const& seal, std::span<std::byte> output) noexcept;
 
 /// \param flows   at most maximumRedirectedFlows
 /// \param output  at least maximumRelayMessageBytes
--- a/src/membership/AgentControl.cpp
+++ b/src/membership/AgentControl.cpp
@@ -60,6 +60,7 @@
     std::uint64_t position { 0 };
     std::map<std::string, double> peerLoads;
     std::optional<TimePoint> lastReply;
+    std::uint32_t monitorFingerprint { 0 };
     std::optional<TimePoint> lastLoadShare;
 };
 
@@ -89,6 +90,7 @@
     if (reply.refute_incarnation() > maximumIncarnation || static_cast<std::size_t>(reply.monitors_size()) > MonitorContacts::maximumNamed)
         return false;
     lastReply = now;
+    monitorFingerprint = reply.fingerprint();
     std::chrono::milliseconds const told { reply.interval_ms() };
     contacts.noteReply(from, std::clamp(told, options.heartbeat, std::max(options.heartbeat, longestInterval)), monitors, reply.need_record(), now);
     sendsService = reply.need_service();
@@ -281,6 +283,11 @@
     return std::exchange(state_->changedView, std::nullopt);
 }
 
+bool AgentControl::isViewConfirmed() const noexcept
+{
+    return state_->lastReply && state_->monitorFingerprint == state_->view.fingerprint;
+}
+
 std::optional<Service> AgentControl::takeChangedService()
 {
     if (!std::exchange(state_->serviceChanged, false))
--- a/src/relay/AgentRelay.cpp
+++ b/src/relay/AgentRelay.cpp
@@ -37,8 +37,15 @@
     // An entry that has not subscribed for this time takes no more load.
     constexpr std::chrono::seconds subscriptionLifetime { 3 };
 
-    // A packet takes less than this on each pass; more passes mean that agents disagree about its owner.
-    constexpr std::uint8_t mostPasses = 64;
+    // Notes of agents with different views can form a loop.
+    constexpr std::uint8_t mostPasses = 8;
+
+    // Agents answer a search within milliseconds; a later search of the same flow asks anew.
+    constexpr std::chrono::milliseconds searchTime { 150 };
+
+    // Gossip carries a join to all monitors within this time.
+    constexpr std::chrono::milliseconds viewSettleTime { 300 };
+    constexpr std::size_t mostSearches = 1U << 12U;
     constexpr std::uint8_t mostFirstPasses = 3;
 
     // Gain that is worth a pass: both loads may have changed since they were sent.
@@ -83,6 +90,17 @@
         std::uint32_t token { 0 };
         std::uint64_t hash { 0 };
         RelayRoute route;
+        Endpoint from; ///< sender of the segment
+    };
+
+    /// A flow that the agents of the service were asked for.
+    struct Search {
+        std::uint64_t hash { 0 };
+        bool used { false };
+        Segment segment; ///< of the caller, for the reset if nobody holds the flow
+        std::size_t asked { 0 }; ///< agents, this one included
+        std::size_t absent { 0 }; ///< agents that do not hold it
+        TimePoint started;
     };
 
     struct Subscriber {
@@ -106,6 +124,7 @@
         RelayFlow flow;
         std::uint64_t hash { 0 };
         RelayRoute route;
+        Endpoint from; ///< entry or agent that sent it; unset for segments of the target
         TimePoint now;
         std::uint32_t nowSeconds { 0 };
     };
@@ -118,15 +137,17 @@
 }
 
 struct AgentRelay::State {
-    State(AgentRelayOptions const& given, SegmentCodec const& segmentCodec, RelaySender& messageSender, TimePoint now)
+    State(AgentRelayOptions const& given, SegmentCodec const& segmentCodec, RelaySender& messageSender, RelayObserver& decisionObserver, TimePoint now)
         : options(given)
         , codec(segmentCodec)
         , sender(messageSender)
+        , observer(decisionObserver)
         , service(hashService(given.service))
         , nameHash(hashText(given.name))
         , started(now)
         , flows(given.flows)
         , notes(redirectNotes)
+        , searches(mostSearches)
         , trialRing(trials)
     {
     }
@@ -134,14 +155,18 @@
     AgentRelayOptions options;
     SegmentCodec const& codec;
     RelaySender& sender;
+    RelayObserver& observer;
     ServiceHash service {};
     std::uint64_t nameHash { 0 };
     TimePoint started;
     TargetState target;
     bool stopping { false };
+    bool viewConfirmed { false };
+    TimePoint viewChanged;
     RequestCount requests;
     HashTable<FlowRecord> flows;
     HashTable<RedirectNote> notes;
+    HashTable<Search> searches;
     std::vector<Trial> trialRing;
     std::uint32_t lastToken { 0 };
     std::vector<Subscriber> subscribers;
@@ -149,6 +174,8 @@
     TimePoint lastSweep;
     std::array<std::uint64_t, agentRelayOutcomes> outcomes {};
     std::array<std::byte, maximumRelayHeaderBytes + 64> header {};
+    std::array<std::byte, 2048> probe {};
+    std::size_t openFlows { 0 }; ///< at the last tick
 
     [[nodiscard]] bool isAccepting() const noexcept { return target.accepting && !stopping && flows.size() < target.connections; }
 
@@ -158,7 +185,7 @@
         load.accepting = isAccepting();
         load.slots = std::max<std::uint16_t>(target.slots, 1);
         load.busy = static_cast<std::uint16_t>(std::min<std::size_t>(requests.busy(), std::numeric_limits<std::uint16_t>::max()));
-        load.flows = static_cast<std::uint16_t>(std::min<std::size_t>(flows.size(), std::numeric_limits<std::uint16_t>::max()));
+        load.flows = static_cast<std::uint16_t>(std::min<std::size_t>(openFlows, std::numeric_limits<std::uint16_t>::max()));
         load.serviceTenths = requests.serviceTenths();
         return load;
     }
@@ -169,6 +196,25 @@
         return {};
     }
 
+    void tell(Work const& work, AgentRelayOutcome outcome, Endpoint to) noexcept
+    {
+        RelayDecision decision;
+        decision.outcome = agentRelayOutcomeName(outcome);
+        decision.flow = work.flow;
+        decision.copy = work.segment.isFirst() ? work.segment.acknowledgement : 0;
+        decision.to = to;
+        decision.hops = work.route.hops;
+        decision.load = load();
+        decision.costTenths = targetCost(decision.load, 0);
+        observer.decided(decision);
+    }
+
+    RelayVerdict drop(Work const& work, AgentRelayOutcome outcome) noexcept
+    {
+        tell(work, outcome, {});
+        return count(outcome);
+    }
+
     [[nodiscard]] std::span<std::byte const> headerSpan(std::size_t bytes) const noexcept { return std::span<std::byte const>(header).first(bytes); }
 
     // ---- verdicts ----
@@ -177,10 +223,12 @@
     RelayVerdict deliver(Work const& work, AgentRelayOutcome outcome, bool mayReturn) noexcept
     {
         ++outcomes[static_cast<std::size_t>(outcome)];
+        if (outcome != AgentRelayOutcome::Delivered)
+            tell(work, outcome, options.target);
         std::uint32_t token = 0;
         if (mayReturn) {
             token = ++lastToken;
-            trialRing[token % trials] = { token, work.hash, work.route };
+            trialRing[token % trials] = { token, work.hash, work.route, work.from };
         }
         codec.copyHeader(work.datagram, token, header);
         return { options.target, headerSpan(codec.headerBytes()), work.datagram.subspan(codec.headerBytes()) };
@@ -189,8 +237,9 @@
     RelayVerdict pass(Work& work, Endpoint to, AgentRelayOutcome outcome) noexcept
     {
         if (work.route.hops >= mostPasses)
-            return count(AgentRelayOutcome::DroppedUnknown);
+            return drop(work, AgentRelayOutcome::DroppedUnknown);
         ++outcomes[static_cast<std::size_t>(outcome)];
+        tell(work, outcome, to);
         ++work.route.hops;
         // A returned segment travels on without the mark, so its header is copied behind the relay header.
         std::array<std::byte, 64> segmentHeader;
@@ -217,6 +266,7 @@
     RelayVerdict reset(Work const& work, AgentRelayOutcome outcome) noexcept
     {
         ++outcomes[static_cast<std::size_t>(outcome)];
+        tell(work, outcome, work.flow.caller);
         codec.writeReset(work.segment, header);
         return { { work.flow.caller.address, options.callerPort }, headerSpan(codec.headerBytes()), {} };
     }
@@ -287,7 +337,7 @@
     {
         // An earlier copy may have opened the flow elsewhere, which a reset would break.
         if (work.segment.acknowledgement != 0)
-            return count(AgentRelayOutcome::DroppedUnknown);
+            return drop(work, AgentRelayOutcome::DroppedUnknown);
         return reset(work, AgentRelayOutcome::Refused);
     }
 
@@ -301,7 +351,7 @@
         if (record == nullptr) {
             record = flows.insert(work.hash);
             if (record == nullptr)
-                return count(AgentRelayOutcome::DroppedUnknown);
+                return drop(work, AgentRelayOutcome::DroppedUnknown);
             record->flow = work.flow;
             record->opened = work.now;
         }
@@ -319,7 +369,7 @@
         if (record == nullptr)
             return decideUnknown(work);
         if (record->lost)
-            return work.segment.reset ? count(AgentRelayOutcome::DroppedUnknown) : reset(work, AgentRelayOutcome::Reset);
+            return work.segment.reset ? drop(work, AgentRelayOutcome::DroppedUnknown) : reset(work, AgentRelayOutcome::Reset);
         if (!record->established && !belongsHere(*record, work.segment))
             return decideForeign(work);
         record->established = true;
@@ -338,49 +388,95 @@
 
     RelayVerdict decideForeign(Work& work) noexcept
     {
-        if (work.route.count > 0) {
-            RelayCandidate& candidate = work.route.candidates[work.route.count - 1];
-            return passKnown(work, candidate.agent);
-        }
-        return decideUnknown(work);
-    }
-
-    RelayVerdict passKnown(Work& work, Endpoint owner) noexcept
-    {
+        if (work.route.count == 0)
+            return decideUnknown(work);
+        Endpoint const other = work.route.candidates.front().agent;
         work.route.count = 0;
-        return pass(work, owner, AgentRelayOutcome::PassedKnown);
+        return pass(work, other, AgentRelayOutcome::PassedKnown);
     }
 
     RelayVerdict decideUnknown(Work& work) noexcept
     {
         RedirectNote* const note = notes.find(work.hash);
-        if (note != nullptr && note->expires > work.now && note->owner != options.self)
-            return passKnown(work, note->owner);
+        bool const isNoted = note != nullptr && note->expires > work.now && note->owner != options.self;
+        if (isNoted && work.route.search == RelaySearch::Start) {
+            work.route.count = 0;
+            return pass(work, note->owner, AgentRelayOutcome::PassedKnown);
+        }
+        if (work.route.search == RelaySearch::Start)
+            startSearch(work);
         // After a restart only the target knows its older flows.
         bool const isYoung = work.now - started < flowLifetime;
-        if (isYoung)
-            return deliver(work, AgentRelayOutcome::Tried, true);
-        return searchOn(work);
+        return isYoung ? deliver(work, AgentRelayOutcome::Tried, true) : reportAbsent(work, work.from);
     }
 
-    /// Sends the segment to the agent that ranks after this one.
-    RelayVerdict searchOn(Work& work) noexcept
+    /// Sends the segment to all other agents of the service: any of them may own the flow, and some may not answer.
+    void startSearch(Work& work) noexcept
     {
-        if (work.route.count > 0)
-            return passKnown(work, work.route.candidates.front().agent);
-        std::uint64_t const own = searchScore(nameHash, work.hash);
-        Peer const* next = nullptr;
-        std::uint64_t best = 0;
+        Search* search = searches.find(work.hash);
+        bool const isRunning = search != nullptr && work.now - search->started < searchTime;
+        RelayRoute route = work.route;
+        route.count = 0;
+        route.search = isRunning ? RelaySearch::Probe : RelaySearch::ReportedProbe;
+        std::size_t asked = 1;
+        std::size_t const bytes = writeProbe(work, route);
         for (Peer const& peer : peers) {
-            std::uint64_t const score = searchScore(peer.nameHash, work.hash);
-            if (!peer.dead && score < own && (next == nullptr || score > best)) {
-                next = &peer;
-                best = score;
-            }
+            if (peer.dead)
+                continue;
+            ++asked;
+            sender.send(peer.agent, std::span<std::byte const>(probe).first(bytes));
         }
-        if (next == nullptr)
+        tell(work, AgentRelayOutcome::Searched, {});
+        ++outcomes[static_cast<std::size_t>(AgentRelayOutcome::Searched)];
+        work.route.search = route.search;
+        work.from = {};
+        if (isRunning)
+            return;
+        if (search == nullptr)
+            search = searches.insert(work.hash);
+        if (search == nullptr)
+            return;
+        search->segment = work.segment;
+        search->asked = asked;
+        search->absent = 0;
+        search->started = work.now;
+    }
+
+    std::size_t writeProbe(Work const& work, RelayRoute const& route) noexcept
+    {
+        std::size_t const header = writeRelayPacket(route, work.datagram, { options.keys, work.nowSeconds }, probe);
+        std::size_t const data = std::min(work.datagram.size(), probe.size() - header);
+        std::copy_n(work.datagram.begin(), data, probe.begin() + static_cast<std::ptrdiff_t>(header));
+        return header + data;
+    }
+
+    RelayVerdict reportAbsent(Work const& work, Endpoint to) noexcept
+    {
+        if (work.route.search != RelaySearch::ReportedProbe)
             return count(AgentRelayOutcome::DroppedUnknown);
-        return pass(work, next->agent, AgentRelayOutcome::Searched);
+        // An unset sender means that the search was started here.
+        if (!to.isSet())
+            return noteAbsent(work.flow, work);
+        std::array<std::byte, maximumRelayHeaderBytes> message;
+        std::size_t const bytes = writeRelayAbsent(service, work.flow, { options.keys, work.nowSeconds }, message);
+        sender.send(to, std::span<std::byte const>(message).first(bytes));
+        return count(AgentRelayOutcome::DroppedUnknown);
+    }
+
+    /// When no agent's target holds the flow, nothing would ever answer the caller.
+    RelayVerdict noteAbsent(RelayFlow const& flow, Work const& work) noexcept
+    {
+        Search* const search = searches.find(work.hash);
+        if (search == nullptr || ++search->absent < search->asked)
+            return count(AgentRelayOutcome::DroppedUnknown);
+        Work lost = work;
+        lost.flow = flow;
+        lost.segment = search->segment;
+        searches.erase(*search);
+        bool const isViewSettled = viewConfirmed && work.now - viewChanged >= viewSettleTime;
+        if (!isViewSettled || lost.segment.closing || lost.segment.reset)
+            return drop(lost, AgentRelayOutcome::DroppedUnknown);
+        return reset(lost, AgentRelayOutcome::Reset);
     }
 
     void track(FlowRecord& record, Work const& work) noexcept
@@ -464,6 +560,7 @@
             work.route = trial.route;
         else
             work.route.service = service;
+        work.from = isTrial ? trial.from : Endpoint {};
         if (work.segment.isFirst()) {
             if (record != nullptr && !record->established)
                 erase(*record);
@@ -475,7 +572,7 @@
             return loseFlow(*record, work);
         if (record != nullptr)
             erase(*record);
-        return searchOn(work);
+        return reportAbsent(work, work.from);
     }
 
     /// The target does not hold a flow that was open there: it restarted, or discarded the flow.
@@ -484,7 +581,7 @@
         endRequest(record);
         if (record.closing || work.segment.closing || work.segment.reset) {
             erase(record);
-            return count(AgentRelayOutcome::DroppedUnknown);
+            return drop(work, AgentRelayOutcome::DroppedUnknown);
         }
         record.lost = true;
         return reset(work, AgentRelayOutcome::Reset);
@@ -550,8 +647,10 @@
     void sendRedirects(TimePoint now, std::uint32_t nowSeconds)
     {
         std::vector<std::pair<Endpoint, std::vector<RelayFlow>>> batches;
+        openFlows = 0;
         flows.forEach([&](FlowRecord& record) {
             bool const isOpen = record.established && !record.closing && !record.lost;
+            openFlows += isOpen ? 1 : 0;
             if (!isOpen || now - record.opened < redirectAge || now - record.redirected < redirectRenewal)
                 return;
             record.redirected = now;
@@ -611,12 +710,13 @@
                 endRequest(record);
             return isOld;
         });
+        searches.eraseIf([now](Search const& search) { return now - search.started > searchTime; });
         notes.eraseIf([now](RedirectNote const& note) { return note.expires <= now; });
     }
 };
 
-AgentRelay::AgentRelay(AgentRelayOptions const& options, SegmentCodec const& codec, RelaySender& sender, TimePoint now)
-    : state_(std::make_unique<State>(options, codec, sender, now))
+AgentRelay::AgentRelay(AgentRelayOptions const& options, SegmentCodec const& codec, RelaySender& sender, RelayObserver& observer, TimePoint now)
+    : state_(std::make_unique<State>(options, codec, sender, observer, now))
 {
 }
 
@@ -627,7 +727,7 @@
     state_->options.keys = keys;
 }
 
-void AgentRelay::setView(ServiceView const& view)
+void AgentRelay::setView(ServiceView const& view, TimePoint now)
 {
     std::vector<Peer> peers;
     for (ViewTarget const& target : view.targets) {
@@ -636,9 +736,16 @@
     }
     bool const isChanged = !std::equal(peers.begin(), peers.end(), state_->peers.begin(), state_->peers.end(), [](Peer const& left, Peer const& right) { return left.agent == right.agent && left.dead == right.dead; });
     state_->peers = std::move(peers);
+    if (!isChanged)
+        return;
+    state_->viewChanged = now;
     // Other agents may rank first now.
-    if (isChanged)
-        state_->flows.forEach([](FlowRecord& record) { record.redirected = {}; });
+    state_->flows.forEach([](FlowRecord& record) { record.redirected = {}; });
+}
+
+void AgentRelay::setViewConfirmed(bool confirmed) noexcept
+{
+    state_->viewConfirmed = confirmed;
 }
 
 void AgentRelay::setTarget(TargetState const& target, TimePoint now)
@@ -675,13 +782,17 @@
         state_->noteRedirect(from, decoded, now);
         return {};
     }
+    if (decoded.kind == RelayKind::Absent) {
+        Work const work { {}, {}, decoded.flow, hashRelayFlow(decoded.flow), {}, from, now, nowSeconds };
+        return state_->noteAbsent(decoded.flow, work);
+    }
     std::optional<Segment> const segment = decoded.kind == RelayKind::Packet ? state_->codec.read(decoded.segment) : std::nullopt;
     if (!segment || segment->returned)
         return state_->count(AgentRelayOutcome::DroppedMalformed);
     if (decoded.route.service != state_->service)
         return state_->count(AgentRelayOutcome::DroppedService);
     RelayFlow const flow { segment->source, segment->destination };
-    Work work { decoded.segment, *segment, flow, hashRelayFlow(flow), decoded.route, now, nowSeconds };
+    Work work { decoded.segment, *segment, flow, hashRelayFlow(flow), decoded.route, from, now, nowSeconds };
     return segment->isFirst() ? state_->decideFirst(work) : state_->decideLater(work);
 }
 
@@ -691,7 +802,7 @@
     if (!segment)
         return state_->count(AgentRelayOutcome::DroppedMalformed);
     RelayFlow const flow = segment->returned ? RelayFlow { segment->source, segment->destination } : RelayFlow { segment->destination, segment->source };
-    Work work { datagram, *segment, flow, hashRelayFlow(flow), {}, now, nowSeconds };
+    Work work { datagram, *segment, flow, hashRelayFlow(flow), {}, {}, now, nowSeconds };
     return segment->returned ? state_->decideReturned(work) : state_->decideAnswer(work);
 }
 
--- a/src/relay/EntryRelay.cpp
+++ b/src/relay/EntryRelay.cpp
@@ -47,6 +47,9 @@
 
     constexpr double unheardCostTenths = 2000;
 
+    // Agents that segments of an unknown flow are sent to, one after the other.
+    constexpr std::size_t searchRanks = 3;
+
     struct Target {
         std::string name;
         std::uint64_t nameHash { 0 };
@@ -80,6 +83,7 @@
     struct FlowRecord {
         std::uint64_t hash { 0 };
         bool used { false };
+        std::uint8_t searches { 0 }; ///< segments sent out to find the owner
         bool confirmed { false }; ///< the owner said so
         Endpoint owner;
         Endpoint alternate; ///< was offered an earlier copy
@@ -99,10 +103,11 @@
 }
 
 struct EntryRelay::State {
-    State(EntryRelayOptions const& given, SegmentCodec const& segmentCodec, RelaySender& messageSender)
+    State(EntryRelayOptions const& given, SegmentCodec const& segmentCodec, RelaySender& messageSender, RelayObserver& decisionObserver)
         : options(given)
         , codec(segmentCodec)
         , sender(messageSender)
+        , observer(decisionObserver)
         , random(given.randomSeed)
         , flows(given.flows)
     {
@@ -120,6 +125,7 @@
     EntryRelayOptions options;
     SegmentCodec const& codec;
     RelaySender& sender;
+    RelayObserver& observer;
     RandomSource random;
     HashTable<FlowRecord> flows;
     absl::flat_hash_map<std::string, ServiceState> services;
@@ -137,6 +143,27 @@
         return {};
     }
 
+    RelayVerdict drop(Work const& work, EntryRelayOutcome outcome) noexcept
+    {
+        tell(work, outcome, {}, 0);
+        return count(outcome);
+    }
+
+    void tell(Work const& work, EntryRelayOutcome outcome, Endpoint to, double cost) noexcept
+    {
+        RelayDecision decision;
+        decision.outcome = entryRelayOutcomeName(outcome);
+        decision.flow = { work.segment.source, work.segment.destination };
+        decision.copy = work.segment.isFirst() ? work.segment.acknowledgement : 0;
+        decision.to = to;
+        decision.costTenths = cost;
+        if (Target const* const target = findTarget(to)) {
+            decision.load = target->load;
+            decision.loadAge = std::chrono::duration_cast<std::chrono::milliseconds>(work.now - target->heard);
+        }
+        observer.decided(decision);
+    }
+
     // ---- choice ----
 
     ServiceState* serviceOf(Work const& work) noexcept
@@ -233,6 +260,8 @@
     {
         ++outcomes[static_cast<std::size_t>(outcome)];
         Endpoint const to = route.candidates.front().agent;
+        if (outcome != EntryRelayOutcome::OwnerForwarded)
+            tell(work, outcome, to, route.candidates.front().costTenths);
         std::copy(route.candidates.begin() + 1, route.candidates.begin() + route.count, route.candidates.begin());
         --route.count;
         route.entry = options.self;
@@ -245,7 +274,8 @@
         // An earlier copy may have opened the flow, which a reset would break.
         bool const mayBeOpen = work.segment.acknowledgement != 0 || flows.find(work.hash) != nullptr;
         if (!configured || mayBeOpen)
-            return count(dropped);
+            return drop(work, dropped);
+        tell(work, refused, {}, 0);
         codec.writeReset(work.segment, reset);
         ++outcomes[static_cast<std::size_t>(refused)];
         return { { work.segment.source.address, options.callerPort }, std::span<std::byte const>(reset).first(codec.headerBytes()), {} };
@@ -261,7 +291,7 @@
         route.service = service->hash;
         chooseTargets(*service, record, work.now, route);
         if (route.count == 0)
-            return service->targets.empty() ? count(EntryRelayOutcome::DroppedNoTarget) : refuse(work, EntryRelayOutcome::RefusedNoTarget, EntryRelayOutcome::DroppedNoTarget);
+            return service->targets.empty() ? drop(work, EntryRelayOutcome::DroppedNoTarget) : refuse(work, EntryRelayOutcome::RefusedNoTarget, EntryRelayOutcome::DroppedNoTarget);
         bool const isCopy = record != nullptr;
         Endpoint const chosen = route.candidates.front().agent;
         if (!isCopy)
@@ -279,7 +309,7 @@
     RelayVerdict decideLater(Work const& work) noexcept
     {
         FlowRecord* const record = flows.find(work.hash);
-        if (record == nullptr)
+        if (record == nullptr || !record->owner.isSet())
             return search(work);
         record->last = work.now;
         RelayRoute route;
@@ -295,29 +325,47 @@
         return forward(work, route, EntryRelayOutcome::OwnerForwarded);
     }
 
-    /// Agents that own a flow tell the agents that rank first for it, so that a search ends at the first one.
+    /// Agents that own a flow tell the agents that rank first for it. Each further segment goes to the next in rank.
     RelayVerdict search(Work const& work) noexcept
     {
         ServiceState* const service = serviceOf(work);
         if (service == nullptr)
-            return count(EntryRelayOutcome::DroppedNoRoute);
-        Target const* first = nullptr;
-        std::uint64_t best = 0;
-        for (Target const& target : service->targets) {
-            std::uint64_t const score = searchScore(target.nameHash, work.hash);
-            if (!target.dead && (first == nullptr || score > best)) {
-                first = &target;
-                best = score;
-            }
-        }
-        if (first == nullptr)
-            return count(EntryRelayOutcome::DroppedNoTarget);
+            return drop(work, EntryRelayOutcome::DroppedNoRoute);
+        FlowRecord* const record = flows.insert(work.hash);
+        std::size_t const rank = record != nullptr ? record->searches++ : 0;
+        if (record != nullptr)
+            record->last = work.now;
+        Target const* const target = findRanked(*service, work, rank);
+        if (target == nullptr)
+            return drop(work, EntryRelayOutcome::DroppedNoTarget);
         RelayRoute route;
         route.service = service->hash;
-        route.candidates[route.count++] = { first->agent, 0 };
+        route.candidates[route.count++] = { target->agent, 0 };
         return forward(work, route, EntryRelayOutcome::SearchForwarded);
     }
 
+    /// The target at this rank among those that were heard lately, or among all if none was.
+    Target const* findRanked(ServiceState const& service, Work const& work, std::size_t rank) const noexcept
+    {
+        std::array<std::pair<std::uint64_t, Target const*>, searchRanks> best {};
+        std::size_t count = 0;
+        for (Target const& target : service.targets) {
+            if (target.dead)
+                continue;
+            bool const isLively = target.isHeard && target.load.accepting && !isSilent(target, work.now);
+            constexpr std::uint64_t livelyBit = std::uint64_t { 1 } << 63U;
+            std::uint64_t const score = (searchScore(target.nameHash, work.hash) >> 1U) | (isLively ? livelyBit : 0);
+            std::pair<std::uint64_t, Target const*> ranked(score, &target);
+            for (std::size_t index = 0; index < count; ++index) {
+                if (ranked.first > best[index].first)
+                    std::swap(ranked, best[index]);
+            }
+            if (count < best.size())
+                best[count++] = ranked;
+        }
+        return count > 0 ? best[rank % count].second : nullptr;
+    }
+
     // ---- messages of agents ----
 
     void noteLoad(Endpoint from, TargetLoad const& load, TimePoint now) noexcept
@@ -373,8 +421,8 @@
     }
 };
 
-EntryRelay::EntryRelay(EntryRelayOptions const& options, SegmentCodec const& codec, RelaySender& sender)
-    : state_(std::make_unique<State>(options, codec, sender))
+EntryRelay::EntryRelay(EntryRelayOptions const& options, SegmentCodec const& codec, RelaySender& sender, RelayObserver& observer)
+    : state_(std::make_unique<State>(options, codec, sender, observer))
 {
 }
 
--- a/src/relay/RelayMessage.cpp
+++ b/src/relay/RelayMessage.cpp
@@ -48,8 +48,9 @@
         wire::big_uint64_buf_t service;
         EndpointField entry;
         wire::big_uint8_buf_t hops;
+        wire::big_uint8_buf_t search;
     };
-    static_assert(sizeof(RouteFields) == 15);
+    static_assert(sizeof(RouteFields) == 16);
 
     struct CandidateField {
         EndpointField agent;
@@ -197,6 +198,9 @@
         decoded.route.service = ServiceHash { fields.service.value() };
         decoded.route.entry = fromField(fields.entry);
         decoded.route.hops = fields.hops.value();
+        if (fields.search.value() > static_cast<std::uint8_t>(RelaySearch::ReportedProbe))
+            return false;
+        decoded.route.search = static_cast<RelaySearch>(fields.search.value());
         decoded.route.count = static_cast<std::uint8_t>(count);
         for (std::size_t index = 0; index < count; ++index) {
             CandidateField candidate;
@@ -254,7 +258,7 @@
         return reader.takeBytes(count * sizeof(FlowField), decoded.redirected);
     }
 
-    bool readQuery(Reader& reader, std::size_t /*count*/, DecodedRelay& decoded) noexcept
+    bool readAbsent(Reader& reader, std::size_t /*count*/, DecodedRelay& decoded) noexcept
     {
         FlowField flow;
         if (!readService(reader, decoded) || !reader.take(flow))
@@ -264,7 +268,7 @@
     }
 
     using BodyReader = bool (*)(Reader&, std::size_t, DecodedRelay&) noexcept;
-    constexpr std::array<BodyReader, 7> bodyReaders { nullptr, readPacket, readNotice, readLoad, readSubscribe, readRedirect, readQuery };
+    constexpr std::array<BodyReader, 7> bodyReaders { nullptr, readPacket, readNotice, readLoad, readSubscribe, readRedirect, readAbsent };
 
     DecodedRelay refused(DatagramError error) noexcept
     {
@@ -306,6 +310,7 @@
     fields.service = static_cast<std::uint64_t>(route.service);
     fields.entry = toField(route.entry);
     fields.hops = route.hops;
+    fields.search = static_cast<std::uint8_t>(route.search);
     writer.add(fields);
     for (RelayCandidate const& candidate : route.candidateSpan()) {
         CandidateField field;
@@ -341,9 +346,9 @@
     return writer.finish({});
 }
 
-std::size_t writeRelayQuery(ServiceHash service, RelayFlow const& flow, RelaySeal const& seal, std::span<std::byte> output) noexcept
+std::size_t writeRelayAbsent(ServiceHash service, RelayFlow const& flow, RelaySeal const& seal, std::span<std::byte> output) noexcept
 {
-    Writer writer(RelayKind::Query, 0, seal, output);
+    Writer writer(RelayKind::Absent, 0, seal, output);
     writer.add(toField(service));
     writer.add(toField(flow));
     return writer.finish({});
--- /dev/null
+++ b/src/runtime/DecisionLog.cpp
@@ -0,0 +1,34 @@
+#include "runtime/DecisionLog.h"
+
+#include "plantaindrift/runtime/Log.h"
+
+#include <chrono>
+#include <utility>
+
+namespace plantaindrift {
+
+void DecisionLog::decided(RelayDecision const& decision) noexcept
+{
+    if (!takeLine())
+        return;
+    logEvent(LogLevel::Info, "flow", { { "outcome", decision.outcome }, { "caller", formatEndpoint(decision.flow.caller) }, { "address", formatEndpoint(decision.flow.service) }, { "copy", decision.copy }, { "to", decision.to.isSet() ? formatEndpoint(decision.to) : "none" }, { "hops", decision.hops }, { "cost_ms", static_cast<std::int64_t>(decision.costTenths / 10) }, { "accepting", decision.load.accepting }, { "busy", decision.load.busy }, { "slots", decision.load.slots }, { "flows", decision.load.flows }, { "service_ms", decision.load.serviceTenths / 10 }, { "load_age_ms", decision.loadAge.count() } });
+}
+
+bool DecisionLog::takeLine()
+{
+    TimePoint const now = std::chrono::steady_clock::now();
+    if (now - second_ >= std::chrono::seconds { 1 }) {
+        second_ = now;
+        written_ = 0;
+        if (leftOut_ > 0)
+            logEvent(LogLevel::Warning, "lines_left_out", { { "lines", std::exchange(leftOut_, 0) } });
+    }
+    if (written_ >= linesPerSecond) {
+        ++leftOut_;
+        return false;
+    }
+    ++written_;
+    return true;
+}
+
+} // namespace plantaindrift
--- a/src/runtime/RelayAgentDaemon.cpp
+++ b/src/runtime/RelayAgentDaemon.cpp
@@ -4,6 +4,7 @@
 #include "plantaindrift/membership/AgentControl.h"
 #include "plantaindrift/relay/AgentRelay.h"
 #include "runtime/DaemonCore.h"
+#include "runtime/DecisionLog.h"
 #include "runtime/FleetStoreThread.h"
 
 #include <asio/steady_timer.hpp>
@@ -57,7 +58,7 @@
             : settings_(settings)
             , platform_(platform)
             , self_(agentMember(settings))
-            , relay_(relayOptions(settings, self_, keyRing(keys)), platform.codec(), *this, std::chrono::steady_clock::now())
+            , relay_(relayOptions(settings, self_, keyRing(keys)), platform.codec(), *this, decisions_, std::chrono::steady_clock::now())
             , announcements_(settings.service, settings.target, settings.announcementInterval, std::chrono::steady_clock::now())
             , control_(controlOptions(settings, self_))
             , answers_(*this)
@@ -106,6 +107,7 @@
         RelayAgentSettings settings_;
         RelayPlatform const& platform_;
         Member self_;
+        DecisionLog decisions_;
         AgentRelay relay_;
         TargetAnnouncements announcements_;
         AgentControl control_;
@@ -191,9 +193,10 @@
         {
             std::optional<ServiceView> const view = control_.takeChangedView();
             if (view) {
-                relay_.setView(*view);
+                relay_.setView(*view, std::chrono::steady_clock::now());
                 logEvent(LogLevel::Info, "view_changed", { { "service", view->service }, { "targets", view->targets.size() }, { "fingerprint", view->fingerprint } });
             }
+            relay_.setViewConfirmed(control_.isViewConfirmed());
             core_.sendControl(control_.takeMessages());
         }
 
@@ -212,6 +215,7 @@
         {
             bool const isQuiet = relay_.load().busy == 0;
             if (isQuiet || std::chrono::steady_clock::now() >= stopDeadline_) {
+                leaveIfDone();
                 logEvent(LogLevel::Info, "left", { { "name", self_.name }, { "quiet", isQuiet } });
                 core_.finish(absl::OkStatus());
                 return;
@@ -223,6 +227,17 @@
             });
         }
 
+        // A target that has ended does not come back under this name; otherwise a successor of this process will.
+        void leaveIfDone()
+        {
+            std::optional<TargetAnnouncement> const& newest = announcements_.newest();
+            bool const hasEnded = newest && newest->leaving;
+            if (!hasEnded)
+                return;
+            control_.leave(std::chrono::steady_clock::now());
+            core_.sendControl(control_.takeMessages());
+        }
+
         void addMetrics(MetricsPage& page) const
         {
             MetricsPage::Labels const service { { "service", self_.service } };
--- a/src/runtime/RelayEntryDaemon.cpp
+++ b/src/runtime/RelayEntryDaemon.cpp
@@ -4,6 +4,7 @@
 #include "plantaindrift/membership/EntryControl.h"
 #include "plantaindrift/relay/EntryRelay.h"
 #include "runtime/DaemonCore.h"
+#include "runtime/DecisionLog.h"
 #include "runtime/FleetStoreThread.h"
 
 #include <asio/steady_timer.hpp>
@@ -56,7 +57,7 @@
             : settings_(settings)
             , platform_(platform)
             , self_(entryMember(settings))
-            , relay_(relayOptions(settings, self_, keyRing(keys)), platform.codec(), *this)
+            , relay_(relayOptions(settings, self_, keyRing(keys)), platform.codec(), *this, decisions_)
             , control_(controlOptions(settings, self_))
             , messages_(*this)
             , core_(settings.common, keys, handlers())
@@ -105,6 +106,7 @@
         RelayEntrySettings settings_;
         RelayPlatform const& platform_;
         Member self_;
+        DecisionLog decisions_;
         EntryRelay relay_;
         EntryControl control_;
         MessageFilter messages_;
