--- a/include/plantaindrift/relay/TargetAnnouncements.h
+++ b/include/plantaindrift/relay/TargetAnnouncements.h
@@ -61,6 +61,8 @@
     TimePoint started_;
     TimePoint heard_;
     std::optional<TargetAnnouncement> newest_;
+
+    AnnouncementOutcome takeEnd(TargetAnnouncement const& announcement, TimePoint now);
 };
 
 } // namespace plantaindrift
--- a/src/relay/AgentRelay.cpp
+++ b/src/relay/AgentRelay.cpp
@@ -52,6 +52,12 @@
     constexpr double passGainShare = 0.5;
     constexpr double passGainTenths = 30;
 
+    // A target that returns an opening segment is left alone for about the time of one request.
+    constexpr std::chrono::milliseconds returnPause { 50 };
+
+    // A caller acknowledges the answer to its opening segment within this time, or gives up.
+    constexpr std::chrono::seconds passNoteLifetime { 3 };
+
     // Sequence numbers that a caller may have acknowledged on one flow: some megabytes.
     constexpr std::uint32_t acknowledgedRange = 1U << 26U;
 
@@ -162,6 +168,9 @@
     TargetState target;
     bool stopping { false };
     bool viewConfirmed { false };
+    bool hasReturned { false }; ///< the target returned an opening segment before it announced itself
+    TimePoint refusingUntil; ///< the target returned an opening segment: it is full or still starts
+    TimePoint clock; ///< of the last call
     TimePoint viewChanged;
     RequestCount requests;
     HashTable<FlowRecord> flows;
@@ -177,7 +186,11 @@
     std::array<std::byte, 2048> probe {};
     std::size_t openFlows { 0 }; ///< at the last tick
 
-    [[nodiscard]] bool isAccepting() const noexcept { return target.accepting && !stopping && flows.size() < target.connections; }
+    [[nodiscard]] bool isAccepting() const noexcept
+    {
+        bool const isRefusing = clock < refusingUntil || (!target.announced && hasReturned);
+        return target.accepting && !stopping && !isRefusing && flows.size() < target.connections;
+    }
 
     [[nodiscard]] TargetLoad load() const noexcept
     {
@@ -314,6 +327,7 @@
         Endpoint const to = candidate.agent;
         std::swap(candidate, work.route.candidates[work.route.count - 1]);
         --work.route.count;
+        noteOwner(work.hash, to, work.now + passNoteLifetime);
         return pass(work, to, AgentRelayOutcome::PassedFirst);
     }
 
@@ -330,13 +344,26 @@
                 best = score;
             }
         }
-        return chosen == nullptr ? refuse(work) : pass(work, chosen->agent, AgentRelayOutcome::PassedFirst);
+        if (chosen == nullptr)
+            return refuse(work);
+        noteOwner(work.hash, chosen->agent, work.now + passNoteLifetime);
+        return pass(work, chosen->agent, AgentRelayOutcome::PassedFirst);
+    }
+
+    void noteOwner(std::uint64_t hash, Endpoint owner, TimePoint expires) noexcept
+    {
+        RedirectNote* const note = notes.insert(hash);
+        if (note == nullptr)
+            return;
+        note->owner = owner;
+        note->expires = expires;
     }
 
     RelayVerdict refuse(Work const& work) noexcept
     {
-        // An earlier copy may have opened the flow elsewhere, which a reset would break.
-        if (work.segment.acknowledgement != 0)
+        // An earlier copy may have opened the flow elsewhere, which a reset would break. A target that is still starting
+        // may take a later copy.
+        if (work.segment.acknowledgement != 0 || !target.announced)
             return drop(work, AgentRelayOutcome::DroppedUnknown);
         return reset(work, AgentRelayOutcome::Refused);
     }
@@ -520,6 +547,9 @@
     RelayVerdict decideAnswer(Work const& work) noexcept
     {
         FlowRecord* record = flows.find(work.hash);
+        // A target answers data of a flow that it does not hold with a reset at times; the flow may be open elsewhere.
+        if (work.segment.reset && (record == nullptr || !record->established))
+            return count(AgentRelayOutcome::DroppedUnknown);
         if (record == nullptr) {
             // The target holds flows from before this process started.
             record = flows.insert(work.hash);
@@ -564,6 +594,7 @@
         if (work.segment.isFirst()) {
             if (record != nullptr && !record->established)
                 erase(*record);
+            noteReturnedFirst(work);
             if (work.route.count > 0 && work.route.hops < mostFirstPasses)
                 return passFirst(work, work.route.candidates.front());
             return passToAnyPeer(work);
@@ -575,6 +606,15 @@
         return reportAbsent(work, work.from);
     }
 
+    void noteReturnedFirst(Work const& work) noexcept
+    {
+        bool const wasAccepting = isAccepting();
+        hasReturned = !target.announced;
+        refusingUntil = work.now + returnPause;
+        if (wasAccepting)
+            sendLoadToAll(work.now, work.nowSeconds);
+    }
+
     /// The target does not hold a flow that was open there: it restarted, or discarded the flow.
     RelayVerdict loseFlow(FlowRecord& record, Work const& work) noexcept
     {
@@ -622,11 +662,7 @@
         if (decoded.service != service)
             return;
         for (std::size_t index = 0; index < decoded.flowCount(); ++index) {
-            RedirectNote* const note = notes.insert(hashRelayFlow(decoded.flowAt(index)));
-            if (note == nullptr)
-                return;
-            note->owner = owner;
-            note->expires = now + redirectLifetime;
+            noteOwner(hashRelayFlow(decoded.flowAt(index)), owner, now + redirectLifetime);
         }
     }
 
@@ -750,6 +786,8 @@
 
 void AgentRelay::setTarget(TargetState const& target, TimePoint now)
 {
+    if (target.announced)
+        state_->hasReturned = false;
     state_->target = target;
     state_->requests.setCold(now + target.coldFor);
 }
@@ -771,6 +809,7 @@
 
 RelayVerdict AgentRelay::decide(std::span<std::byte const> datagram, Endpoint from, TimePoint now, std::uint32_t nowSeconds) noexcept
 {
+    state_->clock = now;
     DecodedRelay const decoded = decodeRelay(datagram, state_->options.keys, nowSeconds);
     if (decoded.error != DatagramError::None)
         return state_->count(AgentRelayOutcome::DroppedMalformed);
@@ -798,6 +837,7 @@
 
 RelayVerdict AgentRelay::decideTarget(std::span<std::byte const> datagram, TimePoint now, std::uint32_t nowSeconds) noexcept
 {
+    state_->clock = now;
     std::optional<Segment> const segment = state_->codec.read(datagram);
     if (!segment)
         return state_->count(AgentRelayOutcome::DroppedMalformed);
@@ -808,6 +848,7 @@
 
 void AgentRelay::tick(TimePoint now, std::uint32_t nowSeconds)
 {
+    state_->clock = now;
     state_->requests.tick(now);
     state_->sendDueLoads(now, nowSeconds);
     state_->sendRedirects(now, nowSeconds);
--- a/src/relay/TargetAnnouncements.cpp
+++ b/src/relay/TargetAnnouncements.cpp
@@ -33,29 +33,37 @@
 
 AnnouncementOutcome TargetAnnouncements::take(TargetAnnouncement const& announcement, TimePoint now)
 {
+    if (announcement.leaving)
+        return takeEnd(announcement, now);
     if (announcement.service != service_)
         return AnnouncementOutcome::WrongService;
     if (announcement.address != address_)
         return AnnouncementOutcome::WrongAddress;
-    bool isNew = false;
-    if (newest_) {
-        std::pair<std::int64_t, std::uint64_t> const known(newest_->startedMilliseconds, newest_->sequence);
-        std::pair<std::int64_t, std::uint64_t> const given(announcement.startedMilliseconds, announcement.sequence);
-        bool const endsKnown = announcement.leaving && announcement.id == newest_->id;
-        if (given <= known && !endsKnown)
-            return AnnouncementOutcome::Outdated;
-        isNew = announcement.startedMilliseconds != newest_->startedMilliseconds;
-    }
+    std::pair<std::int64_t, std::uint64_t> const given(announcement.startedMilliseconds, announcement.sequence);
+    if (newest_ && given <= std::pair(newest_->startedMilliseconds, newest_->sequence))
+        return AnnouncementOutcome::Outdated;
+    bool const isNew = newest_ && announcement.startedMilliseconds != newest_->startedMilliseconds;
     newest_ = announcement;
     heard_ = now;
     return isNew ? AnnouncementOutcome::NewTarget : AnnouncementOutcome::Taken;
 }
 
+// The note of an end names the target's id alone.
+AnnouncementOutcome TargetAnnouncements::takeEnd(TargetAnnouncement const& announcement, TimePoint now)
+{
+    if (!newest_ || newest_->id != announcement.id)
+        return AnnouncementOutcome::Outdated;
+    newest_->leaving = true;
+    heard_ = now;
+    return AnnouncementOutcome::Taken;
+}
+
 TargetState TargetAnnouncements::state(TimePoint now) const noexcept
 {
     TargetState state;
     std::chrono::milliseconds const lease { static_cast<std::int64_t>(missedIntervals * static_cast<double>(interval_.count())) };
     bool const isRecent = now - heard_ <= lease;
+    state.announced = newest_.has_value();
     state.slots = newest_ ? newest_->slots : assumedSlots;
     state.accepting = isRecent && (!newest_ || (!newest_->draining && !newest_->leaving));
     if (newest_ && newest_->coldFor > now - heard_)
--- a/src/runtime/DaemonCore.cpp
+++ b/src/runtime/DaemonCore.cpp
@@ -40,8 +40,9 @@
     waitForStop();
     waitForKeys();
     waitForTick();
-    for (std::unique_ptr<PacketPort> const& port : ports_)
-        waitForPackets(*port);
+    held_ = handlers_.holdPackets;
+    for (std::size_t port = held_ ? 1 : 0; port < ports_.size(); ++port)
+        waitForPackets(*ports_[port]);
     logEvent(LogLevel::Info, "started", { { "name", settings_.name }, { "data_centre", settings_.dataCentre }, { "data", formatEndpoint(settings_.data) }, { "control", formatEndpoint(settings_.control) }, { "http", formatEndpoint(settings_.http) }, { "insecure", settings_.insecure } });
     loop_.run();
     logEvent(LogLevel::Info, "ended", { { "name", settings_.name }, { "status", result_.ok() ? "ok" : messageOf(result_) } });
@@ -95,6 +96,14 @@
     loop_.stop();
 }
 
+void DaemonCore::releasePackets()
+{
+    if (!held_ || finished_)
+        return;
+    held_ = false;
+    waitForPackets(*ports_.front());
+}
+
 void DaemonCore::sendControl(std::vector<ControlMessage> const& messages)
 {
     for (ControlMessage const& message : messages)
--- a/src/runtime/DaemonCore.h
+++ b/src/runtime/DaemonCore.h
@@ -26,6 +26,7 @@
     struct Handlers {
         PacketFilter* packets { nullptr }; ///< at the data endpoint of the settings
         std::vector<std::pair<Endpoint, PacketFilter*>> packetPorts; ///< further UDP endpoints, from port 1 on
+        bool holdPackets { false }; ///< datagrams at the data endpoint wait in the kernel until releasePackets
         std::vector<std::pair<Endpoint, HttpServer::Handler>> httpPorts; ///< further HTTP endpoints
         ControlTransport::Receiver control;
         std::function<void(TimePoint)> tick; ///< every 100 ms
@@ -44,6 +45,9 @@
     /// \brief Sends what is queued, closes everything and lets run return this status.
     void finish(absl::Status const& status);
 
+    /// \brief Starts to take datagrams at the data endpoint, if they were held.
+    void releasePackets();
+
     void sendControl(std::vector<ControlMessage> const& messages);
 
     [[nodiscard]] asio::io_context& loop() noexcept { return loop_; }
@@ -74,6 +78,7 @@
     absl::Status result_;
     bool stopping_ { false };
     bool finished_ { false };
+    bool held_ { false };
 
     [[nodiscard]] absl::Status bindAll();
     void waitForStop();
--- a/src/runtime/RelayEntryDaemon.cpp
+++ b/src/runtime/RelayEntryDaemon.cpp
@@ -17,6 +17,10 @@
     // Number of the endpoint at which agents send notices and load.
     constexpr std::size_t relayPort = 1;
 
+    // Callers' segments wait this long for the first configuration and the first target after a start; a caller sends the
+    // next copy after 200 ms.
+    constexpr std::chrono::milliseconds longestHold { 500 };
+
     Member entryMember(RelayEntrySettings const& settings)
     {
         Member self;
@@ -96,6 +100,8 @@
             {
                 if (!daemon_.relay_.receive(from, datagram, time.now, time.nowSeconds))
                     ++daemon_.refusedMessages_;
+                if (!daemon_.wasReady_)
+                    daemon_.noteReadiness();
                 return {};
             }
 
@@ -113,6 +119,7 @@
         DaemonCore core_;
         asio::steady_timer stopTimer_;
         std::optional<FleetStoreThread> store_;
+        TimePoint started_ { std::chrono::steady_clock::now() };
         std::uint64_t configurationVersion_ { 0 };
         std::uint64_t refusedMessages_ { 0 };
         bool wasReady_ { false };
@@ -123,6 +130,7 @@
         {
             DaemonCore::Handlers handlers;
             handlers.packets = this;
+            handlers.holdPackets = true;
             handlers.packetPorts.emplace_back(settings_.relay, &messages_);
             handlers.control = [this](Endpoint from, std::span<std::byte const> bytes) { receiveControl(from, bytes); };
             handlers.tick = [this](TimePoint now) { tick(now); };
@@ -143,6 +151,8 @@
 
         void tick(TimePoint now)
         {
+            if (now - started_ >= longestHold)
+                core_.releasePackets();
             control_.tick(now);
             applyControl();
             relay_.tick(now, wallSeconds());
@@ -152,6 +162,8 @@
         void noteReadiness()
         {
             bool const ready = isReady();
+            if (ready)
+                core_.releasePackets();
             if (ready == wasReady_)
                 return;
             wasReady_ = ready;
--- /dev/null
+++ b/tests/AgentRelayTests.cpp
@@ -0,0 +1,241 @@
+// Guards against packets of open flows that reach other targets, resets of flows that are open, new flows at targets that
+// cannot take them, and flows that nobody answers for.
+#include "RelayScene.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace {
+
+using namespace relay_scene;
+
+std::size_t ownerOf(Scene const& scene, CallerFlow const& flow)
+{
+    std::uint64_t const hash = hashRelayFlow({ flow.caller, serviceAddress });
+    for (std::size_t index = 0; index < scene.agents.size(); ++index) {
+        if (scene.agents[index]->target.flows.contains(hash))
+            return index;
+    }
+    return scene.agents.size();
+}
+
+bool isAnswered(CallerFlow const& flow)
+{
+    return std::all_of(flow.requests.begin(), flow.requests.end(), [](Request const& request) { return request.answered.has_value(); });
+}
+
+bool isReset(CallerFlow const& flow)
+{
+    return std::any_of(flow.requests.begin(), flow.requests.end(), [](Request const& request) { return request.reset; });
+}
+
+std::uint64_t foreignSegments(Scene const& scene)
+{
+    std::uint64_t sum = 0;
+    for (std::unique_ptr<Agent> const& agent : scene.agents)
+        sum += agent->target.foreign;
+    return sum;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(AFlowOpensAndItsRequestsAreAnswered)
+{
+    Scene scene(2, 4);
+    CallerFlow& flow = scene.open(0);
+    scene.runFor(100ms);
+    scene.request(flow);
+    scene.runFor(100ms);
+    BOOST_TEST(isAnswered(flow));
+    BOOST_TEST(ownerOf(scene, flow) < scene.agents.size());
+}
+
+// A steward's feed moves to an entry that has just joined and knows nothing of it.
+BOOST_AUTO_TEST_CASE(AnotherEntryFindsTheOwner)
+{
+    Scene scene(2, 7);
+    std::vector<CallerFlow*> flows;
+    for (int count = 0; count < 40; ++count)
+        flows.push_back(&scene.open(0));
+    scene.runFor(2s);
+    for (CallerFlow* const flow : flows) {
+        flow->entry = 1;
+        scene.request(*flow);
+    }
+    scene.runFor(300ms);
+    for (CallerFlow const* const flow : flows)
+        BOOST_TEST((isAnswered(*flow) && !isReset(*flow)));
+    // Owners had told the agents that rank first.
+    BOOST_TEST(foreignSegments(scene) == 0U);
+}
+
+// A search went from agent to agent and ended at a machine that was gone, so that for 2.8 s packets of an open flow
+// reached other targets and its own none.
+BOOST_AUTO_TEST_CASE(ADeadAgentDoesNotEndASearch)
+{
+    Scene scene(2, 7);
+    std::vector<CallerFlow*> flows;
+    for (int count = 0; count < 40; ++count)
+        flows.push_back(&scene.open(0));
+    scene.runFor(100ms);
+    scene.agents[6]->up = false;
+    for (CallerFlow* const flow : flows) {
+        if (ownerOf(scene, *flow) == 6)
+            continue;
+        flow->entry = 1;
+        scene.request(*flow);
+        scene.runFor(5ms);
+        scene.request(*flow);
+    }
+    scene.runFor(500ms);
+    for (CallerFlow const* const flow : flows) {
+        // The first of the two requests may have been lost at the dead agent; the scene's callers do not repeat it.
+        if (ownerOf(scene, *flow) != 6)
+            BOOST_TEST((flow->requests[1].answered.has_value() && !isReset(*flow)));
+    }
+}
+
+// A restarted agent had an empty view, took its own answer for that of all agents, and reset an open flow.
+BOOST_AUTO_TEST_CASE(ARestartedAgentResetsNoOpenFlow)
+{
+    Scene scene(1, 4);
+    std::vector<CallerFlow*> flows;
+    for (int count = 0; count < 40; ++count)
+        flows.push_back(&scene.open(0));
+    scene.runFor(1s);
+    ServiceView none;
+    none.service = "desk";
+    for (std::size_t index = 0; index < scene.agents.size(); ++index) {
+        scene.startAgent(index);
+        scene.agents[index]->relay->setView(none, scene.now());
+    }
+    scene.startEntry(0);
+    for (CallerFlow* const flow : flows)
+        scene.request(*flow);
+    scene.runFor(200ms);
+    for (CallerFlow const* const flow : flows)
+        BOOST_TEST(!isReset(*flow));
+}
+
+// The target goes on while its agent is replaced; the new agent must deliver what it has never seen.
+BOOST_AUTO_TEST_CASE(ARestartedAgentDeliversFlowsFromBefore)
+{
+    Scene scene(1, 4);
+    std::vector<CallerFlow*> flows;
+    for (int count = 0; count < 40; ++count)
+        flows.push_back(&scene.open(0));
+    scene.runFor(1s);
+    for (std::size_t index = 0; index < scene.agents.size(); ++index)
+        scene.startAgent(index);
+    scene.runFor(400ms);
+    for (CallerFlow* const flow : flows)
+        scene.request(*flow);
+    scene.runFor(300ms);
+    for (CallerFlow const* const flow : flows)
+        BOOST_TEST((isAnswered(*flow) && !isReset(*flow)));
+}
+
+// After a loss of power targets hold no flows. Without a reset each caller would wait until its deadline.
+BOOST_AUTO_TEST_CASE(AFlowThatNobodyHoldsIsReset)
+{
+    Scene scene(1, 4);
+    CallerFlow& flow = scene.open(0);
+    scene.runFor(1s);
+    for (std::size_t index = 0; index < scene.agents.size(); ++index) {
+        scene.agents[index]->target.flows.clear();
+        scene.startAgent(index);
+    }
+    scene.startEntry(0);
+    scene.runFor(500ms);
+    scene.request(flow);
+    scene.runFor(50ms);
+    BOOST_TEST(isReset(flow));
+}
+
+// One agent that does not answer may own the flow.
+BOOST_AUTO_TEST_CASE(AFlowIsNotResetWhileAnAgentIsSilent)
+{
+    Scene scene(1, 4);
+    CallerFlow& flow = scene.open(0);
+    scene.runFor(1s);
+    std::size_t const owner = ownerOf(scene, flow);
+    scene.agents[owner]->up = false;
+    scene.startEntry(0);
+    scene.runFor(500ms);
+    scene.request(flow);
+    scene.runFor(1s);
+    BOOST_TEST(!isReset(flow));
+}
+
+// The target that replaced another one holds none of its flows.
+BOOST_AUTO_TEST_CASE(FlowsOfAReplacedTargetAreReset)
+{
+    Scene scene(1, 2);
+    CallerFlow& flow = scene.open(0);
+    scene.runFor(500ms);
+    std::size_t const owner = ownerOf(scene, flow);
+    scene.agents[owner]->target.flows.clear();
+    scene.agents[owner]->relay->forgetFlows();
+    scene.request(flow);
+    scene.runFor(10ms);
+    BOOST_TEST(isReset(flow));
+}
+
+// A target answered data of a flow that it did not hold with a reset of its own, and the agent sent it to the caller.
+BOOST_AUTO_TEST_CASE(AResetOfATargetThatNeverHadTheFlowStaysHere)
+{
+    Scene scene(1, 2);
+    Bytes const reset = makePacket({ 1, 1, 0, serviceAddress, { 0x64400001U, 2000 }, resetFlag, 0 });
+    RelayVerdict const verdict = scene.agents[0]->relay->decideTarget(reset, scene.now(), wallSeconds);
+    BOOST_TEST(!verdict.to.isSet());
+}
+
+BOOST_AUTO_TEST_CASE(ADrainingTargetTakesNoNewFlowsAndKeepsItsOwn)
+{
+    Scene scene(1, 3);
+    CallerFlow& flow = scene.open(0);
+    scene.runFor(500ms);
+    std::size_t const owner = ownerOf(scene, flow);
+    scene.agents[owner]->state.accepting = false;
+    scene.agents[owner]->relay->setTarget(scene.agents[owner]->state, scene.now());
+    std::uint64_t const before = scene.agents[owner]->target.openings;
+    for (int count = 0; count < 30; ++count)
+        scene.open(0);
+    scene.request(flow);
+    scene.runFor(500ms);
+    BOOST_TEST(scene.agents[owner]->target.openings == before);
+    BOOST_TEST(isAnswered(flow));
+}
+
+// Targets that still started looked idle, so that nearly every new flow went to them first and came back.
+BOOST_AUTO_TEST_CASE(ATargetThatReturnsOpeningsBeforeItsAnnouncementIsLeftAlone)
+{
+    Scene scene(1, 2);
+    Agent& agent = *scene.agents[0];
+    agent.state.announced = false;
+    agent.relay->setTarget(agent.state, scene.now());
+    BOOST_TEST(agent.relay->load().accepting);
+    Bytes const returned = makePacket({ 100, 0, 0, { 0x64400001U, 2000 }, serviceAddress, openingFlag | returnedFlag, 0 });
+    RelayVerdict const verdict = agent.relay->decideTarget(returned, scene.now(), wallSeconds);
+    BOOST_TEST((verdict.to == scene.agents[1]->data));
+    scene.runFor(1s);
+    BOOST_TEST(!agent.relay->load().accepting);
+    agent.state.announced = true;
+    agent.relay->setTarget(agent.state, scene.now());
+    BOOST_TEST(agent.relay->load().accepting);
+}
+
+BOOST_AUTO_TEST_CASE(SegmentsOfAnotherServiceAreDropped)
+{
+    Scene scene(1, 1);
+    RelayRoute route;
+    route.service = hashService("store");
+    Bytes const packet = makePacket({ 100, 0, 0, { 0x64400001U, 2000 }, serviceAddress, openingFlag, 0 });
+    KeyRing keys;
+    keys.count = 1;
+    Bytes datagram(maximumRelayHeaderBytes);
+    datagram.resize(writeRelayPacket(route, packet, { keys, wallSeconds }, datagram));
+    datagram.insert(datagram.end(), packet.begin(), packet.end());
+    RelayVerdict const verdict = scene.agents[0]->relay->decide(datagram, scene.entries[0]->data, scene.now(), wallSeconds);
+    BOOST_TEST(!verdict.to.isSet());
+    BOOST_TEST(scene.agents[0]->relay->outcomes()[static_cast<std::size_t>(AgentRelayOutcome::DroppedService)] == 1U);
+}
--- /dev/null
+++ b/tests/EntryRelayTests.cpp
@@ -0,0 +1,184 @@
+// Guards against resets of flows that may be open, copies that go to a dead target again, and work that gathers at slow,
+// busy or few targets under the loads that weigh most.
+#include "RelayScene.h"
+
+#include <boost/test/unit_test.hpp>
+#include <random>
+
+namespace {
+
+using namespace relay_scene;
+
+RelayVerdict sendOpening(Scene& scene, std::size_t entry, std::uint16_t port, std::uint32_t copy, Endpoint address = serviceAddress)
+{
+    static Bytes packet;
+    packet = makePacket({ 100, copy, 0, { 0x64400001U, port }, address, openingFlag, 0 });
+    return scene.entries[entry]->relay->decide(packet, scene.now(), wallSeconds);
+}
+
+struct Answers {
+    std::size_t inTime { 0 };
+    std::size_t all { 0 };
+    double worstMilliseconds { 0 };
+};
+
+// Flows of one request each, at random times; entries are picked by `entryOf`.
+Answers play(Scene& scene, double perSecond, Duration time, Duration aim, std::function<std::size_t(std::mt19937&)> const& entryOf)
+{
+    std::mt19937 random(11);
+    std::exponential_distribution<double> gap(perSecond);
+    std::vector<CallerFlow*> flows;
+    TimePoint const end = scene.now() + time;
+    double next = 0;
+    while (scene.now() < end) {
+        next = gap(random);
+        scene.runFor(std::chrono::duration_cast<Duration>(std::chrono::duration<double>(next)));
+        flows.push_back(&scene.open(entryOf(random)));
+    }
+    scene.runFor(5s);
+    Answers answers;
+    for (CallerFlow const* const flow : flows) {
+        Request const& request = flow->requests.front();
+        ++answers.all;
+        if (!request.answered)
+            continue;
+        Duration const took = *request.answered - request.sent;
+        answers.inTime += took <= aim ? 1 : 0;
+        answers.worstMilliseconds = std::max(answers.worstMilliseconds, std::chrono::duration<double, std::milli>(took).count());
+    }
+    return answers;
+}
+
+std::size_t anyEntry(std::mt19937& random)
+{
+    return random() % 4;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(AnAddressWithoutARouteIsRefusedAtOnce)
+{
+    Scene scene(1, 2);
+    RelayVerdict const verdict = sendOpening(scene, 0, 2000, 0, { 0xC6120009U, 443 });
+    BOOST_TEST((verdict.to == Endpoint { 0x64400001U, callerPort }));
+    BOOST_TEST(verdict.header.size() == 31U);
+    BOOST_TEST((verdict.header[30] == std::byte { resetFlag }));
+}
+
+// An earlier copy may have opened the flow through another entry with a newer configuration.
+BOOST_AUTO_TEST_CASE(ALaterCopyIsNeverRefused)
+{
+    Scene scene(1, 2);
+    RelayVerdict const verdict = sendOpening(scene, 0, 2000, 1, { 0xC6120009U, 443 });
+    BOOST_TEST(!verdict.to.isSet());
+}
+
+BOOST_AUTO_TEST_CASE(AnEntryWithoutConfigurationRefusesNothing)
+{
+    Scene scene(1, 2);
+    division::SegmentFormat const codec;
+    SceneSender sender(scene, { 0x0A010009U, 7735 });
+    EntryRelayOptions options;
+    options.keys.count = 1;
+    EntryRelay relay(options, codec, sender, scene.decisions);
+    Bytes const packet = makePacket({ 100, 0, 0, { 0x64400001U, 2000 }, serviceAddress, openingFlag, 0 });
+    BOOST_TEST(!relay.decide(packet, scene.now(), wallSeconds).to.isSet());
+}
+
+// The first target may be dead; a second try there would cost the caller another 400 ms.
+BOOST_AUTO_TEST_CASE(ACopyGoesToAnotherTarget)
+{
+    Scene scene(1, 3);
+    Endpoint const first = sendOpening(scene, 0, 2000, 0).to;
+    Endpoint const second = sendOpening(scene, 0, 2000, 1).to;
+    Endpoint const third = sendOpening(scene, 0, 2000, 2).to;
+    BOOST_TEST((first != second));
+    BOOST_TEST((second != third));
+    BOOST_TEST((first != third));
+}
+
+// A caller acknowledges the first of two targets that answered; the second must not get its segments.
+BOOST_AUTO_TEST_CASE(AFlowThatTwoTargetsAnsweredStaysAtTheAcknowledgedOne)
+{
+    Scene scene(1, 3);
+    Bytes const opening = makePacket({ 100, 0, 0, { 0x64400001U, 2000 }, serviceAddress, openingFlag, 0 });
+    CallerFlow& flow = scene.open(0);
+    scene.runFor(100us);
+    flow.copies = 1;
+    scene.runFor(800us);
+    // The copy overtakes the answer to the first one.
+    Bytes const copy = makePacket({ 100, 1, 0, flow.caller, serviceAddress, openingFlag, 0 });
+    RelayVerdict const verdict = scene.entries[0]->relay->decide(copy, scene.now(), wallSeconds);
+    Bytes sent(verdict.header.begin(), verdict.header.end());
+    sent.insert(sent.end(), verdict.payload.begin(), verdict.payload.end());
+    scene.deliver(scene.entries[0]->data, verdict.to, sent);
+    scene.runFor(200ms);
+    scene.request(flow);
+    scene.runFor(200ms);
+    std::uint64_t foreign = 0;
+    std::size_t requests = 0;
+    for (std::unique_ptr<Agent> const& agent : scene.agents) {
+        foreign += agent->target.foreign;
+        requests += agent->target.requests;
+    }
+    BOOST_TEST(foreign == 0U);
+    BOOST_TEST(requests == 2U);
+    BOOST_TEST(flow.requests.back().answered.has_value());
+}
+
+// Steady load at 70 percent of the slots: new flows must not queue at one target while another is free.
+BOOST_AUTO_TEST_CASE(SteadyLoadIsAnsweredInTime)
+{
+    Scene scene(4, 7);
+    Answers const answers = play(scene, 700, 3s, 60ms, anyEntry);
+    BOOST_TEST(answers.inTime >= answers.all * 98 / 100);
+}
+
+// A burst of 1.7 times the usual load, up to all slots, for a second.
+BOOST_AUTO_TEST_CASE(ABurstIsAnsweredInTime)
+{
+    Scene scene(4, 7);
+    play(scene, 550, 1s, 60ms, anyEntry);
+    Answers const answers = play(scene, 935, 1s, 120ms, anyEntry);
+    BOOST_TEST(answers.inTime >= answers.all * 95 / 100);
+}
+
+// One of seven targets turns five times slower: its requests must not decide the worst of all.
+BOOST_AUTO_TEST_CASE(ASlowTargetGetsLessWork)
+{
+    Scene scene(4, 7);
+    play(scene, 500, 1s, 60ms, anyEntry);
+    scene.agents[3]->target.serviceTime = 100ms;
+    play(scene, 500, 1s, 120ms, anyEntry);
+    std::uint64_t const before = scene.agents[3]->target.requests;
+    std::size_t const firstFlow = scene.flows.size();
+    Answers const answers = play(scene, 500, 2s, 120ms, anyEntry);
+    std::uint64_t const slow = scene.agents[3]->target.requests - before;
+    BOOST_TEST(answers.inTime >= answers.all * 95 / 100);
+    // A fair share is a seventh; its slots can do a thirty-first.
+    BOOST_TEST(slow <= (scene.flows.size() - firstFlow) / 14);
+}
+
+// Half of the callers move to one data centre, so that one entry carries most of the load.
+BOOST_AUTO_TEST_CASE(AnEntryWithMostOfTheLoadSpreadsIt)
+{
+    Scene scene(4, 7);
+    Answers const answers = play(scene, 700, 2s, 60ms, [](std::mt19937& random) { return random() % 2 == 0 ? std::size_t { 0 } : random() % 4; });
+    BOOST_TEST(answers.inTime >= answers.all * 98 / 100);
+}
+
+// Long flows that open while all targets are idle must not gather at a few of them.
+BOOST_AUTO_TEST_CASE(LongFlowsAreSpreadEvenly)
+{
+    Scene scene(4, 7);
+    std::mt19937 random(5);
+    for (int count = 0; count < 280; ++count) {
+        scene.open(random() % 4);
+        scene.runFor(10ms);
+    }
+    scene.runFor(1s);
+    std::size_t most = 0;
+    for (std::unique_ptr<Agent> const& agent : scene.agents)
+        most = std::max(most, agent->target.flows.size());
+    BOOST_TEST(most <= 50U);
+}
--- /dev/null
+++ b/tests/RelayMessageTests.cpp
@@ -0,0 +1,132 @@
+// Guards against relay datagrams that are misread, taken without a valid tag, or read beyond their end.
+#include "plantaindrift/relay/RelayMessage.h"
+
+#include <boost/test/unit_test.hpp>
+#include <vector>
+
+namespace {
+
+using namespace plantaindrift;
+
+using Bytes = std::vector<std::byte>;
+
+constexpr std::uint32_t wallSeconds = 1'000'000;
+
+KeyRing keysOf(std::uint8_t epoch, std::uint8_t fill)
+{
+    KeyRing ring;
+    ring.count = 1;
+    ring.keys[0].epoch = epoch;
+    ring.keys[0].bytes.fill(fill);
+    return ring;
+}
+
+KeyRing const keys = keysOf(3, 7);
+RelayFlow const flow { { 0x64400007U, 40001 }, { 0xC6120001U, 443 } };
+TargetLoad const load { true, 7, 5, 40, 553 };
+
+Bytes packetOf(RelayRoute const& route, Bytes const& segment)
+{
+    Bytes datagram(maximumRelayHeaderBytes);
+    datagram.resize(writeRelayPacket(route, segment, { keys, wallSeconds }, datagram));
+    datagram.insert(datagram.end(), segment.begin(), segment.end());
+    return datagram;
+}
+
+RelayRoute someRoute()
+{
+    RelayRoute route;
+    route.service = ServiceHash { 0x1122334455667788ULL };
+    route.entry = { 0x0A010009U, 7735 };
+    route.hops = 2;
+    route.search = RelaySearch::ReportedProbe;
+    route.count = 2;
+    route.candidates[0] = { { 0x0A02000CU, 8172 }, 1234 };
+    route.candidates[1] = { { 0x0A02000DU, 8172 }, 20000 };
+    return route;
+}
+
+// One datagram of each kind.
+std::vector<Bytes> allKinds()
+{
+    RelaySeal const seal { keys, wallSeconds };
+    std::vector<Bytes> datagrams { packetOf(someRoute(), Bytes(31)) };
+    Bytes buffer(maximumRelayMessageBytes);
+    std::vector<RelayFlow> const flows(3, flow);
+    datagrams.emplace_back(buffer.begin(), buffer.begin() + static_cast<std::ptrdiff_t>(writeRelayNotice(flow, load, seal, buffer)));
+    datagrams.emplace_back(buffer.begin(), buffer.begin() + static_cast<std::ptrdiff_t>(writeRelayLoad(ServiceHash { 5 }, load, seal, buffer)));
+    datagrams.emplace_back(buffer.begin(), buffer.begin() + static_cast<std::ptrdiff_t>(writeRelaySubscribe(std::chrono::milliseconds { 250 }, seal, buffer)));
+    datagrams.emplace_back(buffer.begin(), buffer.begin() + static_cast<std::ptrdiff_t>(writeRelayRedirect(ServiceHash { 5 }, flows, seal, buffer)));
+    datagrams.emplace_back(buffer.begin(), buffer.begin() + static_cast<std::ptrdiff_t>(writeRelayAbsent(ServiceHash { 5 }, flow, seal, buffer)));
+    return datagrams;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(APacketKeepsItsRouteAndSegment)
+{
+    RelayRoute const route = someRoute();
+    Bytes const segment(1231, std::byte { 0x5A });
+    Bytes const datagram = packetOf(route, segment);
+    DecodedRelay const decoded = decodeRelay(datagram, keys, wallSeconds);
+    BOOST_TEST((decoded.error == DatagramError::None));
+    BOOST_TEST((decoded.kind == RelayKind::Packet));
+    BOOST_TEST((decoded.route.service == route.service));
+    BOOST_TEST((decoded.route.entry == route.entry));
+    BOOST_TEST(decoded.route.hops == 2);
+    BOOST_TEST((decoded.route.search == RelaySearch::ReportedProbe));
+    BOOST_TEST(decoded.route.count == 2);
+    BOOST_TEST((decoded.route.candidates == route.candidates));
+    BOOST_TEST(std::equal(decoded.segment.begin(), decoded.segment.end(), segment.begin(), segment.end()));
+}
+
+BOOST_AUTO_TEST_CASE(MessagesKeepTheirFields)
+{
+    std::vector<Bytes> const datagrams = allKinds();
+    DecodedRelay const notice = decodeRelay(datagrams[1], keys, wallSeconds);
+    BOOST_TEST((notice.kind == RelayKind::Notice && notice.flow == flow && notice.load == load));
+    DecodedRelay const loaded = decodeRelay(datagrams[2], keys, wallSeconds);
+    BOOST_TEST((loaded.kind == RelayKind::Load && loaded.service == ServiceHash { 5 } && loaded.load == load));
+    DecodedRelay const subscribed = decodeRelay(datagrams[3], keys, wallSeconds);
+    BOOST_TEST((subscribed.kind == RelayKind::Subscribe && subscribed.interval == std::chrono::milliseconds { 250 }));
+    DecodedRelay const redirect = decodeRelay(datagrams[4], keys, wallSeconds);
+    BOOST_TEST((redirect.kind == RelayKind::Redirect && redirect.flowCount() == 3U && redirect.flowAt(2) == flow));
+    DecodedRelay const absent = decodeRelay(datagrams[5], keys, wallSeconds);
+    BOOST_TEST((absent.kind == RelayKind::Absent && absent.flow == flow));
+}
+
+BOOST_AUTO_TEST_CASE(AnyCutDatagramIsRefused)
+{
+    for (Bytes const& datagram : allKinds()) {
+        for (std::size_t size = 0; size < datagram.size(); ++size)
+            BOOST_TEST((decodeRelay(std::span(datagram).first(size), keys, wallSeconds).error != DatagramError::None));
+    }
+}
+
+BOOST_AUTO_TEST_CASE(AnyChangedByteIsRefused)
+{
+    for (Bytes const& datagram : allKinds()) {
+        for (std::size_t index = 0; index < datagram.size(); ++index) {
+            Bytes changed = datagram;
+            changed[index] ^= std::byte { 0x10 };
+            BOOST_TEST((decodeRelay(changed, keys, wallSeconds).error != DatagramError::None), "byte " << index);
+        }
+    }
+}
+
+BOOST_AUTO_TEST_CASE(ALongerDatagramIsRefused)
+{
+    for (Bytes datagram : allKinds()) {
+        datagram.push_back(std::byte { 0 });
+        BOOST_TEST((decodeRelay(datagram, keys, wallSeconds).error != DatagramError::None));
+    }
+}
+
+BOOST_AUTO_TEST_CASE(ForeignKeysAndOldDatagramsAreRefused)
+{
+    Bytes const datagram = allKinds().front();
+    BOOST_TEST((decodeRelay(datagram, keysOf(3, 8), wallSeconds).error == DatagramError::Unauthenticated));
+    BOOST_TEST((decodeRelay(datagram, keysOf(4, 7), wallSeconds).error == DatagramError::Unauthenticated));
+    BOOST_TEST((decodeRelay(datagram, keys, wallSeconds + 31).error == DatagramError::Stale));
+    BOOST_TEST((decodeRelay(datagram, keys, wallSeconds - 31).error == DatagramError::Stale));
+}
--- /dev/null
+++ b/tests/RelayScene.h
@@ -0,0 +1,512 @@
+#pragma once
+
+#include "SegmentFormat.h"
+#include "plantaindrift/base/Hash.h"
+#include "plantaindrift/relay/AgentRelay.h"
+#include "plantaindrift/relay/EntryRelay.h"
+
+#include <algorithm>
+#include <chrono>
+#include <cstring>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <queue>
+#include <string>
+#include <vector>
+
+/// \brief Entries, agents, targets and callers of one service in simulated time, without a network.
+///
+/// Segments take a fixed time. Targets serve a bounded number of requests at once and queue the others, answer opening
+/// segments, and return what they do not hold.
+namespace relay_scene {
+
+using namespace plantaindrift;
+using namespace std::chrono_literals;
+
+using Bytes = std::vector<std::byte>;
+
+inline constexpr std::uint32_t wallSeconds = 1'000'000;
+inline constexpr std::chrono::microseconds linkTime { 500 };
+inline constexpr std::uint16_t callerPort = 8172;
+inline Endpoint const serviceAddress { 0xC6120001U, 443 };
+
+inline constexpr std::uint8_t openingFlag = 32;
+inline constexpr std::uint8_t acknowledgementFlag = 2;
+inline constexpr std::uint8_t closingFlag = 1;
+inline constexpr std::uint8_t resetFlag = 4;
+inline constexpr std::uint8_t returnedFlag = 128;
+
+struct Header {
+    std::uint32_t sequence { 0 };
+    std::uint32_t acknowledgement { 0 };
+    std::uint32_t echo { 0 };
+    Endpoint source;
+    Endpoint destination;
+    std::uint8_t flags { 0 };
+    std::uint16_t dataBytes { 0 };
+};
+
+template <typename Number>
+void put(Bytes& bytes, std::size_t offset, Number number)
+{
+    std::memcpy(bytes.data() + offset, &number, sizeof(number));
+}
+
+/// \brief A packet in the division's format; this machine is little-endian, as the format.
+inline Bytes makePacket(Header const& header)
+{
+    Bytes bytes(31U + header.dataBytes, std::byte { 0x41 });
+    put(bytes, 0, std::uint32_t { 0x5EED });
+    put(bytes, 4, header.sequence);
+    put(bytes, 8, header.acknowledgement);
+    put(bytes, 12, header.echo);
+    put(bytes, 16, header.dataBytes);
+    put(bytes, 18, header.destination.port);
+    put(bytes, 20, header.source.address);
+    put(bytes, 24, header.destination.address);
+    put(bytes, 28, header.source.port);
+    put(bytes, 30, header.flags);
+    return bytes;
+}
+
+class Scene;
+
+/// \brief A server: slots, a queue, and the flows it holds.
+struct FakeTarget {
+    std::size_t slots { 3 };
+    std::size_t queue { 12 };
+    std::chrono::microseconds serviceTime { 20ms };
+    bool up { true };
+    std::map<std::uint64_t, RelayFlow> flows; ///< open ones
+    std::map<std::uint64_t, RelayFlow> halfOpen;
+    std::size_t busy { 0 };
+    std::vector<std::function<void()>> waiting;
+    std::uint64_t requests { 0 };
+    std::size_t longestQueue { 0 };
+    std::uint64_t openings { 0 }; ///< opening segments it was given
+    std::uint64_t foreign { 0 }; ///< segments of flows that it does not hold
+};
+
+/// \brief Sends datagrams of a relay into the scene.
+class SceneSender final : public RelaySender {
+public:
+    SceneSender(Scene& scene, Endpoint from)
+        : scene_(scene)
+        , from_(from)
+    {
+    }
+    void send(Endpoint to, std::span<std::byte const> datagram) noexcept override;
+
+private:
+    Scene& scene_;
+    Endpoint from_;
+};
+
+/// \brief Keeps the decisions of all relays.
+class DecisionList final : public RelayObserver {
+public:
+    void decided(RelayDecision const& decision) noexcept override { decisions.push_back(decision); }
+    [[nodiscard]] std::size_t count(std::string_view outcome) const
+    {
+        return static_cast<std::size_t>(std::count_if(decisions.begin(), decisions.end(), [outcome](RelayDecision const& decision) { return decision.outcome == outcome; }));
+    }
+    std::vector<RelayDecision> decisions;
+};
+
+struct Agent {
+    std::string name;
+    Endpoint data;
+    Endpoint app;
+    std::unique_ptr<SceneSender> sender;
+    std::unique_ptr<AgentRelay> relay;
+    FakeTarget target;
+    TargetState state;
+    bool up { true };
+};
+
+struct Entry {
+    Endpoint data;
+    std::unique_ptr<SceneSender> sender;
+    std::unique_ptr<EntryRelay> relay;
+    bool up { true };
+};
+
+/// \brief What a caller saw of one request.
+struct Request {
+    TimePoint sent;
+    std::optional<TimePoint> answered;
+    bool refused { false }; ///< a reset before the flow opened
+    bool reset { false }; ///< a reset of the open flow
+};
+
+/// \brief One flow of a caller, through one entry.
+struct CallerFlow {
+    Endpoint caller;
+    std::size_t entry { 0 };
+    std::uint32_t nextSequence { 1 };
+    std::uint32_t targetSequence { 0 };
+    bool open { false };
+    std::uint8_t copies { 0 };
+    std::vector<Request> requests;
+    std::size_t unsent { 0 }; ///< requests that wait for the flow to open
+};
+
+class Scene {
+public:
+    explicit Scene(std::size_t entryCount, std::size_t agentCount)
+    {
+        for (std::size_t index = 0; index < agentCount; ++index)
+            addAgent();
+        for (std::size_t index = 0; index < entryCount; ++index)
+            addEntry();
+        publishView();
+        runFor(500ms);
+    }
+
+    DecisionList decisions;
+    std::vector<std::unique_ptr<Agent>> agents;
+    std::vector<std::unique_ptr<Entry>> entries;
+    std::vector<std::unique_ptr<CallerFlow>> flows;
+
+    [[nodiscard]] TimePoint now() const { return now_; }
+
+    void addEntry()
+    {
+        std::unique_ptr<Entry> entry = std::make_unique<Entry>();
+        entry->data = { 0x0A010000U + static_cast<std::uint32_t>(entries.size()) + 1, 7735 };
+        entry->sender = std::make_unique<SceneSender>(*this, entry->data);
+        entries.push_back(std::move(entry));
+        startEntry(entries.size() - 1);
+    }
+
+    /// \brief Starts an entry, or a new process in its place.
+    void startEntry(std::size_t index)
+    {
+        Entry& entry = *entries[index];
+        EntryRelayOptions options;
+        options.self = entry.data;
+        options.dataCentre = "north";
+        options.keys = keys();
+        options.randomSeed = 7 + index;
+        options.callerPort = callerPort;
+        entry.relay = std::make_unique<EntryRelay>(options, codec_, *entry.sender, decisions);
+        entry.relay->setConfiguration(configuration());
+        if (!view_.targets.empty())
+            entry.relay->setView(view_, now_);
+        entry.up = true;
+    }
+
+    void addAgent()
+    {
+        std::unique_ptr<Agent> agent = std::make_unique<Agent>();
+        std::uint32_t const number = static_cast<std::uint32_t>(agents.size()) + 1;
+        agent->name = "target-" + std::to_string(number);
+        agent->data = { 0x0A020000U + number, 8173 };
+        agent->app = { 0x0A020000U + number, 8165 };
+        agent->sender = std::make_unique<SceneSender>(*this, agent->data);
+        agents.push_back(std::move(agent));
+        startAgent(agents.size() - 1);
+    }
+
+    /// \brief Starts an agent, or a new process in its place; its target goes on.
+    void startAgent(std::size_t index)
+    {
+        Agent& agent = *agents[index];
+        AgentRelayOptions options;
+        options.name = agent.name;
+        options.self = agent.data;
+        options.target = agent.app;
+        options.service = "desk";
+        options.keys = keys();
+        options.callerPort = callerPort;
+        agent.relay = std::make_unique<AgentRelay>(options, codec_, *agent.sender, decisions, now_);
+        agent.state.accepting = true;
+        agent.state.announced = true;
+        agent.state.slots = static_cast<std::uint16_t>(agent.target.slots);
+        agent.relay->setTarget(agent.state, now_);
+        if (!view_.targets.empty())
+            agent.relay->setView(view_, now_);
+        agent.relay->setViewConfirmed(true);
+        agent.up = true;
+    }
+
+    /// \brief All nodes learn the targets as they are.
+    void publishView()
+    {
+        view_ = {};
+        view_.service = "desk";
+        for (std::unique_ptr<Agent> const& agent : agents) {
+            ViewTarget target;
+            target.name = agent->name;
+            target.dataCentre = "north";
+            target.data = agent->data;
+            view_.targets.push_back(target);
+        }
+        for (std::unique_ptr<Agent> const& agent : agents)
+            agent->relay->setView(view_, now_);
+        for (std::unique_ptr<Entry> const& entry : entries)
+            entry->relay->setView(view_, now_);
+    }
+
+    // ---- callers ----
+
+    /// \brief Opens a flow and sends one request as soon as it is open.
+    CallerFlow& open(std::size_t entry)
+    {
+        std::unique_ptr<CallerFlow> flow = std::make_unique<CallerFlow>();
+        std::uint32_t const number = static_cast<std::uint32_t>(flows.size());
+        flow->caller = { 0x64400001U + number / 50000, static_cast<std::uint16_t>(1024 + number % 50000) };
+        flow->entry = entry;
+        flow->requests.push_back({ now_, {}, false, false });
+        flow->unsent = 1;
+        byCaller_[key(flow->caller)] = flow.get();
+        flows.push_back(std::move(flow));
+        sendOpening(*flows.back());
+        return *flows.back();
+    }
+
+    /// \brief Sends a further request on an open flow.
+    void request(CallerFlow& flow)
+    {
+        flow.requests.push_back({ now_, {}, false, false });
+        sendRequest(flow);
+    }
+
+    // ---- time ----
+
+    void at(TimePoint when, std::function<void()> action) { events_.push({ when, ++order_, std::move(action) }); }
+    void after(Duration wait, std::function<void()> action) { at(now_ + wait, std::move(action)); }
+
+    void runFor(Duration time)
+    {
+        TimePoint const end = now_ + time;
+        while (!events_.empty() && events_.top().when <= end) {
+            Event const event = events_.top();
+            events_.pop();
+            advance(event.when);
+            event.action();
+        }
+        advance(end);
+    }
+
+    void deliver(Endpoint from, Endpoint to, Bytes const& bytes)
+    {
+        after(linkTime, [this, from, to, bytes] { arrive(from, to, bytes); });
+    }
+
+private:
+    struct Event {
+        TimePoint when;
+        std::uint64_t order { 0 };
+        std::function<void()> action;
+        bool operator<(Event const& other) const { return std::tie(when, order) > std::tie(other.when, other.order); }
+    };
+
+    division::SegmentFormat codec_;
+    ServiceView view_;
+    TimePoint now_ { 1000s };
+    TimePoint lastTick_ { 1000s };
+    std::uint64_t order_ { 0 };
+    std::uint32_t lastTargetSequence_ { 5000 };
+    std::priority_queue<Event> events_;
+    std::map<std::uint64_t, CallerFlow*> byCaller_;
+
+    static KeyRing keys()
+    {
+        KeyRing ring;
+        ring.count = 1;
+        return ring;
+    }
+
+    static Configuration configuration()
+    {
+        Service service;
+        service.name = "desk";
+        service.addresses.push_back({ serviceAddress, Protocol::Tcp });
+        return { { service } };
+    }
+
+    static std::uint64_t key(Endpoint endpoint) { return (std::uint64_t { endpoint.address } << 16U) | endpoint.port; }
+
+    void advance(TimePoint when)
+    {
+        while (lastTick_ + 100ms <= when) {
+            lastTick_ += 100ms;
+            now_ = std::max(now_, lastTick_);
+            for (std::unique_ptr<Agent> const& agent : agents) {
+                if (agent->up)
+                    agent->relay->tick(now_, wallSeconds);
+            }
+            for (std::unique_ptr<Entry> const& entry : entries) {
+                if (entry->up)
+                    entry->relay->tick(now_, wallSeconds);
+            }
+        }
+        now_ = std::max(now_, when);
+    }
+
+    void arrive(Endpoint from, Endpoint to, Bytes const& bytes)
+    {
+        for (std::unique_ptr<Entry> const& entry : entries) {
+            if (entry->up && entry->data == to)
+                (void)entry->relay->receive(from, bytes, now_, wallSeconds);
+        }
+        for (std::unique_ptr<Agent> const& agent : agents) {
+            if (agent->up && agent->data == to)
+                carry(*agent, agent->relay->decide(bytes, from, now_, wallSeconds));
+        }
+        if (to.port == callerPort)
+            arriveAtCaller(bytes);
+    }
+
+    void carry(Agent& agent, RelayVerdict const& verdict)
+    {
+        if (!verdict.to.isSet())
+            return;
+        Bytes bytes(verdict.header.begin(), verdict.header.end());
+        bytes.insert(bytes.end(), verdict.payload.begin(), verdict.payload.end());
+        if (verdict.to == agent.app)
+            atTarget(agent, bytes);
+        else
+            deliver(agent.data, verdict.to, bytes);
+    }
+
+    // ---- target ----
+
+    void fromTarget(Agent& agent, Bytes const& bytes)
+    {
+        if (agent.up)
+            carry(agent, agent.relay->decideTarget(bytes, now_, wallSeconds));
+    }
+
+    void atTarget(Agent& agent, Bytes bytes)
+    {
+        if (!agent.target.up)
+            return;
+        Segment const segment = codec_.read(bytes).value();
+        RelayFlow const flow { segment.source, segment.destination };
+        std::uint64_t const hash = hashRelayFlow(flow);
+        FakeTarget& target = agent.target;
+        if (segment.isFirst()) {
+            ++target.openings;
+            target.halfOpen[hash] = flow;
+            Header answer { ++lastTargetSequence_, segment.sequence + 1, 0, flow.service, flow.caller, openingFlag | acknowledgementFlag, 0 };
+            fromTarget(agent, makePacket(answer));
+            return;
+        }
+        if (target.halfOpen.erase(hash) > 0)
+            target.flows[hash] = flow;
+        if (!target.flows.contains(hash)) {
+            ++target.foreign;
+            bytes[30] |= std::byte { returnedFlag };
+            fromTarget(agent, bytes);
+            return;
+        }
+        if (segment.closing || segment.reset)
+            target.flows.erase(hash);
+        else if (segment.dataBytes > 0)
+            startRequest(agent, flow);
+    }
+
+    void startRequest(Agent& agent, RelayFlow const& flow)
+    {
+        FakeTarget& target = agent.target;
+        ++target.requests;
+        std::function<void()> work = [this, &agent, flow] {
+            after(agent.target.serviceTime, [this, &agent, flow] { finishRequest(agent, flow); });
+        };
+        if (target.busy < target.slots) {
+            ++target.busy;
+            work();
+            return;
+        }
+        target.waiting.push_back(std::move(work));
+        target.longestQueue = std::max(target.longestQueue, target.waiting.size());
+    }
+
+    void finishRequest(Agent& agent, RelayFlow const& flow)
+    {
+        FakeTarget& target = agent.target;
+        if (target.waiting.empty()) {
+            --target.busy;
+        } else {
+            std::function<void()> const next = target.waiting.front();
+            target.waiting.erase(target.waiting.begin());
+            next();
+        }
+        if (target.up)
+            fromTarget(agent, makePacket({ 9000, 0, 0, flow.service, flow.caller, acknowledgementFlag, 200 }));
+    }
+
+    // ---- caller ----
+
+    void sendThroughEntry(CallerFlow const& flow, Bytes const& bytes)
+    {
+        after(linkTime, [this, entry = flow.entry, bytes] {
+            Entry& at = *entries[entry];
+            if (!at.up)
+                return;
+            RelayVerdict const verdict = at.relay->decide(bytes, now_, wallSeconds);
+            if (!verdict.to.isSet())
+                return;
+            Bytes sent(verdict.header.begin(), verdict.header.end());
+            sent.insert(sent.end(), verdict.payload.begin(), verdict.payload.end());
+            deliver(at.data, verdict.to, sent);
+        });
+    }
+
+    void sendOpening(CallerFlow& flow)
+    {
+        sendThroughEntry(flow, makePacket({ 100, flow.copies, 0, flow.caller, serviceAddress, openingFlag, 0 }));
+        ++flow.copies;
+        Duration const wait = flow.copies == 1 ? 200ms : 400ms;
+        after(wait, [this, &flow] {
+            if (!flow.open && !flow.requests.front().refused && flow.copies < 3)
+                sendOpening(flow);
+        });
+    }
+
+    void sendRequest(CallerFlow& flow)
+    {
+        Header const header { 101 + flow.nextSequence, flow.targetSequence + 1, 0, flow.caller, serviceAddress, acknowledgementFlag, 100 };
+        flow.nextSequence += 100;
+        sendThroughEntry(flow, makePacket(header));
+    }
+
+    void arriveAtCaller(Bytes const& bytes)
+    {
+        Segment const segment = codec_.read(bytes).value();
+        std::map<std::uint64_t, CallerFlow*>::iterator const found = byCaller_.find(key(segment.destination));
+        if (found == byCaller_.end())
+            return;
+        CallerFlow& flow = *found->second;
+        if (segment.reset) {
+            (flow.open ? flow.requests.back().reset : flow.requests.back().refused) = true;
+            return;
+        }
+        if (segment.opening && !flow.open) {
+            flow.open = true;
+            flow.targetSequence = segment.sequence;
+            sendThroughEntry(flow, makePacket({ 101, flow.targetSequence + 1, 0, flow.caller, serviceAddress, acknowledgementFlag, 0 }));
+            for (; flow.unsent > 0; --flow.unsent)
+                sendRequest(flow);
+        }
+        if (segment.dataBytes > 0) {
+            for (Request& request : flow.requests) {
+                if (!request.answered) {
+                    request.answered = now_;
+                    break;
+                }
+            }
+        }
+    }
+};
+
+inline void SceneSender::send(Endpoint to, std::span<std::byte const> datagram) noexcept
+{
+    scene_.deliver(from_, to, Bytes(datagram.begin(), datagram.end()));
+}
+
+} // namespace relay_scene
