Entries look for owners and judge lost flows; agents carry the questions; member lists at agents every 10 s

Lists of 43 members went to all agents at each change and used up the control budget of 3 KB/s, so that gossip of joins waited: an entry lacked a target for 5 s, agents for longer. The owner was then not asked, and an open flow was reset.

- The entry decides: its view is the fastest.
It asks the agent that ranks first; that one follows a redirect, or asks all others over its wide link; all report to the entry, which resets only when each target of a complete view, also one taken for dead in the last 10 s, has said that it does not hold the flow.
- Entries, not owners, tell the two agents that rank first who owns a flow; the owner itself is left out, so that an entry that does not know it yet still finds the redirect.
- Agents ask for the list of members at most every 10 s.
Entries read the members from the store again after 2 and 6 s, then one second a member apart.
A new agent takes flows 1 s after its start, unless the store had its record.

--- a/include/plantaindrift/store/FleetStore.h
+++ b/include/plantaindrift/store/FleetStore.h
@@ -34,8 +34,10 @@
     /// \returns the newest configuration; nothing if the time passed without a change
     [[nodiscard]] virtual absl::StatusOr<std::optional<VersionedConfiguration>> awaitConfiguration(std::chrono::milliseconds time) = 0;
 
-    /// \brief Members as they announced themselves; may lack the last seconds.
-    [[nodiscard]] virtual absl::StatusOr<std::vector<Member>> readMembers() = 0;
+    /// \brief Members as they announced themselves.
+    ///
+    /// \param fresh  false: at a lower price, may lack the last seconds
+    [[nodiscard]] virtual absl::StatusOr<std::vector<Member>> readMembers(bool fresh) = 0;
 
     /// \brief Writes a member's record, whatever stood there.
     [[nodiscard]] virtual absl::Status writeMember(Member const& member) = 0;
--- a/src/membership/AgentControl.cpp
+++ b/src/membership/AgentControl.cpp
@@ -38,7 +38,8 @@
     bool takeService(control::HeartbeatReply const& reply);
     void raiseIncarnation(std::uint64_t known, TimePoint now);
     void storeSelf(TimePoint now);
-    void sendHeartbeats(std::vector<MonitorContacts::Due> const& due);
+    void sendHeartbeats(std::vector<MonitorContacts::Due> const& due, TimePoint now);
+    [[nodiscard]] bool wantsList(TimePoint now) const;
     void shareLoad(TimePoint now, double busyFraction);
     void updateView();
 
@@ -60,7 +61,7 @@
     std::uint64_t position { 0 };
     std::map<std::string, double> peerLoads;
     std::optional<TimePoint> lastReply;
-    std::uint32_t monitorFingerprint { 0 };
+    std::optional<TimePoint> lastList;
     std::optional<TimePoint> lastLoadShare;
 };
 
@@ -90,7 +91,6 @@
     if (reply.refute_incarnation() > maximumIncarnation || static_cast<std::size_t>(reply.monitors_size()) > MonitorContacts::maximumNamed)
         return false;
     lastReply = now;
-    monitorFingerprint = reply.fingerprint();
     std::chrono::milliseconds const told { reply.interval_ms() };
     contacts.noteReply(from, std::clamp(told, options.heartbeat, std::max(options.heartbeat, longestInterval)), monitors, reply.need_record(), now);
     sendsService = reply.need_service();
@@ -99,7 +99,7 @@
     if (reply.refute_incarnation() >= std::max<std::uint64_t>(self.incarnation, 1))
         raiseIncarnation(reply.refute_incarnation(), now);
     else if (reply.need_record())
-        sendHeartbeats({ { from, true, 0 } });
+        sendHeartbeats({ { from, true, 0 } }, now);
     return members && declaration;
 }
 
@@ -113,6 +113,7 @@
             acceptRecord(*member, std::chrono::seconds { message.tombstone_age_s() }, now);
     }
     if (reply.members_size() > 0) {
+        lastList = now;
         forgetUnnamed(now);
         updateView();
     }
@@ -180,7 +181,7 @@
         return;
     self.incarnation = known + 1;
     storeSelf(now);
-    sendHeartbeats(contacts.takeAll(now));
+    sendHeartbeats(contacts.takeAll(now), now);
 }
 
 void AgentControl::State::storeSelf(TimePoint now)
@@ -201,14 +202,19 @@
 
 // ---- periodic steps ----
 
-void AgentControl::State::sendHeartbeats(std::vector<MonitorContacts::Due> const& due)
+bool AgentControl::State::wantsList(TimePoint now) const
+{
+    return !lastList || now - *lastList >= options.listPeriod;
+}
+
+void AgentControl::State::sendHeartbeats(std::vector<MonitorContacts::Due> const& due, TimePoint now)
 {
     for (MonitorContacts::Due const& one : due) {
         control::Envelope envelope;
         control::Heartbeat& heartbeat = *envelope.mutable_heartbeat();
         heartbeat.set_name(self.name);
         heartbeat.set_incarnation(self.incarnation);
-        heartbeat.set_fingerprint(viewHashValue);
+        heartbeat.set_fingerprint(wantsList(now) ? viewHashValue : 0);
         heartbeat.set_position(position);
         heartbeat.set_state(static_cast<control::State>(self.state));
         heartbeat.set_monitors_hash(one.monitorsHash);
@@ -268,7 +274,7 @@
         state_->storeSelf(now);
     if (!state_->table.expire(now).empty())
         state_->updateView();
-    state_->sendHeartbeats(state_->contacts.takeDue(now));
+    state_->sendHeartbeats(state_->contacts.takeDue(now), now);
     if (state_->options.sharesLoad)
         state_->shareLoad(now, busyFraction);
 }
@@ -283,11 +289,6 @@
     return std::exchange(state_->changedView, std::nullopt);
 }
 
-bool AgentControl::isViewConfirmed() const noexcept
-{
-    return state_->lastReply && state_->monitorFingerprint == state_->view.fingerprint;
-}
-
 std::optional<Service> AgentControl::takeChangedService()
 {
     if (!std::exchange(state_->serviceChanged, false))
@@ -311,7 +312,7 @@
 void AgentControl::addEntries(std::span<Endpoint const> entries, TimePoint now)
 {
     state_->contacts.addEntries(entries, now);
-    state_->sendHeartbeats(state_->contacts.takeDue(now));
+    state_->sendHeartbeats(state_->contacts.takeDue(now), now);
 }
 
 void AgentControl::setDraining(bool draining, TimePoint now)
@@ -325,14 +326,14 @@
     if (!draining)
         ++self.incarnation;
     state_->storeSelf(now);
-    state_->sendHeartbeats(state_->contacts.takeAll(now));
+    state_->sendHeartbeats(state_->contacts.takeAll(now), now);
 }
 
 void AgentControl::leave(TimePoint now)
 {
     state_->self.state = MemberState::Left;
     state_->storeSelf(now);
-    state_->sendHeartbeats(state_->contacts.takeAll(now));
+    state_->sendHeartbeats(state_->contacts.takeAll(now), now);
 }
 
 EntryControl::Counts AgentControl::counts() const noexcept
--- a/src/relay/AgentRelay.cpp
+++ b/src/relay/AgentRelay.cpp
@@ -26,26 +26,14 @@
     // Segments that a caller repeats after both ends have finished come within this time.
     constexpr std::chrono::seconds closingLifetime { 5 };
 
-    // Redirects of flows that end sooner would cost more than a search.
-    constexpr std::chrono::milliseconds redirectAge { 300 };
-    constexpr std::chrono::seconds redirectRenewal { 20 };
+    // Entries renew redirects every 20 s.
     constexpr std::chrono::seconds redirectLifetime { 50 };
 
-    // Agents that rank first for a flow and hold a redirect to its owner.
-    constexpr std::size_t redirectHolders = 2;
-
     // An entry that has not subscribed for this time takes no more load.
     constexpr std::chrono::seconds subscriptionLifetime { 3 };
 
     // Notes of agents with different views can form a loop.
     constexpr std::uint8_t mostPasses = 8;
-
-    // Agents answer a search within milliseconds; a later search of the same flow asks anew.
-    constexpr std::chrono::milliseconds searchTime { 150 };
-
-    // Gossip carries a join to all monitors within this time.
-    constexpr std::chrono::milliseconds viewSettleTime { 300 };
-    constexpr std::size_t mostSearches = 1U << 12U;
     constexpr std::uint8_t mostFirstPasses = 3;
 
     // Gain that is worth a pass: both loads may have changed since they were sent.
@@ -80,7 +68,6 @@
         TimePoint opened;
         TimePoint last;
         TimePoint requested; ///< last data of the request in progress
-        TimePoint redirected;
         std::uint16_t busyAtRequest { 0 };
     };
 
@@ -96,17 +83,6 @@
         std::uint32_t token { 0 };
         std::uint64_t hash { 0 };
         RelayRoute route;
-        Endpoint from; ///< sender of the segment
-    };
-
-    /// A flow that the agents of the service were asked for.
-    struct Search {
-        std::uint64_t hash { 0 };
-        bool used { false };
-        Segment segment; ///< of the caller, for the reset if nobody holds the flow
-        std::size_t asked { 0 }; ///< agents, this one included
-        std::size_t absent { 0 }; ///< agents that do not hold it
-        TimePoint started;
     };
 
     struct Subscriber {
@@ -130,7 +106,6 @@
         RelayFlow flow;
         std::uint64_t hash { 0 };
         RelayRoute route;
-        Endpoint from; ///< entry or agent that sent it; unset for segments of the target
         TimePoint now;
         std::uint32_t nowSeconds { 0 };
     };
@@ -149,11 +124,9 @@
         , sender(messageSender)
         , observer(decisionObserver)
         , service(hashService(given.service))
-        , nameHash(hashText(given.name))
         , started(now)
         , flows(given.flows)
         , notes(redirectNotes)
-        , searches(mostSearches)
         , trialRing(trials)
     {
     }
@@ -163,19 +136,15 @@
     RelaySender& sender;
     RelayObserver& observer;
     ServiceHash service {};
-    std::uint64_t nameHash { 0 };
     TimePoint started;
     TargetState target;
     bool stopping { false };
-    bool viewConfirmed { false };
     bool hasReturned { false }; ///< the target returned an opening segment before it announced itself
     TimePoint refusingUntil; ///< the target returned an opening segment: it is full or still starts
     TimePoint clock; ///< of the last call
-    TimePoint viewChanged;
     RequestCount requests;
     HashTable<FlowRecord> flows;
     HashTable<RedirectNote> notes;
-    HashTable<Search> searches;
     std::vector<Trial> trialRing;
     std::uint32_t lastToken { 0 };
     std::vector<Subscriber> subscribers;
@@ -241,7 +210,7 @@
         std::uint32_t token = 0;
         if (mayReturn) {
             token = ++lastToken;
-            trialRing[token % trials] = { token, work.hash, work.route, work.from };
+            trialRing[token % trials] = { token, work.hash, work.route };
         }
         codec.copyHeader(work.datagram, token, header);
         return { options.target, headerSpan(codec.headerBytes()), work.datagram.subspan(codec.headerBytes()) };
@@ -426,84 +395,41 @@
     {
         RedirectNote* const note = notes.find(work.hash);
         bool const isNoted = note != nullptr && note->expires > work.now && note->owner != options.self;
-        if (isNoted && work.route.search == RelaySearch::Start) {
+        if (isNoted && work.route.search != RelaySearch::Probe) {
             work.route.count = 0;
             return pass(work, note->owner, AgentRelayOutcome::PassedKnown);
         }
         if (work.route.search == RelaySearch::Start)
-            startSearch(work);
+            askAll(work);
         // After a restart only the target knows its older flows.
         bool const isYoung = work.now - started < flowLifetime;
-        return isYoung ? deliver(work, AgentRelayOutcome::Tried, true) : reportAbsent(work, work.from);
+        return isYoung ? deliver(work, AgentRelayOutcome::Tried, true) : reportAbsent(work);
     }
 
-    /// Sends the segment to all other agents of the service: any of them may own the flow, and some may not answer.
-    void startSearch(Work& work) noexcept
+    /// Any agent may own the flow, and some may not answer. Agents have wider links than entries.
+    void askAll(Work& work) noexcept
     {
-        Search* search = searches.find(work.hash);
-        bool const isRunning = search != nullptr && work.now - search->started < searchTime;
-        RelayRoute route = work.route;
-        route.count = 0;
-        route.search = isRunning ? RelaySearch::Probe : RelaySearch::ReportedProbe;
-        std::size_t asked = 1;
-        std::size_t const bytes = writeProbe(work, route);
-        for (Peer const& peer : peers) {
-            if (peer.dead)
-                continue;
-            ++asked;
-            sender.send(peer.agent, std::span<std::byte const>(probe).first(bytes));
-        }
-        tell(work, AgentRelayOutcome::Searched, {});
         ++outcomes[static_cast<std::size_t>(AgentRelayOutcome::Searched)];
-        work.route.search = route.search;
-        work.from = {};
-        if (isRunning)
-            return;
-        if (search == nullptr)
-            search = searches.insert(work.hash);
-        if (search == nullptr)
-            return;
-        search->segment = work.segment;
-        search->asked = asked;
-        search->absent = 0;
-        search->started = work.now;
-    }
-
-    std::size_t writeProbe(Work const& work, RelayRoute const& route) noexcept
-    {
-        std::size_t const header = writeRelayPacket(route, work.datagram, { options.keys, work.nowSeconds }, probe);
+        tell(work, AgentRelayOutcome::Searched, {});
+        work.route.count = 0;
+        work.route.search = RelaySearch::Probe;
+        std::size_t const header = writeRelayPacket(work.route, work.datagram, { options.keys, work.nowSeconds }, probe);
         std::size_t const data = std::min(work.datagram.size(), probe.size() - header);
         std::copy_n(work.datagram.begin(), data, probe.begin() + static_cast<std::ptrdiff_t>(header));
-        return header + data;
-    }
-
-    RelayVerdict reportAbsent(Work const& work, Endpoint to) noexcept
-    {
-        if (work.route.search != RelaySearch::ReportedProbe)
-            return count(AgentRelayOutcome::DroppedUnknown);
-        // An unset sender means that the search was started here.
-        if (!to.isSet())
-            return noteAbsent(work.flow, work);
-        std::array<std::byte, maximumRelayHeaderBytes> message;
-        std::size_t const bytes = writeRelayAbsent(service, work.flow, { options.keys, work.nowSeconds }, message);
-        sender.send(to, std::span<std::byte const>(message).first(bytes));
-        return count(AgentRelayOutcome::DroppedUnknown);
+        for (Peer const& peer : peers)
+            sender.send(peer.agent, std::span<std::byte const>(probe).first(header + data));
     }
 
-    /// When no agent's target holds the flow, nothing would ever answer the caller.
-    RelayVerdict noteAbsent(RelayFlow const& flow, Work const& work) noexcept
+    /// The entry tells the caller if no target holds the flow.
+    RelayVerdict reportAbsent(Work const& work) noexcept
     {
-        Search* const search = searches.find(work.hash);
-        if (search == nullptr || ++search->absent < search->asked)
-            return count(AgentRelayOutcome::DroppedUnknown);
-        Work lost = work;
-        lost.flow = flow;
-        lost.segment = search->segment;
-        searches.erase(*search);
-        bool const isViewSettled = viewConfirmed && work.now - viewChanged >= viewSettleTime;
-        if (!isViewSettled || lost.segment.closing || lost.segment.reset)
-            return drop(lost, AgentRelayOutcome::DroppedUnknown);
-        return reset(lost, AgentRelayOutcome::Reset);
+        bool const isWanted = work.route.search != RelaySearch::Follow && work.route.entry.isSet();
+        if (isWanted) {
+            std::array<std::byte, maximumRelayHeaderBytes> message;
+            std::size_t const bytes = writeRelayAbsent(service, work.flow, { options.keys, work.nowSeconds }, message);
+            sender.send(work.route.entry, std::span<std::byte const>(message).first(bytes));
+        }
+        return drop(work, AgentRelayOutcome::DroppedUnknown);
     }
 
     void track(FlowRecord& record, Work const& work) noexcept
@@ -590,7 +516,6 @@
             work.route = trial.route;
         else
             work.route.service = service;
-        work.from = isTrial ? trial.from : Endpoint {};
         if (work.segment.isFirst()) {
             if (record != nullptr && !record->established)
                 erase(*record);
@@ -603,7 +528,7 @@
             return loseFlow(*record, work);
         if (record != nullptr)
             erase(*record);
-        return reportAbsent(work, work.from);
+        return reportAbsent(work);
     }
 
     void noteReturnedFirst(Work const& work) noexcept
@@ -657,12 +582,13 @@
         }
     }
 
-    void noteRedirect(Endpoint owner, DecodedRelay const& decoded, TimePoint now)
+    void noteRedirects(DecodedRelay const& decoded, TimePoint now)
     {
         if (decoded.service != service)
             return;
         for (std::size_t index = 0; index < decoded.flowCount(); ++index) {
-            noteOwner(hashRelayFlow(decoded.flowAt(index)), owner, now + redirectLifetime);
+            OwnedFlow const owned = decoded.flowAt(index);
+            noteOwner(hashRelayFlow(owned.flow), owned.owner, now + redirectLifetime);
         }
     }
 
@@ -679,57 +605,13 @@
         }
     }
 
-    /// Tells the agents that rank first for a flow that it is owned here.
-    void sendRedirects(TimePoint now, std::uint32_t nowSeconds)
+    void countOpenFlows() noexcept
     {
-        std::vector<std::pair<Endpoint, std::vector<RelayFlow>>> batches;
         openFlows = 0;
-        flows.forEach([&](FlowRecord& record) {
+        flows.forEach([this](FlowRecord const& record) {
             bool const isOpen = record.established && !record.closing && !record.lost;
             openFlows += isOpen ? 1 : 0;
-            if (!isOpen || now - record.opened < redirectAge || now - record.redirected < redirectRenewal)
-                return;
-            record.redirected = now;
-            addRedirects(record, batches);
         });
-        for (std::pair<Endpoint, std::vector<RelayFlow>> const& batch : batches)
-            sendRedirect(batch.first, batch.second, nowSeconds);
-    }
-
-    void addRedirects(FlowRecord const& record, std::vector<std::pair<Endpoint, std::vector<RelayFlow>>>& batches) const
-    {
-        std::uint64_t const own = searchScore(nameHash, record.hash);
-        std::array<std::pair<std::uint64_t, Endpoint>, redirectHolders> holders {};
-        for (Peer const& peer : peers) {
-            std::pair<std::uint64_t, Endpoint> holder { searchScore(peer.nameHash, record.hash), peer.agent };
-            // Only agents that rank before this one are asked first.
-            if (peer.dead || holder.first < own)
-                continue;
-            for (std::pair<std::uint64_t, Endpoint>& best : holders) {
-                if (holder.first > best.first)
-                    std::swap(holder, best);
-            }
-        }
-        for (std::pair<std::uint64_t, Endpoint> const& holder : holders) {
-            if (!holder.second.isSet())
-                continue;
-            std::vector<std::pair<Endpoint, std::vector<RelayFlow>>>::iterator const batch = std::find_if(batches.begin(), batches.end(), [&holder](std::pair<Endpoint, std::vector<RelayFlow>> const& one) { return one.first == holder.second; });
-            if (batch == batches.end())
-                batches.push_back({ holder.second, { record.flow } });
-            else
-                batch->second.push_back(record.flow);
-        }
-    }
-
-    void sendRedirect(Endpoint to, std::span<RelayFlow const> owned, std::uint32_t nowSeconds)
-    {
-        std::array<std::byte, maximumRelayMessageBytes> message;
-        while (!owned.empty()) {
-            std::size_t const named = std::min(owned.size(), maximumRedirectedFlows);
-            std::size_t const bytes = writeRelayRedirect(service, owned.first(named), { options.keys, nowSeconds }, message);
-            sender.send(to, std::span<std::byte const>(message).first(bytes));
-            owned = owned.subspan(named);
-        }
     }
 
     void sweep(TimePoint now)
@@ -746,7 +628,6 @@
                 endRequest(record);
             return isOld;
         });
-        searches.eraseIf([now](Search const& search) { return now - search.started > searchTime; });
         notes.eraseIf([now](RedirectNote const& note) { return note.expires <= now; });
     }
 };
@@ -763,25 +644,14 @@
     state_->options.keys = keys;
 }
 
-void AgentRelay::setView(ServiceView const& view, TimePoint now)
+void AgentRelay::setView(ServiceView const& view)
 {
     std::vector<Peer> peers;
     for (ViewTarget const& target : view.targets) {
         if (target.name != state_->options.name)
             peers.push_back({ hashText(target.name), target.data, target.draining, target.dead });
     }
-    bool const isChanged = !std::equal(peers.begin(), peers.end(), state_->peers.begin(), state_->peers.end(), [](Peer const& left, Peer const& right) { return left.agent == right.agent && left.dead == right.dead; });
     state_->peers = std::move(peers);
-    if (!isChanged)
-        return;
-    state_->viewChanged = now;
-    // Other agents may rank first now.
-    state_->flows.forEach([](FlowRecord& record) { record.redirected = {}; });
-}
-
-void AgentRelay::setViewConfirmed(bool confirmed) noexcept
-{
-    state_->viewConfirmed = confirmed;
 }
 
 void AgentRelay::setTarget(TargetState const& target, TimePoint now)
@@ -818,20 +688,16 @@
         return {};
     }
     if (decoded.kind == RelayKind::Redirect) {
-        state_->noteRedirect(from, decoded, now);
+        state_->noteRedirects(decoded, now);
         return {};
     }
-    if (decoded.kind == RelayKind::Absent) {
-        Work const work { {}, {}, decoded.flow, hashRelayFlow(decoded.flow), {}, from, now, nowSeconds };
-        return state_->noteAbsent(decoded.flow, work);
-    }
     std::optional<Segment> const segment = decoded.kind == RelayKind::Packet ? state_->codec.read(decoded.segment) : std::nullopt;
     if (!segment || segment->returned)
         return state_->count(AgentRelayOutcome::DroppedMalformed);
     if (decoded.route.service != state_->service)
         return state_->count(AgentRelayOutcome::DroppedService);
     RelayFlow const flow { segment->source, segment->destination };
-    Work work { decoded.segment, *segment, flow, hashRelayFlow(flow), decoded.route, from, now, nowSeconds };
+    Work work { decoded.segment, *segment, flow, hashRelayFlow(flow), decoded.route, now, nowSeconds };
     return segment->isFirst() ? state_->decideFirst(work) : state_->decideLater(work);
 }
 
@@ -842,7 +708,7 @@
     if (!segment)
         return state_->count(AgentRelayOutcome::DroppedMalformed);
     RelayFlow const flow = segment->returned ? RelayFlow { segment->source, segment->destination } : RelayFlow { segment->destination, segment->source };
-    Work work { datagram, *segment, flow, hashRelayFlow(flow), {}, {}, now, nowSeconds };
+    Work work { datagram, *segment, flow, hashRelayFlow(flow), {}, now, nowSeconds };
     return segment->returned ? state_->decideReturned(work) : state_->decideAnswer(work);
 }
 
@@ -851,7 +717,7 @@
     state_->clock = now;
     state_->requests.tick(now);
     state_->sendDueLoads(now, nowSeconds);
-    state_->sendRedirects(now, nowSeconds);
+    state_->countOpenFlows();
     state_->sweep(now);
 }
 
--- a/src/relay/EntryRelay.cpp
+++ b/src/relay/EntryRelay.cpp
@@ -9,6 +9,8 @@
 
 #include <algorithm>
 #include <chrono>
+#include <map>
+#include <utility>
 #include <vector>
 
 namespace plantaindrift {
@@ -17,7 +19,7 @@
 
     constexpr std::array<std::string_view, entryRelayOutcomes> outcomeNames {
         "first_forwarded", "copy_forwarded", "owner_forwarded", "search_forwarded", "refused_no_route",
-        "refused_no_target", "dropped_malformed", "dropped_no_route", "dropped_no_target"
+        "refused_no_target", "reset_lost", "dropped_malformed", "dropped_no_route", "dropped_no_target"
     };
 
     // A caller keeps a flow open for at most 60 s without a packet.
@@ -47,9 +49,38 @@
 
     constexpr double unheardCostTenths = 2000;
 
-    // Agents that segments of an unknown flow are sent to, one after the other.
+    // Agents answer a search within milliseconds.
+    constexpr std::chrono::milliseconds firstAnswerTime { 30 };
+    constexpr std::chrono::milliseconds searchTime { 150 };
+
+    // Agents that an entry asks itself; its link may be narrow, and a search of all 43 agents of a service over it by each
+    // of its flows fills 10 Mbit/s.
+    constexpr std::size_t mostProbes = 4;
     constexpr std::size_t searchRanks = 3;
 
+    // Searches under way at once, and bytes of a segment that is kept to ask all agents with it.
+    constexpr std::size_t mostSearches = 1024;
+    constexpr std::size_t keptSegmentBytes = 320;
+
+    // Services with more targets get no reset for lost flows.
+    constexpr std::size_t mostSearchedTargets = 256;
+
+    // Gossip carries a join to all entries within this time.
+    constexpr std::chrono::milliseconds viewSettleTime { 300 };
+
+    // A target that lives refutes a false suspicion within this time.
+    constexpr std::chrono::seconds surelyDeadTime { 10 };
+
+    // Redirects of flows that end sooner would cost more than a search.
+    constexpr std::chrono::milliseconds redirectAge { 300 };
+    constexpr std::chrono::seconds redirectRenewal { 20 };
+
+    // Agents that rank first for a flow and hold a redirect to its owner.
+    constexpr std::size_t redirectHolders = 2;
+
+    // Ticks in which all flows are looked at once.
+    constexpr std::size_t redirectTicks = 5;
+
     struct Target {
         std::string name;
         std::uint64_t nameHash { 0 };
@@ -57,6 +88,7 @@
         bool local { false };
         bool draining { false };
         bool dead { false };
+        TimePoint deadSince;
         bool isHeard { false };
         TargetLoad load;
         TimePoint heard;
@@ -68,6 +100,20 @@
     struct ServiceState {
         ServiceHash hash {};
         std::vector<Target> targets;
+        TimePoint viewChanged;
+    };
+
+    /// A flow whose owner is looked for.
+    struct Search {
+        std::uint64_t hash { 0 };
+        bool used { false };
+        bool continued { false }; ///< further agents were asked because the first answer was late
+        std::uint8_t rank { 0 }; ///< of the agent that is asked
+        TimePoint asked;
+        Segment segment; ///< the caller's last one
+        std::array<std::uint64_t, mostSearchedTargets / 64> absent {}; ///< by target index
+        std::uint16_t keptBytes { 0 };
+        std::array<std::byte, keptSegmentBytes> kept {}; ///< segment that started the search
     };
 
     struct RouteShare {
@@ -83,11 +129,14 @@
     struct FlowRecord {
         std::uint64_t hash { 0 };
         bool used { false };
-        std::uint8_t searches { 0 }; ///< segments sent out to find the owner
         bool confirmed { false }; ///< the owner said so
         Endpoint owner;
         Endpoint alternate; ///< was offered an earlier copy
+        RelayFlow flow;
+        TimePoint opened;
         TimePoint last;
+        TimePoint redirected; ///< agents were told of the owner
+        std::uint32_t holders { 0 }; ///< hash of these agents
     };
 
     std::uint64_t endpointKey(Endpoint endpoint) noexcept
@@ -128,14 +177,17 @@
     RelayObserver& observer;
     RandomSource random;
     HashTable<FlowRecord> flows;
+    HashTable<Search> searches { mostSearches };
     absl::flat_hash_map<std::string, ServiceState> services;
     absl::flat_hash_map<std::uint64_t, AddressRoute> routes;
     absl::flat_hash_map<std::uint64_t, std::string> agentServices; ///< by agent endpoint
     std::array<std::uint64_t, entryRelayOutcomes> outcomes {};
     std::array<std::byte, maximumRelayHeaderBytes> header {};
     std::array<std::byte, 64> reset {};
+    std::array<std::byte, 2048> probe {};
     TimePoint lastSweep;
     bool configured { false };
+    bool viewsComplete { false };
 
     RelayVerdict count(EntryRelayOutcome outcome) noexcept
     {
@@ -295,7 +347,7 @@
         bool const isCopy = record != nullptr;
         Endpoint const chosen = route.candidates.front().agent;
         if (!isCopy)
-            record = flows.insert(work.hash);
+            record = insertFlow(work);
         if (record != nullptr) {
             if (isCopy && record->owner != chosen)
                 record->alternate = record->owner;
@@ -306,10 +358,20 @@
         return forward(work, route, isCopy ? EntryRelayOutcome::CopyForwarded : EntryRelayOutcome::FirstForwarded);
     }
 
+    FlowRecord* insertFlow(Work const& work)
+    {
+        FlowRecord* const record = flows.insert(work.hash);
+        if (record == nullptr)
+            return nullptr;
+        record->flow = { work.segment.source, work.segment.destination };
+        record->opened = work.now;
+        return record;
+    }
+
     RelayVerdict decideLater(Work const& work) noexcept
     {
         FlowRecord* const record = flows.find(work.hash);
-        if (record == nullptr || !record->owner.isSet())
+        if (record == nullptr)
             return search(work);
         record->last = work.now;
         RelayRoute route;
@@ -325,26 +387,83 @@
         return forward(work, route, EntryRelayOutcome::OwnerForwarded);
     }
 
-    /// Agents that own a flow tell the agents that rank first for it. Each further segment goes to the next in rank.
-    RelayVerdict search(Work const& work) noexcept
+    /// Agents that own a flow tell the agents that rank first for it. The first one asks the others if it was not told.
+    RelayVerdict search(Work const& work)
     {
         ServiceState* const service = serviceOf(work);
         if (service == nullptr)
             return drop(work, EntryRelayOutcome::DroppedNoRoute);
-        FlowRecord* const record = flows.insert(work.hash);
-        std::size_t const rank = record != nullptr ? record->searches++ : 0;
-        if (record != nullptr)
-            record->last = work.now;
-        Target const* const target = findRanked(*service, work, rank);
+        Search* search = searches.find(work.hash);
+        bool const isNew = search == nullptr;
+        if (isNew)
+            search = searches.insert(work.hash);
+        if (search == nullptr)
+            return drop(work, EntryRelayOutcome::DroppedNoTarget);
+        search->segment = work.segment;
+        bool const isStart = isNew || work.now - search->asked >= searchTime;
+        if (isStart && !isNew)
+            ++search->rank;
+        if (isStart)
+            startSearch(*search, work);
+        Target const* const target = findRanked(*service, work, search->rank);
         if (target == nullptr)
             return drop(work, EntryRelayOutcome::DroppedNoTarget);
         RelayRoute route;
         route.service = service->hash;
+        route.search = isStart ? RelaySearch::Start : RelaySearch::Follow;
         route.candidates[route.count++] = { target->agent, 0 };
         return forward(work, route, EntryRelayOutcome::SearchForwarded);
     }
 
-    /// The target at this rank among those that were heard lately, or among all if none was.
+    static void startSearch(Search& search, Work const& work) noexcept
+    {
+        search.asked = work.now;
+        search.continued = false;
+        search.absent = {};
+        search.keptBytes = 0;
+        if (work.datagram.size() > search.kept.size())
+            return;
+        std::copy(work.datagram.begin(), work.datagram.end(), search.kept.begin());
+        search.keptBytes = static_cast<std::uint16_t>(work.datagram.size());
+    }
+
+    /// The agent that was asked first may be dead, or may not know all others.
+    void continueSearch(ServiceState const& service, Search& search, Work const& work)
+    {
+        search.continued = true;
+        std::vector<Endpoint> missing;
+        for (std::size_t index = 0; index < std::min(service.targets.size(), mostSearchedTargets); ++index) {
+            if (!isAbsent(search, index))
+                missing.push_back(service.targets[index].agent);
+        }
+        bool const isFirstSilent = missing.size() > mostProbes;
+        if (isFirstSilent) {
+            if (Target const* const next = findRanked(service, work, ++search.rank))
+                sendSearch(service, next->agent, RelaySearch::Start, search, work.nowSeconds);
+            return;
+        }
+        for (Endpoint const agent : missing)
+            sendSearch(service, agent, RelaySearch::Probe, search, work.nowSeconds);
+    }
+
+    void sendSearch(ServiceState const& service, Endpoint agent, RelaySearch kind, Search const& search, std::uint32_t nowSeconds) noexcept
+    {
+        std::span<std::byte const> const segment = std::span<std::byte const>(search.kept).first(search.keptBytes);
+        RelayRoute route;
+        route.service = service.hash;
+        route.entry = options.self;
+        route.search = kind;
+        std::size_t const bytes = writeRelayPacket(route, segment, { options.keys, nowSeconds }, probe);
+        std::copy(segment.begin(), segment.end(), probe.begin() + static_cast<std::ptrdiff_t>(bytes));
+        sender.send(agent, std::span<std::byte const>(probe).first(bytes + segment.size()));
+    }
+
+    [[nodiscard]] static bool isAbsent(Search const& search, std::size_t index) noexcept
+    {
+        return (search.absent[index / 64] >> (index % 64) & 1U) != 0;
+    }
+
+    /// The target at a rank among those that were heard lately, or among all if none was.
     Target const* findRanked(ServiceState const& service, Work const& work, std::size_t rank) const noexcept
     {
         std::array<std::pair<std::uint64_t, Target const*>, searchRanks> best {};
@@ -354,8 +473,7 @@
                 continue;
             bool const isLively = target.isHeard && target.load.accepting && !isSilent(target, work.now);
             constexpr std::uint64_t livelyBit = std::uint64_t { 1 } << 63U;
-            std::uint64_t const score = (searchScore(target.nameHash, work.hash) >> 1U) | (isLively ? livelyBit : 0);
-            std::pair<std::uint64_t, Target const*> ranked(score, &target);
+            std::pair<std::uint64_t, Target const*> ranked((searchScore(target.nameHash, work.hash) >> 1U) | (isLively ? livelyBit : 0), &target);
             for (std::size_t index = 0; index < count; ++index) {
                 if (ranked.first > best[index].first)
                     std::swap(ranked, best[index]);
@@ -366,6 +484,54 @@
         return count > 0 ? best[rank % count].second : nullptr;
     }
 
+    void noteAbsent(Endpoint from, RelayFlow const& flow, TimePoint now, std::uint32_t nowSeconds)
+    {
+        std::uint64_t const hash = hashRelayFlow(flow);
+        Search* const search = searches.find(hash);
+        absl::flat_hash_map<std::uint64_t, std::string>::iterator const name = agentServices.find(endpointKey(from));
+        if (search == nullptr || name == agentServices.end())
+            return;
+        ServiceState const& service = services[name->second];
+        Work const work { {}, search->segment, hash, now, nowSeconds };
+        markAbsent(service, from, *search);
+        if (!isAbsentEverywhere(service, *search, now))
+            return;
+        bool const isEnding = search->segment.closing || search->segment.reset;
+        searches.erase(*search);
+        if (!isEnding)
+            resetLost(work);
+    }
+
+    static void markAbsent(ServiceState const& service, Endpoint from, Search& search) noexcept
+    {
+        for (std::size_t index = 0; index < std::min(service.targets.size(), mostSearchedTargets); ++index) {
+            if (service.targets[index].agent == from)
+                search.absent[index / 64] |= std::uint64_t { 1 } << (index % 64);
+        }
+    }
+
+    [[nodiscard]] bool isAbsentEverywhere(ServiceState const& service, Search const& search, TimePoint now) const noexcept
+    {
+        bool const isViewSettled = viewsComplete && now - service.viewChanged >= viewSettleTime;
+        if (!isViewSettled || service.targets.size() > mostSearchedTargets)
+            return false;
+        for (std::size_t index = 0; index < service.targets.size(); ++index) {
+            Target const& target = service.targets[index];
+            bool const isSurelyDead = target.dead && now - target.deadSince > surelyDeadTime;
+            if (!isSurelyDead && !isAbsent(search, index))
+                return false;
+        }
+        return true;
+    }
+
+    void resetLost(Work const& work) noexcept
+    {
+        tell(work, EntryRelayOutcome::ResetLost, {}, 0);
+        ++outcomes[static_cast<std::size_t>(EntryRelayOutcome::ResetLost)];
+        codec.writeReset(work.segment, reset);
+        sender.send({ work.segment.source.address, options.callerPort }, std::span<std::byte const>(reset).first(codec.headerBytes()));
+    }
+
     // ---- messages of agents ----
 
     void noteLoad(Endpoint from, TargetLoad const& load, TimePoint now) noexcept
@@ -383,13 +549,20 @@
     void noteOwner(Endpoint from, RelayFlow const& flow, TimePoint now)
     {
         std::uint64_t const hash = hashRelayFlow(flow);
+        if (Search* const search = searches.find(hash))
+            searches.erase(*search);
         FlowRecord* const record = flows.insert(hash);
         if (record == nullptr)
             return;
         if (record->owner.isSet() && record->owner != from)
             record->alternate = record->owner;
+        if (!record->flow.caller.isSet()) {
+            record->flow = flow;
+            record->opened = now;
+        }
         record->owner = from;
         record->last = now;
+        record->confirmed = true;
     }
 
     // ---- periodic steps ----
@@ -411,6 +584,71 @@
         }
     }
 
+    void continueSearches(TimePoint now, std::uint32_t nowSeconds)
+    {
+        searches.forEach([this, now, nowSeconds](Search& search) {
+            bool const isDue = !search.continued && search.keptBytes > 0 && now - search.asked >= firstAnswerTime;
+            if (!isDue)
+                return;
+            Work const work { {}, search.segment, search.hash, now, nowSeconds };
+            if (ServiceState const* const service = serviceOf(work))
+                continueSearch(*service, search, work);
+        });
+    }
+
+    /// Tells agents of the owners of flows, so that another entry finds them at once.
+    void sendRedirects(TimePoint now, std::uint32_t nowSeconds)
+    {
+        Batches batches;
+        flows.visitNextPart(redirectTicks, [&](FlowRecord& record) {
+            bool const isLong = record.confirmed && now - record.opened >= redirectAge && now - record.last < redirectRenewal;
+            if (isLong)
+                addRedirects(record, now, batches);
+        });
+        for (Batches::value_type const& batch : batches)
+            sendBatch(batch.first, batch.second, nowSeconds);
+    }
+
+    using Batches = std::map<std::pair<std::string_view, Endpoint>, std::vector<OwnedFlow>>;
+
+    void addRedirects(FlowRecord& record, TimePoint now, Batches& batches)
+    {
+        absl::flat_hash_map<std::uint64_t, std::string>::iterator const name = agentServices.find(endpointKey(record.owner));
+        if (name == agentServices.end())
+            return;
+        std::array<std::pair<std::uint64_t, Endpoint>, redirectHolders> holders {};
+        for (Target const& target : services[name->second].targets) {
+            std::pair<std::uint64_t, Endpoint> holder { searchScore(target.nameHash, record.hash), target.agent };
+            // An entry that does not know the owner yet asks the next one.
+            if (target.dead || target.agent == record.owner)
+                continue;
+            for (std::pair<std::uint64_t, Endpoint>& best : holders) {
+                if (holder.first > best.first)
+                    std::swap(holder, best);
+            }
+        }
+        std::uint32_t const hash = static_cast<std::uint32_t>(mixHash(endpointKey(holders[0].second), mixHash(endpointKey(holders[1].second), endpointKey(record.owner))));
+        if (hash == record.holders && now - record.redirected < redirectRenewal)
+            return;
+        record.holders = hash;
+        record.redirected = now;
+        for (std::pair<std::uint64_t, Endpoint> const& holder : holders) {
+            if (holder.second.isSet())
+                batches[{ name->second, holder.second }].push_back({ record.flow, record.owner });
+        }
+    }
+
+    void sendBatch(std::pair<std::string_view, Endpoint> const& to, std::span<OwnedFlow const> owned, std::uint32_t nowSeconds)
+    {
+        std::array<std::byte, maximumRelayMessageBytes> message;
+        while (!owned.empty()) {
+            std::size_t const named = std::min(owned.size(), maximumRedirectedFlows);
+            std::size_t const bytes = writeRelayRedirect(hashService(to.first), owned.first(named), { options.keys, nowSeconds }, message);
+            sender.send(to.second, std::span<std::byte const>(message).first(bytes));
+            owned = owned.subspan(named);
+        }
+    }
+
     void sweep(TimePoint now)
     {
         constexpr std::chrono::seconds sweepPeriod { 5 };
@@ -418,6 +656,7 @@
             return;
         lastSweep = now;
         flows.eraseIf([now](FlowRecord const& record) { return now - record.last > flowIdle; });
+        searches.eraseIf([now, sweepPeriod](Search const& search) { return now - search.asked > sweepPeriod; });
     }
 };
 
@@ -442,7 +681,7 @@
     }
 }
 
-void EntryRelay::setView(ServiceView const& view, TimePoint /*now*/)
+void EntryRelay::setView(ServiceView const& view, TimePoint now)
 {
     ServiceState& service = state_->services[view.service];
     service.hash = hashService(view.service);
@@ -460,11 +699,20 @@
         target.agent = seen.data;
         target.local = seen.dataCentre == state_->options.dataCentre;
         target.draining = seen.draining;
+        target.deadSince = seen.dead && !target.dead ? now : target.deadSince;
         target.dead = seen.dead;
         state_->agentServices[endpointKey(seen.data)] = view.service;
         targets.push_back(target);
     }
     service.targets = std::move(targets);
+    service.viewChanged = now;
+    // Searches under way count targets by their old indices.
+    state_->searches.forEach([](Search& search) { search.absent = {}; });
+}
+
+void EntryRelay::setViewsComplete(bool complete) noexcept
+{
+    state_->viewsComplete = complete;
 }
 
 void EntryRelay::setKeys(KeyRing const& keys)
@@ -484,6 +732,10 @@
 bool EntryRelay::receive(Endpoint from, std::span<std::byte const> datagram, TimePoint now, std::uint32_t nowSeconds) noexcept
 {
     DecodedRelay const decoded = decodeRelay(datagram, state_->options.keys, nowSeconds);
+    if (decoded.error == DatagramError::None && decoded.kind == RelayKind::Absent) {
+        state_->noteAbsent(from, decoded.flow, now, nowSeconds);
+        return true;
+    }
     bool const isKnown = decoded.kind == RelayKind::Notice || decoded.kind == RelayKind::Load;
     if (decoded.error != DatagramError::None || !isKnown)
         return false;
@@ -496,6 +748,8 @@
 void EntryRelay::tick(TimePoint now, std::uint32_t nowSeconds)
 {
     state_->subscribe(now, nowSeconds);
+    state_->continueSearches(now, nowSeconds);
+    state_->sendRedirects(now, nowSeconds);
     state_->sweep(now);
 }
 
--- a/src/relay/HashTable.h
+++ b/src/relay/HashTable.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <cstddef>
 #include <cstdint>
 #include <vector>
@@ -78,6 +79,21 @@
         }
     }
 
+    /// \brief Visits the records of a part of the table, which is the next one at each call.
+    ///
+    /// \param parts  calls that visit the whole table
+    template <typename Visitor>
+    void visitNextPart(std::size_t parts, Visitor visitor)
+    {
+        std::size_t const end = std::min(cursor_ + (records_.size() + parts - 1) / parts, records_.size());
+        for (; cursor_ < end; ++cursor_) {
+            if (records_[cursor_].used)
+                visitor(records_[cursor_]);
+        }
+        if (cursor_ == records_.size())
+            cursor_ = 0;
+    }
+
     [[nodiscard]] std::size_t size() const noexcept { return size_; }
 
 private:
@@ -113,6 +129,7 @@
     std::vector<Record> records_;
     std::size_t most_;
     std::size_t size_ { 0 };
+    std::size_t cursor_ { 0 };
 };
 
 } // namespace plantaindrift
--- a/src/relay/RelayMessage.cpp
+++ b/src/relay/RelayMessage.cpp
@@ -35,6 +35,12 @@
     };
     static_assert(sizeof(FlowField) == 12);
 
+    struct OwnedFlowField {
+        FlowField flow;
+        EndpointField owner;
+    };
+    static_assert(sizeof(OwnedFlowField) == 18);
+
     struct LoadField {
         wire::big_uint8_buf_t accepting;
         wire::big_uint16_buf_t slots;
@@ -198,7 +204,7 @@
         decoded.route.service = ServiceHash { fields.service.value() };
         decoded.route.entry = fromField(fields.entry);
         decoded.route.hops = fields.hops.value();
-        if (fields.search.value() > static_cast<std::uint8_t>(RelaySearch::ReportedProbe))
+        if (fields.search.value() > static_cast<std::uint8_t>(RelaySearch::Probe))
             return false;
         decoded.route.search = static_cast<RelaySearch>(fields.search.value());
         decoded.route.count = static_cast<std::uint8_t>(count);
@@ -255,7 +261,7 @@
     {
         if (count == 0 || count > maximumRedirectedFlows || !readService(reader, decoded))
             return false;
-        return reader.takeBytes(count * sizeof(FlowField), decoded.redirected);
+        return reader.takeBytes(count * sizeof(OwnedFlowField), decoded.redirected);
     }
 
     bool readAbsent(Reader& reader, std::size_t /*count*/, DecodedRelay& decoded) noexcept
@@ -295,12 +301,13 @@
 
 std::size_t DecodedRelay::flowCount() const noexcept
 {
-    return redirected.size() / sizeof(FlowField);
+    return redirected.size() / sizeof(OwnedFlowField);
 }
 
-RelayFlow DecodedRelay::flowAt(std::size_t index) const noexcept
+OwnedFlow DecodedRelay::flowAt(std::size_t index) const noexcept
 {
-    return fromField(wire::read<FlowField>(redirected.subspan(index * sizeof(FlowField))));
+    OwnedFlowField const field = wire::read<OwnedFlowField>(redirected.subspan(index * sizeof(OwnedFlowField)));
+    return { fromField(field.flow), fromField(field.owner) };
 }
 
 std::size_t writeRelayPacket(RelayRoute const& route, std::span<std::byte const> segment, RelaySeal const& seal, std::span<std::byte> output) noexcept
@@ -354,13 +361,13 @@
     return writer.finish({});
 }
 
-std::size_t writeRelayRedirect(ServiceHash service, std::span<RelayFlow const> flows, RelaySeal const& seal, std::span<std::byte> output) noexcept
+std::size_t writeRelayRedirect(ServiceHash service, std::span<OwnedFlow const> flows, RelaySeal const& seal, std::span<std::byte> output) noexcept
 {
-    std::span<RelayFlow const> const named = flows.first(std::min(flows.size(), maximumRedirectedFlows));
+    std::span<OwnedFlow const> const named = flows.first(std::min(flows.size(), maximumRedirectedFlows));
     Writer writer(RelayKind::Redirect, named.size(), seal, output);
     writer.add(toField(service));
-    for (RelayFlow const& flow : named)
-        writer.add(toField(flow));
+    for (OwnedFlow const& owned : named)
+        writer.add(OwnedFlowField { toField(owned.flow), toField(owned.owner) });
     return writer.finish({});
 }
 
--- a/src/runtime/FleetStoreThread.cpp
+++ b/src/runtime/FleetStoreThread.cpp
@@ -5,6 +5,7 @@
 #include "plantaindrift/runtime/Log.h"
 
 #include <algorithm>
+#include <array>
 #include <asio/post.hpp>
 
 namespace plantaindrift {
@@ -17,6 +18,12 @@
     // Before the first configuration is written.
     constexpr std::chrono::milliseconds absentRetry { 300 };
 
+    // Waits before the second and the third read of the members.
+    constexpr std::array<std::chrono::milliseconds, 2> earlyMembersWaits { std::chrono::milliseconds { 2000 }, std::chrono::milliseconds { 6000 } };
+
+    // Later reads take about 300 bytes a second: one second a member of 300 bytes.
+    constexpr std::chrono::seconds shortestMembersPeriod { 20 };
+
     constexpr std::chrono::milliseconds firstBackoff { 100 };
     constexpr std::chrono::milliseconds longestBackoff { 1500 };
 
@@ -78,23 +85,36 @@
         return readMembers();
     if (!isWritten_)
         return writeSelf();
+    if (std::chrono::steady_clock::now() >= nextMembers_)
+        return readMembers();
     return awaitConfiguration();
 }
 
 absl::Status FleetStoreThread::readMembers()
 {
-    absl::StatusOr<std::vector<Member>> members = store_->readMembers();
+    absl::StatusOr<std::vector<Member>> members = store_->readMembers(memberReads_ == 0);
     if (!members.ok())
         return members.status();
     hasMembers_ = true;
+    scheduleMembers(members->size());
     isWritten_ = std::any_of(members->begin(), members->end(), [this](Member const& member) {
         bool const sameRole = member.role == self_.role && member.service == self_.service;
         return member.name == self_.name && sameRole && member.data == self_.data && member.control == self_.control && member.dataCentre == self_.dataCentre;
     });
-    asio::post(loop_, [this, found = std::move(*members)] { handlers_.members(found); });
+    asio::post(loop_, [this, found = std::move(*members), known = isWritten_] { handlers_.members(found, known); });
     return absl::OkStatus();
 }
 
+// Members that start together are missing in each other's first read; later reads find what gossip lost.
+void FleetStoreThread::scheduleMembers(std::size_t members)
+{
+    std::chrono::seconds const regular = std::max<std::chrono::seconds>(shortestMembersPeriod, std::chrono::seconds { members });
+    std::chrono::milliseconds const wait = memberReads_ < earlyMembersWaits.size() ? earlyMembersWaits[memberReads_] : std::chrono::milliseconds(regular);
+    ++memberReads_;
+    std::uniform_int_distribution<std::int64_t> jitter(wait.count() * 3 / 4, wait.count());
+    nextMembers_ = std::chrono::steady_clock::now() + std::chrono::milliseconds { jitter(random_) };
+}
+
 absl::Status FleetStoreThread::writeSelf()
 {
     absl::Status status = store_->writeMember(self_);
--- a/src/runtime/FleetStoreThread.h
+++ b/src/runtime/FleetStoreThread.h
@@ -26,7 +26,7 @@
     /// \brief What the loop is told; all run on the loop.
     struct Handlers {
         std::function<void(VersionedConfiguration const&)> configuration; ///< unset: the configuration is not read
-        std::function<void(std::vector<Member> const&)> members;
+        std::function<void(std::vector<Member> const&, bool known)> members; ///< known: the own record is among them, as it is
     };
 
     FleetStoreThread(asio::io_context& loop, std::unique_ptr<FleetStore> store, Member const& self, Handlers handlers);
@@ -58,6 +58,8 @@
     std::condition_variable wake_;
     std::chrono::milliseconds backoff_;
     bool hasMembers_ { false };
+    std::size_t memberReads_ { 0 };
+    TimePoint nextMembers_;
     bool isWritten_ { false };
     bool hasConfiguration_ { false };
     std::thread thread_;
@@ -65,6 +67,7 @@
     void run();
     [[nodiscard]] absl::Status step();
     [[nodiscard]] absl::Status readMembers();
+    void scheduleMembers(std::size_t members);
     [[nodiscard]] absl::Status writeSelf();
     [[nodiscard]] absl::Status readConfiguration();
     [[nodiscard]] absl::Status awaitConfiguration();
--- a/src/runtime/RelayAgentDaemon.cpp
+++ b/src/runtime/RelayAgentDaemon.cpp
@@ -16,6 +16,12 @@
 
     constexpr std::chrono::milliseconds quietPoll { 5 };
 
+    // Gossip carries the record of a new agent to all entries within this time.
+    constexpr std::chrono::milliseconds joinTime { 1000 };
+
+    // Entries choose targets and search for owners; the list serves searches that an entry hands on.
+    constexpr std::chrono::seconds listPeriod { 10 };
+
     Member agentMember(RelayAgentSettings const& settings)
     {
         Member self;
@@ -35,6 +41,7 @@
         options.self = self;
         options.entries = settings.entries;
         options.sharesLoad = false;
+        options.listPeriod = listPeriod;
         options.randomSeed = mixHash(hashText(self.name), self.incarnation);
         return options;
     }
@@ -69,10 +76,9 @@
 
         absl::Status run()
         {
-            relay_.setTarget(announcements_.state(std::chrono::steady_clock::now()), std::chrono::steady_clock::now());
             if (!settings_.common.platformUrl.empty()) {
                 FleetStoreThread::Handlers handlers;
-                handlers.members = [this](std::vector<Member> const& members) { addMembers(members); };
+                handlers.members = [this](std::vector<Member> const& members, bool known) { addMembers(members, known); };
                 store_.emplace(core_.loop(), platform_.openStore(settings_.common.platformUrl), self_, std::move(handlers));
                 store_->start();
             }
@@ -116,6 +122,8 @@
         asio::steady_timer stopTimer_;
         std::optional<FleetStoreThread> store_;
         TimePoint stopDeadline_;
+        TimePoint started_ { std::chrono::steady_clock::now() };
+        bool isKnown_ { false }; ///< the store had this agent's record at its start
         std::uint64_t refusedAnnouncements_ { 0 };
 
         void send(Endpoint to, std::span<std::byte const> datagram) noexcept override { core_.sendData(to, datagram); }
@@ -157,9 +165,11 @@
 
         void applyTarget(TimePoint now)
         {
-            TargetState const state = announcements_.state(now);
-            relay_.setTarget(state, now);
+            TargetState state = announcements_.state(now);
             control_.setDraining(!state.accepting, now);
+            // Entries that do not know this agent yet would not find its flows.
+            state.accepting = state.accepting && (isKnown_ || now - started_ >= joinTime);
+            relay_.setTarget(state, now);
             core_.sendControl(control_.takeMessages());
         }
 
@@ -169,8 +179,10 @@
             applyControl();
         }
 
-        void addMembers(std::vector<Member> const& members)
+        void addMembers(std::vector<Member> const& members, bool known)
         {
+            isKnown_ = isKnown_ || known;
+            applyTarget(std::chrono::steady_clock::now());
             std::vector<Endpoint> entries;
             for (Member const& member : members) {
                 if (member.role == MemberRole::Entry)
@@ -193,10 +205,9 @@
         {
             std::optional<ServiceView> const view = control_.takeChangedView();
             if (view) {
-                relay_.setView(*view, std::chrono::steady_clock::now());
+                relay_.setView(*view);
                 logEvent(LogLevel::Info, "view_changed", { { "service", view->service }, { "targets", view->targets.size() }, { "fingerprint", view->fingerprint } });
             }
-            relay_.setViewConfirmed(control_.isViewConfirmed());
             core_.sendControl(control_.takeMessages());
         }
 
--- a/src/runtime/RelayEntryDaemon.cpp
+++ b/src/runtime/RelayEntryDaemon.cpp
@@ -74,7 +74,7 @@
             if (!settings_.common.platformUrl.empty()) {
                 FleetStoreThread::Handlers handlers;
                 handlers.configuration = [this](VersionedConfiguration const& found) { addConfiguration(found); };
-                handlers.members = [this](std::vector<Member> const& members) { addMembers(members); };
+                handlers.members = [this](std::vector<Member> const& members, bool /*known*/) { addMembers(members); };
                 store_.emplace(core_.loop(), platform_.openStore(settings_.common.platformUrl), self_, std::move(handlers));
                 store_->start();
             }
@@ -123,6 +123,7 @@
         std::uint64_t configurationVersion_ { 0 };
         std::uint64_t refusedMessages_ { 0 };
         bool wasReady_ { false };
+        bool hasMembers_ { false };
 
         void send(Endpoint to, std::span<std::byte const> datagram) noexcept override { core_.sendData(to, datagram, relayPort); }
 
@@ -155,6 +156,7 @@
                 core_.releasePackets();
             control_.tick(now);
             applyControl();
+            relay_.setViewsComplete(hasMembers_ || control_.isCaughtUp(now));
             relay_.tick(now, wallSeconds());
             noteReadiness();
         }
@@ -178,6 +180,7 @@
 
         void addMembers(std::vector<Member> const& members)
         {
+            hasMembers_ = true;
             logEvent(LogLevel::Info, "members_read", { { "members", members.size() } });
             TimePoint const now = std::chrono::steady_clock::now();
             control_.addMembers(members, now);
