--- a/src/relay/AgentRelay.cpp
+++ b/src/relay/AgentRelay.cpp
@@ -153,7 +153,7 @@
     std::array<std::uint64_t, agentRelayOutcomes> outcomes {};
     std::array<std::byte, maximumRelayHeaderBytes + 64> header {};
     std::array<std::byte, 2048> probe {};
-    std::size_t openFlows { 0 }; ///< at the last tick
+    std::size_t openFlows { 0 }; ///< neither closing nor lost; those that still open count, so that bursts spread
 
     [[nodiscard]] bool isAccepting() const noexcept
     {
@@ -345,11 +345,9 @@
             record = nullptr;
         }
         if (record == nullptr) {
-            record = flows.insert(work.hash);
+            record = insert(work);
             if (record == nullptr)
                 return drop(work, AgentRelayOutcome::DroppedUnknown);
-            record->flow = work.flow;
-            record->opened = work.now;
         }
         record->last = work.now;
         record->entry = work.route.entry;
@@ -437,8 +435,7 @@
         Segment const& segment = work.segment;
         record.last = work.now;
         if (segment.closing || segment.reset) {
-            record.closing = true;
-            endRequest(record);
+            close(record);
             return;
         }
         std::uint32_t const end = segment.sequence + segment.dataBytes;
@@ -462,9 +459,27 @@
         record.pending = false;
     }
 
-    void erase(FlowRecord& record) noexcept
+    FlowRecord* insert(Work const& work)
+    {
+        FlowRecord* const record = flows.insert(work.hash);
+        if (record == nullptr)
+            return nullptr;
+        record->flow = work.flow;
+        record->opened = work.now;
+        ++openFlows;
+        return record;
+    }
+
+    void close(FlowRecord& record) noexcept
     {
         endRequest(record);
+        openFlows -= record.closing || record.lost ? 0 : 1;
+        record.closing = true;
+    }
+
+    void erase(FlowRecord& record) noexcept
+    {
+        close(record);
         flows.erase(record);
     }
 
@@ -478,12 +493,9 @@
             return count(AgentRelayOutcome::DroppedUnknown);
         if (record == nullptr) {
             // The target holds flows from before this process started.
-            record = flows.insert(work.hash);
-            if (record != nullptr) {
-                record->flow = work.flow;
-                record->opened = work.now;
+            record = insert(work);
+            if (record != nullptr)
                 record->established = !work.segment.opening;
-            }
         }
         if (record != nullptr)
             trackAnswer(*record, work);
@@ -504,7 +516,7 @@
             requests.finish(work.now - record.requested, record.busyAtRequest < target.slots);
         }
         if (segment.closing || segment.reset)
-            record.closing = true;
+            close(record);
     }
 
     RelayVerdict decideReturned(Work& work) noexcept
@@ -540,15 +552,21 @@
             sendLoadToAll(work.now, work.nowSeconds);
     }
 
+    void lose(FlowRecord& record) noexcept
+    {
+        endRequest(record);
+        openFlows -= record.closing || record.lost ? 0 : 1;
+        record.lost = true;
+    }
+
     /// The target does not hold a flow that was open there: it restarted, or discarded the flow.
     RelayVerdict loseFlow(FlowRecord& record, Work const& work) noexcept
     {
-        endRequest(record);
         if (record.closing || work.segment.closing || work.segment.reset) {
             erase(record);
             return drop(work, AgentRelayOutcome::DroppedUnknown);
         }
-        record.lost = true;
+        lose(record);
         return reset(work, AgentRelayOutcome::Reset);
     }
 
@@ -605,15 +623,6 @@
         }
     }
 
-    void countOpenFlows() noexcept
-    {
-        openFlows = 0;
-        flows.forEach([this](FlowRecord const& record) {
-            bool const isOpen = record.established && !record.closing && !record.lost;
-            openFlows += isOpen ? 1 : 0;
-        });
-    }
-
     void sweep(TimePoint now)
     {
         constexpr std::chrono::seconds sweepPeriod { 1 };
@@ -625,7 +634,7 @@
             Duration const lifetime = isEnding ? Duration(closingLifetime) : Duration(flowLifetime);
             bool const isOld = now - record.last > lifetime;
             if (isOld)
-                endRequest(record);
+                close(record);
             return isOld;
         });
         notes.eraseIf([now](RedirectNote const& note) { return note.expires <= now; });
@@ -664,10 +673,7 @@
 
 void AgentRelay::forgetFlows()
 {
-    state_->flows.forEach([this](FlowRecord& record) {
-        state_->endRequest(record);
-        record.lost = true;
-    });
+    state_->flows.forEach([this](FlowRecord& record) { state_->lose(record); });
     state_->requests.reset();
 }
 
@@ -717,7 +723,6 @@
     state_->clock = now;
     state_->requests.tick(now);
     state_->sendDueLoads(now, nowSeconds);
-    state_->countOpenFlows();
     state_->sweep(now);
 }
 
--- a/src/relay/EntryRelay.cpp
+++ b/src/relay/EntryRelay.cpp
@@ -10,6 +10,7 @@
 #include <algorithm>
 #include <chrono>
 #include <map>
+#include <numeric>
 #include <utility>
 #include <vector>
 
@@ -49,6 +50,9 @@
 
     constexpr double unheardCostTenths = 2000;
 
+    // Targets compared for a new flow. Entries that compare all of them by load of the same age choose the same ones.
+    constexpr std::size_t sampleSize = 5;
+
     // Agents answer a search within milliseconds.
     constexpr std::chrono::milliseconds firstAnswerTime { 30 };
     constexpr std::chrono::milliseconds searchTime { 150 };
@@ -100,6 +104,7 @@
     struct ServiceState {
         ServiceHash hash {};
         std::vector<Target> targets;
+        std::vector<std::uint32_t> order; ///< indices of the targets, shuffled as samples are drawn
         TimePoint viewChanged;
     };
 
@@ -258,6 +263,21 @@
         return cost;
     }
 
+    /// Moves random targets that take new flows to the front of the order; the rest is left out.
+    std::size_t drawSample(ServiceState& service) noexcept
+    {
+        std::size_t sampled = 0;
+        std::size_t const all = service.order.size();
+        for (std::size_t index = 0; index < all && sampled < sampleSize; ++index) {
+            std::swap(service.order[index], service.order[index + random.below(all - index)]);
+            Target const& target = service.targets[service.order[index]];
+            bool const isOpen = !target.draining && !target.dead && (!target.isHeard || target.load.accepting);
+            if (isOpen)
+                std::swap(service.order[sampled++], service.order[index]);
+        }
+        return sampled;
+    }
+
     /// The cheapest targets that take new flows; an agent that was offered an earlier copy comes last.
     void chooseTargets(ServiceState& service, FlowRecord const* record, TimePoint now, RelayRoute& route) noexcept
     {
@@ -268,14 +288,14 @@
         constexpr double askedCostTenths = 20000;
         std::array<Choice, maximumRelayCandidates> best;
         std::size_t count = 0;
-        for (Target& target : service.targets) {
-            if (target.draining || target.dead || (target.isHeard && !target.load.accepting))
-                continue;
+        std::size_t const sampled = drawSample(service);
+        for (std::size_t index = 0; index < sampled; ++index) {
+            Target& target = service.targets[service.order[index]];
             bool const asked = record != nullptr && (record->owner == target.agent || record->alternate == target.agent);
             Choice choice { costOf(target, now) + (asked ? askedCostTenths : 0), &target };
-            for (std::size_t index = 0; index < count; ++index) {
-                if (choice.cost < best[index].cost)
-                    std::swap(choice, best[index]);
+            for (std::size_t place = 0; place < count; ++place) {
+                if (choice.cost < best[place].cost)
+                    std::swap(choice, best[place]);
             }
             if (count < best.size())
                 best[count++] = choice;
@@ -705,6 +725,8 @@
         targets.push_back(target);
     }
     service.targets = std::move(targets);
+    service.order.resize(service.targets.size());
+    std::iota(service.order.begin(), service.order.end(), 0U);
     service.viewChanged = now;
     // Searches under way count targets by their old indices.
     state_->searches.forEach([](Search& search) { search.absent = {}; });
