--- a/fuzz/FuzzDatagrams.cpp
+++ b/fuzz/FuzzDatagrams.cpp
@@ -1,11 +1,13 @@
 // libFuzzer target of everything that reads bytes from the network on the packet path. Guards against reads past the
 // end of a datagram, undefined behaviour, and decoders that accept what they must refuse.
 
+#include "SegmentFormat.h"
 #include "common/Workload.h"
 #include "packet/Tag.h"
 #include "plantaindrift/packet/FlowMessage.h"
 #include "plantaindrift/packet/InnerPacket.h"
 #include "plantaindrift/packet/Refusal.h"
+#include "plantaindrift/relay/RelayMessage.h"
 
 #include <algorithm>
 #include <cstdlib>
@@ -129,6 +131,32 @@
     pipeline.learnOwner(flow, { static_cast<std::uint32_t>(0x0A090001 + static_cast<std::uint64_t>(flow) % 14), 6081 }, start);
 }
 
+// The body is read before the tag is checked, so that any input reaches the readers of all kinds.
+void checkRelay(std::span<std::byte const> input, KeyRing const& keys)
+{
+    DecodedRelay const decoded = decodeRelay(input, keys, workload::nowSeconds);
+    if (decoded.error == DatagramError::None) {
+        require(decoded.segment.size() <= input.size());
+        require(decoded.route.count <= maximumRelayCandidates);
+        require(decoded.flowCount() <= maximumRedirectedFlows);
+    }
+}
+
+void checkSegment(std::span<std::byte const> input)
+{
+    division::SegmentFormat const format;
+    std::optional<Segment> const segment = format.read(input);
+    if (!segment)
+        return;
+    Bytes header(format.headerBytes());
+    format.copyHeader(input, 7, header);
+    header.insert(header.end(), input.begin() + static_cast<std::ptrdiff_t>(format.headerBytes()), input.end());
+    std::optional<Segment> const copied = format.read(header);
+    require(copied.has_value());
+    require(copied->token == 7 && !copied->returned && copied->sequence == segment->sequence);
+    format.writeReset(*segment, header);
+}
+
 } // namespace
 
 extern "C" int LLVMFuzzerTestOneInput(std::uint8_t const* data, std::size_t size)
@@ -141,5 +169,7 @@
     checkSignedRoute(input, keys);
     checkSignedFlowMessage(input, keys);
     checkEntry(input, keys);
+    checkRelay(input, keys);
+    checkSegment(input);
     return 0;
 }
--- a/include/plantaindrift/configuration/Configuration.h
+++ b/include/plantaindrift/configuration/Configuration.h
@@ -17,7 +17,8 @@
     std::uint16_t priority { 0 }; ///< 0 is served first
     std::chrono::milliseconds targetLatency { 0 }; ///< wanted for a request; 0 if not declared
 
-    friend auto operator<=>(ServiceAddress const&, ServiceAddress const&) = default;
+    // clang-tidy takes the zero of a rewritten comparison for a null pointer.
+    friend auto operator<=>(ServiceAddress const&, ServiceAddress const&) = default; // NOLINT(modernize-use-nullptr)
 };
 
 /// \brief Admission limits of a service at each target.
--- a/src/relay/EntryRelay.cpp
+++ b/src/relay/EntryRelay.cpp
@@ -1,16 +1,15 @@
 #include "plantaindrift/relay/EntryRelay.h"
 
-#include "membership/RandomSource.h"
 #include "plantaindrift/base/Hash.h"
 #include "relay/HashTable.h"
 #include "relay/TargetCost.h"
+#include "relay/TargetDirectory.h"
 
 #include "absl/container/flat_hash_map.h"
 
 #include <algorithm>
 #include <chrono>
 #include <map>
-#include <numeric>
 #include <utility>
 #include <vector>
 
@@ -26,33 +25,6 @@
     // A caller keeps a flow open for at most 60 s without a packet.
     constexpr std::chrono::seconds flowIdle { 60 };
 
-    // An agent answers a first segment within a few milliseconds; a machine that lives and is short of processor needs more.
-    constexpr std::chrono::milliseconds noticeTime { 60 };
-
-    // Agents send load for this long after a subscription.
-    constexpr std::chrono::milliseconds subscriptionPeriod { 1000 };
-
-    // Two lost loads and one late one.
-    constexpr int silentLoads = 3;
-
-    constexpr std::chrono::milliseconds shortestInterval { 100 };
-    constexpr std::chrono::milliseconds longestInterval { 2000 };
-
-    // Received load may take this part of the 3 KB/s that control may use.
-    constexpr double loadBytesPerSecond = 1500;
-    constexpr double loadMessageBytes = 41;
-
-    // Time of a packet between data centres and back, in 0.1 ms; keeps bytes inside while that costs no wait.
-    constexpr double remoteCostTenths = 20;
-
-    // Spreads the choices of entries that have heard the same load.
-    constexpr std::uint64_t jitterTenths = 20;
-
-    constexpr double unheardCostTenths = 2000;
-
-    // Targets compared for a new flow. Entries that compare all of them by load of the same age choose the same ones.
-    constexpr std::size_t sampleSize = 5;
-
     // Agents answer a search within milliseconds.
     constexpr std::chrono::milliseconds firstAnswerTime { 30 };
     constexpr std::chrono::milliseconds searchTime { 150 };
@@ -60,7 +32,6 @@
     // Agents that an entry asks itself; its link may be narrow, and a search of all 43 agents of a service over it by each
     // of its flows fills 10 Mbit/s.
     constexpr std::size_t mostProbes = 4;
-    constexpr std::size_t searchRanks = 3;
 
     // Searches under way at once, and bytes of a segment that is kept to ask all agents with it.
     constexpr std::size_t mostSearches = 1024;
@@ -85,29 +56,6 @@
     // Ticks in which all flows are looked at once.
     constexpr std::size_t redirectTicks = 5;
 
-    struct Target {
-        std::string name;
-        std::uint64_t nameHash { 0 };
-        Endpoint agent;
-        bool local { false };
-        bool draining { false };
-        bool dead { false };
-        TimePoint deadSince;
-        bool isHeard { false };
-        TargetLoad load;
-        TimePoint heard;
-        std::uint32_t sent { 0 }; ///< first segments since its load was heard
-        TimePoint unanswered; ///< oldest first segment without any word since; the epoch if there is none
-        TimePoint subscribed;
-    };
-
-    struct ServiceState {
-        ServiceHash hash {};
-        std::vector<Target> targets;
-        std::vector<std::uint32_t> order; ///< indices of the targets, shuffled as samples are drawn
-        TimePoint viewChanged;
-    };
-
     /// A flow whose owner is looked for.
     struct Search {
         std::uint64_t hash { 0 };
@@ -144,11 +92,6 @@
         std::uint32_t holders { 0 }; ///< hash of these agents
     };
 
-    std::uint64_t endpointKey(Endpoint endpoint) noexcept
-    {
-        return (std::uint64_t { endpoint.address } << 16U) | endpoint.port;
-    }
-
 } // namespace
 
 std::string_view entryRelayOutcomeName(EntryRelayOutcome outcome) noexcept
@@ -162,7 +105,7 @@
         , codec(segmentCodec)
         , sender(messageSender)
         , observer(decisionObserver)
-        , random(given.randomSeed)
+        , directory(given.dataCentre, given.randomSeed)
         , flows(given.flows)
     {
     }
@@ -180,12 +123,10 @@
     SegmentCodec const& codec;
     RelaySender& sender;
     RelayObserver& observer;
-    RandomSource random;
+    TargetDirectory directory;
     HashTable<FlowRecord> flows;
     HashTable<Search> searches { mostSearches };
-    absl::flat_hash_map<std::string, ServiceState> services;
     absl::flat_hash_map<std::uint64_t, AddressRoute> routes;
-    absl::flat_hash_map<std::uint64_t, std::string> agentServices; ///< by agent endpoint
     std::array<std::uint64_t, entryRelayOutcomes> outcomes {};
     std::array<std::byte, maximumRelayHeaderBytes> header {};
     std::array<std::byte, 64> reset {};
@@ -214,7 +155,7 @@
         decision.copy = work.segment.isFirst() ? work.segment.acknowledgement : 0;
         decision.to = to;
         decision.costTenths = cost;
-        if (Target const* const target = findTarget(to)) {
+        if (DirectoryTarget const* const target = directory.findTarget(to)) {
             decision.load = target->load;
             decision.loadAge = std::chrono::duration_cast<std::chrono::milliseconds>(work.now - target->heard);
         }
@@ -223,7 +164,7 @@
 
     // ---- choice ----
 
-    ServiceState* serviceOf(Work const& work) noexcept
+    TargetGroup* serviceOf(Work const& work) noexcept
     {
         absl::flat_hash_map<std::uint64_t, AddressRoute>::iterator const route = routes.find(endpointKey(work.segment.destination));
         if (route == routes.end() || route->second.totalShare == 0)
@@ -232,100 +173,12 @@
         std::uint32_t point = static_cast<std::uint32_t>((work.hash >> 20U) % route->second.totalShare);
         for (RouteShare const& share : route->second.services) {
             if (point < share.share)
-                return &services[share.service];
+                return directory.findService(share.service);
             point -= share.share;
         }
         return nullptr;
     }
 
-    std::chrono::milliseconds loadInterval(std::size_t targets) const noexcept
-    {
-        std::chrono::milliseconds const wanted { static_cast<std::int64_t>(1000 * static_cast<double>(targets) * loadMessageBytes / loadBytesPerSecond) };
-        return std::clamp(wanted, shortestInterval, longestInterval);
-    }
-
-    [[nodiscard]] std::size_t targetCount() const noexcept { return agentServices.size(); }
-
-    bool isSilent(Target const& target, TimePoint now) const noexcept
-    {
-        if (target.unanswered != TimePoint {} && now - target.unanswered > noticeTime)
-            return true;
-        return now - target.heard > silentLoads * loadInterval(targetCount()) + noticeTime;
-    }
-
-    double costOf(Target const& target, TimePoint now) noexcept
-    {
-        double cost = targetCost(target.load, target.sent);
-        cost += target.local ? 0 : remoteCostTenths;
-        cost += static_cast<double>(random.below(jitterTenths));
-        if (!target.isHeard || isSilent(target, now))
-            cost += unheardCostTenths;
-        return cost;
-    }
-
-    /// Moves random targets that take new flows to the front of the order; the rest is left out.
-    std::size_t drawSample(ServiceState& service) noexcept
-    {
-        std::size_t sampled = 0;
-        std::size_t const all = service.order.size();
-        for (std::size_t index = 0; index < all && sampled < sampleSize; ++index) {
-            std::swap(service.order[index], service.order[index + random.below(all - index)]);
-            Target const& target = service.targets[service.order[index]];
-            bool const isOpen = !target.draining && !target.dead && (!target.isHeard || target.load.accepting);
-            if (isOpen)
-                std::swap(service.order[sampled++], service.order[index]);
-        }
-        return sampled;
-    }
-
-    /// The cheapest targets that take new flows; an agent that was offered an earlier copy comes last.
-    void chooseTargets(ServiceState& service, FlowRecord const* record, TimePoint now, RelayRoute& route) noexcept
-    {
-        struct Choice {
-            double cost { 0 };
-            Target* target { nullptr };
-        };
-        constexpr double askedCostTenths = 20000;
-        std::array<Choice, maximumRelayCandidates> best;
-        std::size_t count = 0;
-        std::size_t const sampled = drawSample(service);
-        for (std::size_t index = 0; index < sampled; ++index) {
-            Target& target = service.targets[service.order[index]];
-            bool const asked = record != nullptr && (record->owner == target.agent || record->alternate == target.agent);
-            Choice choice { costOf(target, now) + (asked ? askedCostTenths : 0), &target };
-            for (std::size_t place = 0; place < count; ++place) {
-                if (choice.cost < best[place].cost)
-                    std::swap(choice, best[place]);
-            }
-            if (count < best.size())
-                best[count++] = choice;
-        }
-        route.count = static_cast<std::uint8_t>(count);
-        for (std::size_t index = 0; index < count; ++index)
-            route.candidates[index] = { best[index].target->agent, toCostTenths(best[index].cost) };
-        if (count > 0)
-            noteSent(*best[0].target, now);
-    }
-
-    static void noteSent(Target& target, TimePoint now) noexcept
-    {
-        ++target.sent;
-        if (target.unanswered == TimePoint {})
-            target.unanswered = now;
-    }
-
-    Target* findTarget(Endpoint agent) noexcept
-    {
-        absl::flat_hash_map<std::uint64_t, std::string>::iterator const service = agentServices.find(endpointKey(agent));
-        if (service == agentServices.end())
-            return nullptr;
-        for (Target& target : services[service->second].targets) {
-            if (target.agent == agent)
-                return &target;
-        }
-        return nullptr;
-    }
-
     // ---- segments ----
 
     RelayVerdict forward(Work const& work, RelayRoute& route, EntryRelayOutcome outcome) noexcept
@@ -355,13 +208,14 @@
 
     RelayVerdict decideFirst(Work const& work) noexcept
     {
-        ServiceState* const service = serviceOf(work);
+        TargetGroup* const service = serviceOf(work);
         if (service == nullptr)
             return refuse(work, EntryRelayOutcome::RefusedNoRoute, EntryRelayOutcome::DroppedNoRoute);
         FlowRecord* record = flows.find(work.hash);
         RelayRoute route;
         route.service = service->hash;
-        chooseTargets(*service, record, work.now, route);
+        std::array<Endpoint, 2> const asked { record != nullptr ? record->owner : Endpoint {}, record != nullptr ? record->alternate : Endpoint {} };
+        directory.chooseTargets(*service, asked, work.now, route);
         if (route.count == 0)
             return service->targets.empty() ? drop(work, EntryRelayOutcome::DroppedNoTarget) : refuse(work, EntryRelayOutcome::RefusedNoTarget, EntryRelayOutcome::DroppedNoTarget);
         bool const isCopy = record != nullptr;
@@ -395,12 +249,12 @@
             return search(work);
         record->last = work.now;
         RelayRoute route;
-        absl::flat_hash_map<std::uint64_t, std::string>::iterator const service = agentServices.find(endpointKey(record->owner));
-        if (service == agentServices.end()) {
+        TargetGroup const* const service = directory.findServiceOf(record->owner);
+        if (service == nullptr) {
             flows.erase(*record);
             return search(work);
         }
-        route.service = services[service->second].hash;
+        route.service = service->hash;
         route.candidates[route.count++] = { record->owner, 0 };
         if (!record->confirmed && record->alternate.isSet())
             route.candidates[route.count++] = { record->alternate, 0 };
@@ -410,7 +264,7 @@
     /// Agents that own a flow tell the agents that rank first for it. The first one asks the others if it was not told.
     RelayVerdict search(Work const& work)
     {
-        ServiceState* const service = serviceOf(work);
+        TargetGroup* const service = serviceOf(work);
         if (service == nullptr)
             return drop(work, EntryRelayOutcome::DroppedNoRoute);
         Search* search = searches.find(work.hash);
@@ -425,7 +279,7 @@
             ++search->rank;
         if (isStart)
             startSearch(*search, work);
-        Target const* const target = findRanked(*service, work, search->rank);
+        DirectoryTarget const* const target = directory.findRanked(*service, work.hash, search->rank, work.now);
         if (target == nullptr)
             return drop(work, EntryRelayOutcome::DroppedNoTarget);
         RelayRoute route;
@@ -448,7 +302,7 @@
     }
 
     /// The agent that was asked first may be dead, or may not know all others.
-    void continueSearch(ServiceState const& service, Search& search, Work const& work)
+    void continueSearch(TargetGroup const& service, Search& search, Work const& work)
     {
         search.continued = true;
         std::vector<Endpoint> missing;
@@ -458,7 +312,7 @@
         }
         bool const isFirstSilent = missing.size() > mostProbes;
         if (isFirstSilent) {
-            if (Target const* const next = findRanked(service, work, ++search.rank))
+            if (DirectoryTarget const* const next = directory.findRanked(service, work.hash, ++search.rank, work.now))
                 sendSearch(service, next->agent, RelaySearch::Start, search, work.nowSeconds);
             return;
         }
@@ -466,7 +320,7 @@
             sendSearch(service, agent, RelaySearch::Probe, search, work.nowSeconds);
     }
 
-    void sendSearch(ServiceState const& service, Endpoint agent, RelaySearch kind, Search const& search, std::uint32_t nowSeconds) noexcept
+    void sendSearch(TargetGroup const& service, Endpoint agent, RelaySearch kind, Search const& search, std::uint32_t nowSeconds) noexcept
     {
         std::span<std::byte const> const segment = std::span<std::byte const>(search.kept).first(search.keptBytes);
         RelayRoute route;
@@ -483,35 +337,14 @@
         return (search.absent[index / 64] >> (index % 64) & 1U) != 0;
     }
 
-    /// The target at a rank among those that were heard lately, or among all if none was.
-    Target const* findRanked(ServiceState const& service, Work const& work, std::size_t rank) const noexcept
-    {
-        std::array<std::pair<std::uint64_t, Target const*>, searchRanks> best {};
-        std::size_t count = 0;
-        for (Target const& target : service.targets) {
-            if (target.dead)
-                continue;
-            bool const isLively = target.isHeard && target.load.accepting && !isSilent(target, work.now);
-            constexpr std::uint64_t livelyBit = std::uint64_t { 1 } << 63U;
-            std::pair<std::uint64_t, Target const*> ranked((searchScore(target.nameHash, work.hash) >> 1U) | (isLively ? livelyBit : 0), &target);
-            for (std::size_t index = 0; index < count; ++index) {
-                if (ranked.first > best[index].first)
-                    std::swap(ranked, best[index]);
-            }
-            if (count < best.size())
-                best[count++] = ranked;
-        }
-        return count > 0 ? best[rank % count].second : nullptr;
-    }
-
     void noteAbsent(Endpoint from, RelayFlow const& flow, TimePoint now, std::uint32_t nowSeconds)
     {
         std::uint64_t const hash = hashRelayFlow(flow);
         Search* const search = searches.find(hash);
-        absl::flat_hash_map<std::uint64_t, std::string>::iterator const name = agentServices.find(endpointKey(from));
-        if (search == nullptr || name == agentServices.end())
+        TargetGroup const* const group = directory.findServiceOf(from);
+        if (search == nullptr || group == nullptr)
             return;
-        ServiceState const& service = services[name->second];
+        TargetGroup const& service = *group;
         Work const work { {}, search->segment, hash, now, nowSeconds };
         markAbsent(service, from, *search);
         if (!isAbsentEverywhere(service, *search, now))
@@ -522,7 +355,7 @@
             resetLost(work);
     }
 
-    static void markAbsent(ServiceState const& service, Endpoint from, Search& search) noexcept
+    static void markAbsent(TargetGroup const& service, Endpoint from, Search& search) noexcept
     {
         for (std::size_t index = 0; index < std::min(service.targets.size(), mostSearchedTargets); ++index) {
             if (service.targets[index].agent == from)
@@ -530,13 +363,13 @@
         }
     }
 
-    [[nodiscard]] bool isAbsentEverywhere(ServiceState const& service, Search const& search, TimePoint now) const noexcept
+    [[nodiscard]] bool isAbsentEverywhere(TargetGroup const& service, Search const& search, TimePoint now) const noexcept
     {
         bool const isViewSettled = viewsComplete && now - service.viewChanged >= viewSettleTime;
         if (!isViewSettled || service.targets.size() > mostSearchedTargets)
             return false;
         for (std::size_t index = 0; index < service.targets.size(); ++index) {
-            Target const& target = service.targets[index];
+            DirectoryTarget const& target = service.targets[index];
             bool const isSurelyDead = target.dead && now - target.deadSince > surelyDeadTime;
             if (!isSurelyDead && !isAbsent(search, index))
                 return false;
@@ -554,18 +387,6 @@
 
     // ---- messages of agents ----
 
-    void noteLoad(Endpoint from, TargetLoad const& load, TimePoint now) noexcept
-    {
-        Target* const target = findTarget(from);
-        if (target == nullptr)
-            return;
-        target->load = load;
-        target->heard = now;
-        target->isHeard = true;
-        target->sent = 0;
-        target->unanswered = {};
-    }
-
     void noteOwner(Endpoint from, RelayFlow const& flow, TimePoint now)
     {
         std::uint64_t const hash = hashRelayFlow(flow);
@@ -587,21 +408,12 @@
 
     // ---- periodic steps ----
 
-    void subscribe(TimePoint now, std::uint32_t nowSeconds) noexcept
+    void subscribe(TimePoint now, std::uint32_t nowSeconds)
     {
-        std::chrono::milliseconds const interval = loadInterval(targetCount());
         std::array<std::byte, maximumRelayHeaderBytes> message;
-        std::size_t const bytes = writeRelaySubscribe(interval, { options.keys, nowSeconds }, message);
-        for (auto& [name, service] : services) {
-            for (Target& target : service.targets) {
-                // An agent that just starts is asked at every tick.
-                bool const due = !target.isHeard || now - target.subscribed >= subscriptionPeriod;
-                if (target.dead || !due)
-                    continue;
-                target.subscribed = now;
-                sender.send(target.agent, std::span<std::byte const>(message).first(bytes));
-            }
-        }
+        std::size_t const bytes = writeRelaySubscribe(directory.loadInterval(), { options.keys, nowSeconds }, message);
+        for (Endpoint const agent : directory.takeSubscriptionsDue(now))
+            sender.send(agent, std::span<std::byte const>(message).first(bytes));
     }
 
     void continueSearches(TimePoint now, std::uint32_t nowSeconds)
@@ -611,7 +423,7 @@
             if (!isDue)
                 return;
             Work const work { {}, search.segment, search.hash, now, nowSeconds };
-            if (ServiceState const* const service = serviceOf(work))
+            if (TargetGroup const* const service = serviceOf(work))
                 continueSearch(*service, search, work);
         });
     }
@@ -633,11 +445,11 @@
 
     void addRedirects(FlowRecord& record, TimePoint now, Batches& batches)
     {
-        absl::flat_hash_map<std::uint64_t, std::string>::iterator const name = agentServices.find(endpointKey(record.owner));
-        if (name == agentServices.end())
+        TargetGroup const* const group = directory.findServiceOf(record.owner);
+        if (group == nullptr)
             return;
         std::array<std::pair<std::uint64_t, Endpoint>, redirectHolders> holders {};
-        for (Target const& target : services[name->second].targets) {
+        for (DirectoryTarget const& target : group->targets) {
             std::pair<std::uint64_t, Endpoint> holder { searchScore(target.nameHash, record.hash), target.agent };
             // An entry that does not know the owner yet asks the next one.
             if (target.dead || target.agent == record.owner)
@@ -654,7 +466,7 @@
         record.redirected = now;
         for (std::pair<std::uint64_t, Endpoint> const& holder : holders) {
             if (holder.second.isSet())
-                batches[{ name->second, holder.second }].push_back({ record.flow, record.owner });
+                batches[{ group->name, holder.second }].push_back({ record.flow, record.owner });
         }
     }
 
@@ -692,7 +504,7 @@
     state_->configured = true;
     state_->routes.clear();
     for (Service const& service : configuration.services) {
-        state_->services[service.name].hash = hashService(service.name);
+        state_->directory.declare(service.name);
         for (ServiceAddress const& address : service.addresses) {
             AddressRoute& route = state_->routes[endpointKey(address.endpoint)];
             route.services.push_back({ service.name, address.share });
@@ -703,31 +515,7 @@
 
 void EntryRelay::setView(ServiceView const& view, TimePoint now)
 {
-    ServiceState& service = state_->services[view.service];
-    service.hash = hashService(view.service);
-    std::vector<Target> targets;
-    for (Target const& target : service.targets)
-        state_->agentServices.erase(endpointKey(target.agent));
-    for (ViewTarget const& seen : view.targets) {
-        Target target;
-        for (Target const& known : service.targets) {
-            if (known.name == seen.name && known.agent == seen.data)
-                target = known;
-        }
-        target.name = seen.name;
-        target.nameHash = hashText(seen.name);
-        target.agent = seen.data;
-        target.local = seen.dataCentre == state_->options.dataCentre;
-        target.draining = seen.draining;
-        target.deadSince = seen.dead && !target.dead ? now : target.deadSince;
-        target.dead = seen.dead;
-        state_->agentServices[endpointKey(seen.data)] = view.service;
-        targets.push_back(target);
-    }
-    service.targets = std::move(targets);
-    service.order.resize(service.targets.size());
-    std::iota(service.order.begin(), service.order.end(), 0U);
-    service.viewChanged = now;
+    state_->directory.setView(view, now);
     // Searches under way count targets by their old indices.
     state_->searches.forEach([](Search& search) { search.absent = {}; });
 }
@@ -761,7 +549,7 @@
     bool const isKnown = decoded.kind == RelayKind::Notice || decoded.kind == RelayKind::Load;
     if (decoded.error != DatagramError::None || !isKnown)
         return false;
-    state_->noteLoad(from, decoded.load, now);
+    state_->directory.noteLoad(from, decoded.load, now);
     if (decoded.kind == RelayKind::Notice)
         state_->noteOwner(from, decoded.flow, now);
     return true;
@@ -777,15 +565,7 @@
 
 bool EntryRelay::canServe() const noexcept
 {
-    if (state_->routes.empty())
-        return false;
-    for (auto const& [name, service] : state_->services) {
-        for (Target const& target : service.targets) {
-            if (target.isHeard && !target.dead)
-                return true;
-        }
-    }
-    return false;
+    return !state_->routes.empty() && state_->directory.hasLiveTarget();
 }
 
 std::array<std::uint64_t, entryRelayOutcomes> const& EntryRelay::outcomes() const noexcept
--- /dev/null
+++ b/tests/DivisionStoreTests.cpp
@@ -0,0 +1,176 @@
+// Guards against a store of the division that is away, refuses, forgets its history or answers nonsense: nothing of that
+// may look like an empty configuration, and what was missed must be read again.
+#include "DivisionStore.h"
+#include "plantaindrift/base/Error.h"
+#include "plantaindrift/runtime/HttpServer.h"
+
+#include <asio/io_context.hpp>
+#include <asio/post.hpp>
+#include <boost/test/unit_test.hpp>
+#include <mutex>
+#include <nlohmann/json.hpp>
+#include <thread>
+
+namespace {
+
+using namespace plantaindrift;
+using namespace std::chrono_literals;
+
+constexpr Endpoint storeAddress { 0x7F000001U, 18731 };
+
+// Answers each call by the next of its prepared answers and keeps the calls.
+class StandInStore {
+public:
+    StandInStore()
+        : server_(loop_, storeAddress, [this](HttpRequest const& request) { return answer(request); })
+    {
+        BOOST_TEST_REQUIRE(server_.start().ok());
+        thread_ = std::thread([this] { loop_.run(); });
+    }
+
+    ~StandInStore()
+    {
+        asio::post(loop_, [this] { server_.stop(); loop_.stop(); });
+        thread_.join();
+    }
+
+    StandInStore(StandInStore const&) = delete;
+    StandInStore& operator=(StandInStore const&) = delete;
+
+    void prepare(int status, std::string body)
+    {
+        std::lock_guard<std::mutex> const lock(mutex_);
+        answers_.push_back({ status, std::move(body), "application/json" });
+    }
+
+    [[nodiscard]] std::vector<std::string> calls()
+    {
+        std::lock_guard<std::mutex> const lock(mutex_);
+        return calls_;
+    }
+
+private:
+    asio::io_context loop_;
+    HttpServer server_;
+    std::thread thread_;
+    std::mutex mutex_;
+    std::vector<HttpAnswer> answers_;
+    std::vector<std::string> calls_;
+
+    HttpAnswer answer(HttpRequest const& request)
+    {
+        std::lock_guard<std::mutex> const lock(mutex_);
+        calls_.push_back(request.method + ' ' + request.path + (request.query.empty() ? "" : '?' + request.query));
+        if (answers_.empty())
+            return { 503, "{}" };
+        HttpAnswer next = answers_.front();
+        answers_.erase(answers_.begin());
+        return next;
+    }
+};
+
+std::string const url = "http://127.0.0.1:18731";
+
+std::string object(int version)
+{
+    nlohmann::json contents;
+    contents["version"] = version;
+    contents["routes"] = nlohmann::json::array();
+    contents["services"] = nlohmann::json::array();
+    return nlohmann::json { { "meta", { { "name", "main" }, { "revision", 3 } } }, { "spec", contents } }.dump();
+}
+
+std::string list(std::string const& items, int revision)
+{
+    return "{\"items\":[" + items + "],\"more\":false,\"store-revision\":" + std::to_string(revision) + '}';
+}
+
+Member someMember()
+{
+    Member member;
+    member.name = "front-1";
+    member.role = MemberRole::Entry;
+    member.dataCentre = "north";
+    member.incarnation = 42;
+    member.data = { 0x0A010001U, 7735 };
+    member.control = { 0x0A010001U, 7720 };
+    return member;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(AConfigurationIsReadAndAwaited)
+{
+    StandInStore standIn;
+    division::DivisionStore store(url);
+    standIn.prepare(200, list(object(7), 530));
+    standIn.prepare(200, "{\"events\":[{\"deleted\":false,\"object\":" + object(9) + "}],\"store-revision\":533}");
+    standIn.prepare(200, "{\"events\":[],\"store-revision\":540}");
+    BOOST_TEST(store.readConfiguration().value().value().version == 7U);
+    BOOST_TEST(store.awaitConfiguration(100ms).value().value().version == 9U);
+    BOOST_TEST(!store.awaitConfiguration(100ms).value().has_value());
+    std::vector<std::string> const calls = standIn.calls();
+    BOOST_TEST(calls[1] == "GET /plantaindrift/objects/config?watch=530&wait-ms=100");
+    BOOST_TEST(calls[2] == "GET /plantaindrift/objects/config?watch=533&wait-ms=100");
+}
+
+BOOST_AUTO_TEST_CASE(AStoreWithoutConfigurationIsNoError)
+{
+    StandInStore standIn;
+    division::DivisionStore store(url);
+    standIn.prepare(200, list("", 5));
+    BOOST_TEST(!store.readConfiguration().value().has_value());
+}
+
+BOOST_AUTO_TEST_CASE(RefusalsAndNonsenseAreErrors)
+{
+    StandInStore standIn;
+    division::DivisionStore store(url);
+    struct Wrong {
+        int status;
+        std::string body;
+    };
+    std::vector<Wrong> const wrongs {
+        { 503, "{}" }, { 429, "{}" }, { 410, "{}" }, { 404, "{}" }, { 500, "" }, { 200, "" }, { 200, "[]" }, { 200, "{}" },
+        { 200, "{\"items\":7,\"store-revision\":1}" }, { 200, "{\"items\":[]}" }, { 200, "{\"items\":[{}],\"store-revision\":1}" },
+        { 200, list("{\"meta\":{\"name\":\"main\"},\"spec\":{}}", 1) }, { 200, "{\"items\":[" }
+    };
+    for (Wrong const& wrong : wrongs) {
+        standIn.prepare(wrong.status, wrong.body);
+        BOOST_TEST(!store.readConfiguration().ok(), wrong.status << ' ' << wrong.body);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(ASilentStoreIsUnreachable)
+{
+    division::DivisionStore store("http://127.0.0.1:18732");
+    absl::StatusOr<std::optional<VersionedConfiguration>> const found = store.readConfiguration();
+    BOOST_TEST((errorKind(found.status()) == ErrorKind::PlatformUnreachable));
+}
+
+BOOST_AUTO_TEST_CASE(MembersAreWrittenAndReadBack)
+{
+    StandInStore standIn;
+    division::DivisionStore store(url);
+    standIn.prepare(409, "{}");
+    standIn.prepare(200, "{}");
+    BOOST_TEST(store.writeMember(someMember()).ok());
+    BOOST_TEST(standIn.calls()[1] == "PUT /plantaindrift/objects/members/front-1");
+    std::string const member = R"({"meta":{"name":"front-1"},"spec":{"role":"entry","service":"","data_centre":"north","incarnation":42,"data":"10.1.0.1:7735","control":"10.1.0.1:7720"}})";
+    std::string const foreign = R"({"meta":{"name":"x"},"spec":{"role":7}})";
+    standIn.prepare(200, list(member + ',' + foreign, 9));
+    std::vector<Member> const members = store.readMembers(true).value();
+    BOOST_TEST_REQUIRE(members.size() == 1U);
+    BOOST_TEST((members[0] == someMember()));
+}
+
+BOOST_AUTO_TEST_CASE(AllPagesOfMembersAreRead)
+{
+    StandInStore standIn;
+    division::DivisionStore store(url);
+    std::string const first = R"({"meta":{"name":"a"},"spec":{"role":"agent","service":"desk","data_centre":"n","incarnation":1,"data":"10.1.0.1:1","control":"10.1.0.1:2"}})";
+    standIn.prepare(200, "{\"items\":[" + first + "],\"more\":true,\"store-revision\":9}");
+    standIn.prepare(200, list("", 9));
+    BOOST_TEST(store.readMembers(false).value().size() == 1U);
+    BOOST_TEST(standIn.calls()[1] == "GET /plantaindrift/objects/members?serializable=1&after=a");
+}
