Records of ended targets are removed from the store; targets that stay silent hold no flow

Cause: entries that all start anew read the store's members, among them targets that had ended before. These never answered a search, so that no caller was told that its flow was lost. The test scene played ticks at the end of each run without the messages they caused; it plays both in order now.

An agent whose target has ended removes its record when it stops. A target that was not heard for 2.5 s, while an entry asks for its load, no longer keeps a search open. The new test failed before and passes now.

--- a/include/plantaindrift/store/FleetStore.h
+++ b/include/plantaindrift/store/FleetStore.h
@@ -9,6 +9,7 @@
 #include <chrono>
 #include <cstdint>
 #include <optional>
+#include <string_view>
 #include <vector>
 
 namespace plantaindrift {
@@ -41,6 +42,9 @@
 
     /// \brief Writes a member's record, whatever stood there.
     [[nodiscard]] virtual absl::Status writeMember(Member const& member) = 0;
+
+    /// \brief Removes a member's record; no error if there is none.
+    [[nodiscard]] virtual absl::Status removeMember(std::string_view name) = 0;
 };
 
 } // namespace plantaindrift
--- a/src/relay/EntryRelay.cpp
+++ b/src/relay/EntryRelay.cpp
@@ -46,6 +46,10 @@
     // A target that lives refutes a false suspicion within this time.
     constexpr std::chrono::seconds surelyDeadTime { 10 };
 
+    // An agent that a live entry asks for its load every 100 ms, or that sends it at least every 2 s, and that is silent for
+    // longer is not there any more. Its flows wait for nothing.
+    constexpr std::chrono::milliseconds goneTime { 2500 };
+
     // Redirects of flows that end sooner would cost more than a search.
     constexpr std::chrono::milliseconds redirectAge { 300 };
     constexpr std::chrono::seconds redirectRenewal { 20 };
@@ -371,7 +375,8 @@
         for (std::size_t index = 0; index < service.targets.size(); ++index) {
             DirectoryTarget const& target = service.targets[index];
             bool const isSurelyDead = target.dead && now - target.deadSince > surelyDeadTime;
-            if (!isSurelyDead && !isAbsent(search, index))
+            bool const isGone = now - std::max(target.heard, target.added) > goneTime;
+            if (!isSurelyDead && !isGone && !isAbsent(search, index))
                 return false;
         }
         return true;
--- a/src/relay/TargetDirectory.cpp
+++ b/src/relay/TargetDirectory.cpp
@@ -67,6 +67,7 @@
     std::vector<DirectoryTarget> targets;
     for (ViewTarget const& seen : view.targets) {
         DirectoryTarget target;
+        target.added = now;
         for (DirectoryTarget const& known : group.targets) {
             if (known.name == seen.name && known.agent == seen.data)
                 target = known;
--- a/src/relay/TargetDirectory.h
+++ b/src/relay/TargetDirectory.h
@@ -27,6 +27,7 @@
     bool draining { false };
     bool dead { false };
     TimePoint deadSince;
+    TimePoint added; ///< to this entry's view
     bool isHeard { false };
     TargetLoad load;
     TimePoint heard;
--- a/src/runtime/FleetStoreThread.cpp
+++ b/src/runtime/FleetStoreThread.cpp
@@ -57,6 +57,16 @@
     wake_.notify_all();
 }
 
+void FleetStoreThread::removeSelf()
+{
+    requestStop();
+    if (thread_.joinable())
+        thread_.join();
+    absl::Status const status = store_->removeMember(self_.name);
+    if (!status.ok())
+        logEvent(LogLevel::Warning, "record_not_removed", { { "name", self_.name }, { "problem", std::string_view(status.message().data(), status.message().size()) } });
+}
+
 bool FleetStoreThread::isDone() const noexcept
 {
     return hasMembers_ && isWritten_ && !handlers_.configuration;
--- a/src/runtime/FleetStoreThread.h
+++ b/src/runtime/FleetStoreThread.h
@@ -39,6 +39,9 @@
     /// \brief Ends the thread after the call that is under way.
     void requestStop();
 
+    /// \brief Ends the thread and removes the own record; blocks for the call under way and this one.
+    void removeSelf();
+
     /// \brief True while the last call was answered.
     [[nodiscard]] bool isReachable() const noexcept { return reachable_; }
 
--- a/src/runtime/RelayAgentDaemon.cpp
+++ b/src/runtime/RelayAgentDaemon.cpp
@@ -247,6 +247,9 @@
                 return;
             control_.leave(std::chrono::steady_clock::now());
             core_.sendControl(control_.takeMessages());
+            // Entries that all start anew would take the record for a target that lives.
+            if (store_)
+                store_->removeSelf();
         }
 
         void addMetrics(MetricsPage& page) const
--- a/tests/AgentRelayTests.cpp
+++ b/tests/AgentRelayTests.cpp
@@ -191,6 +191,22 @@
     BOOST_TEST(!isReset(flow));
 }
 
+// The store still had records of targets that were gone when all entries started anew, and these never answered, so that
+// no caller was told of its lost flow.
+BOOST_AUTO_TEST_CASE(ATargetThatWasNeverHeardDoesNotKeepAFlow)
+{
+    Scene scene(1, 4);
+    CallerFlow& flow = scene.open(0);
+    scene.runFor(1s);
+    std::size_t const owner = ownerOf(scene, flow);
+    scene.agents[owner]->up = false;
+    scene.startEntry(0);
+    scene.runFor(3s);
+    scene.request(flow);
+    scene.runFor(200ms);
+    BOOST_TEST(isReset(flow));
+}
+
 // The target that replaced another one holds none of its flows.
 BOOST_AUTO_TEST_CASE(FlowsOfAReplacedTargetAreReset)
 {
--- a/tests/DivisionStoreTests.cpp
+++ b/tests/DivisionStoreTests.cpp
@@ -164,6 +164,17 @@
     BOOST_TEST((members[0] == someMember()));
 }
 
+BOOST_AUTO_TEST_CASE(ARecordThatIsGoneIsRemovedWithoutError)
+{
+    StandInStore standIn;
+    division::DivisionStore store(url);
+    standIn.prepare(404, "{}");
+    BOOST_TEST(store.removeMember("front-1").ok());
+    BOOST_TEST(standIn.calls()[0] == "DELETE /plantaindrift/objects/members/front-1");
+    standIn.prepare(503, "{}");
+    BOOST_TEST(!store.removeMember("front-1").ok());
+}
+
 BOOST_AUTO_TEST_CASE(AllPagesOfMembersAreRead)
 {
     StandInStore standIn;
--- a/tests/RelayScene.h
+++ b/tests/RelayScene.h
@@ -283,13 +283,19 @@
     void runFor(Duration time)
     {
         TimePoint const end = now_ + time;
-        while (!events_.empty() && events_.top().when <= end) {
-            Event const event = events_.top();
-            events_.pop();
-            advance(event.when);
-            event.action();
+        while (true) {
+            TimePoint const nextTick = lastTick_ + 100ms;
+            bool const isEventNext = !events_.empty() && events_.top().when <= nextTick;
+            TimePoint const next = isEventNext ? events_.top().when : nextTick;
+            if (next > end)
+                break;
+            now_ = std::max(now_, next);
+            if (isEventNext)
+                playEvent();
+            else
+                tickAll();
         }
-        advance(end);
+        now_ = end;
     }
 
     void deliver(Endpoint from, Endpoint to, Bytes const& bytes)
@@ -331,21 +337,24 @@
 
     static std::uint64_t key(Endpoint endpoint) { return (std::uint64_t { endpoint.address } << 16U) | endpoint.port; }
 
-    void advance(TimePoint when)
+    void playEvent()
     {
-        while (lastTick_ + 100ms <= when) {
-            lastTick_ += 100ms;
-            now_ = std::max(now_, lastTick_);
-            for (std::unique_ptr<Agent> const& agent : agents) {
-                if (agent->up)
-                    agent->relay->tick(now_, wallSeconds);
-            }
-            for (std::unique_ptr<Entry> const& entry : entries) {
-                if (entry->up)
-                    entry->relay->tick(now_, wallSeconds);
-            }
+        Event const event = events_.top();
+        events_.pop();
+        event.action();
+    }
+
+    void tickAll()
+    {
+        lastTick_ += 100ms;
+        for (std::unique_ptr<Agent> const& agent : agents) {
+            if (agent->up)
+                agent->relay->tick(now_, wallSeconds);
+        }
+        for (std::unique_ptr<Entry> const& entry : entries) {
+            if (entry->up)
+                entry->relay->tick(now_, wallSeconds);
         }
-        now_ = std::max(now_, when);
     }
 
     void arrive(Endpoint from, Endpoint to, Bytes const& bytes)
