--- a/src/relay/EntryRelay.cpp
+++ b/src/relay/EntryRelay.cpp
@@ -50,6 +50,12 @@
     // longer is not there any more. Its flows wait for nothing.
     constexpr std::chrono::milliseconds goneTime { 2500 };
 
+    // An entry that has been up for a while may lack a target whose record still waits for the control budget, so that it
+    // tells a caller of a lost flow only when the search has lasted for this long. One that has just started has read the
+    // members from the store, and after a loss of power most searches are for lost flows.
+    constexpr std::chrono::seconds freshTime { 10 };
+    constexpr std::chrono::seconds longSearch { 3 };
+
     // Redirects of flows that end sooner would cost more than a search.
     constexpr std::chrono::milliseconds redirectAge { 300 };
     constexpr std::chrono::seconds redirectRenewal { 20 };
@@ -66,6 +72,7 @@
         bool used { false };
         bool continued { false }; ///< further agents were asked because the first answer was late
         std::uint8_t rank { 0 }; ///< of the agent that is asked
+        TimePoint started; ///< at the caller's first segment
         TimePoint asked;
         Segment segment; ///< the caller's last one
         std::array<std::uint64_t, mostSearchedTargets / 64> absent {}; ///< by target index
@@ -135,6 +142,7 @@
     std::array<std::byte, maximumRelayHeaderBytes> header {};
     std::array<std::byte, 64> reset {};
     std::array<std::byte, 2048> probe {};
+    TimePoint firstTick;
     TimePoint lastSweep;
     bool configured { false };
     bool viewsComplete { false };
@@ -278,6 +286,8 @@
         if (search == nullptr)
             return drop(work, EntryRelayOutcome::DroppedNoTarget);
         search->segment = work.segment;
+        if (isNew)
+            search->started = work.now;
         bool const isStart = isNew || work.now - search->asked >= searchTime;
         if (isStart && !isNew)
             ++search->rank;
@@ -370,7 +380,8 @@
     [[nodiscard]] bool isAbsentEverywhere(TargetGroup const& service, Search const& search, TimePoint now) const noexcept
     {
         bool const isViewSettled = viewsComplete && now - service.viewChanged >= viewSettleTime;
-        if (!isViewSettled || service.targets.size() > mostSearchedTargets)
+        bool const isLongEnough = now - firstTick < freshTime || now - search.started >= longSearch;
+        if (!isViewSettled || !isLongEnough || service.targets.size() > mostSearchedTargets)
             return false;
         for (std::size_t index = 0; index < service.targets.size(); ++index) {
             DirectoryTarget const& target = service.targets[index];
@@ -562,6 +573,8 @@
 
 void EntryRelay::tick(TimePoint now, std::uint32_t nowSeconds)
 {
+    if (state_->firstTick == TimePoint {})
+        state_->firstTick = now;
     state_->subscribe(now, nowSeconds);
     state_->continueSearches(now, nowSeconds);
     state_->sendRedirects(now, nowSeconds);
--- a/tests/AgentRelayTests.cpp
+++ b/tests/AgentRelayTests.cpp
@@ -18,6 +18,15 @@
     return scene.agents.size();
 }
 
+std::vector<CallerFlow*> openFlows(Scene& scene, std::size_t count)
+{
+    std::vector<CallerFlow*> flows;
+    flows.reserve(count);
+    for (std::size_t index = 0; index < count; ++index)
+        flows.push_back(&scene.open(0));
+    return flows;
+}
+
 bool isAnswered(CallerFlow const& flow)
 {
     return std::all_of(flow.requests.begin(), flow.requests.end(), [](Request const& request) { return request.answered.has_value(); });
@@ -53,9 +62,7 @@
 BOOST_AUTO_TEST_CASE(AnotherEntryFindsTheOwner)
 {
     Scene scene(2, 7);
-    std::vector<CallerFlow*> flows;
-    for (int count = 0; count < 40; ++count)
-        flows.push_back(&scene.open(0));
+    std::vector<CallerFlow*> const flows = openFlows(scene, 40);
     scene.runFor(2s);
     for (CallerFlow* const flow : flows) {
         flow->entry = 1;
@@ -73,9 +80,7 @@
 BOOST_AUTO_TEST_CASE(ADeadAgentDoesNotEndASearch)
 {
     Scene scene(2, 7);
-    std::vector<CallerFlow*> flows;
-    for (int count = 0; count < 40; ++count)
-        flows.push_back(&scene.open(0));
+    std::vector<CallerFlow*> const flows = openFlows(scene, 40);
     scene.runFor(100ms);
     scene.agents[6]->up = false;
     for (CallerFlow* const flow : flows) {
@@ -103,9 +108,7 @@
 BOOST_AUTO_TEST_CASE(AnEntryWithoutACompleteViewResetsNoOpenFlow)
 {
     Scene scene(1, 4);
-    std::vector<CallerFlow*> flows;
-    for (int count = 0; count < 40; ++count)
-        flows.push_back(&scene.open(0));
+    std::vector<CallerFlow*> const flows = openFlows(scene, 40);
     scene.runFor(1s);
     scene.startEntry(0);
     ServiceView part;
@@ -125,9 +128,7 @@
 BOOST_AUTO_TEST_CASE(ATargetTakenForDeadIsAskedToo)
 {
     Scene scene(1, 4);
-    std::vector<CallerFlow*> flows;
-    for (int count = 0; count < 40; ++count)
-        flows.push_back(&scene.open(0));
+    std::vector<CallerFlow*> const flows = openFlows(scene, 40);
     scene.runFor(1s);
     scene.startEntry(0);
     ServiceView view = scene.view();
@@ -145,9 +146,7 @@
 BOOST_AUTO_TEST_CASE(ARestartedAgentDeliversFlowsFromBefore)
 {
     Scene scene(1, 4);
-    std::vector<CallerFlow*> flows;
-    for (int count = 0; count < 40; ++count)
-        flows.push_back(&scene.open(0));
+    std::vector<CallerFlow*> const flows = openFlows(scene, 40);
     scene.runFor(1s);
     for (std::size_t index = 0; index < scene.agents.size(); ++index)
         scene.startAgent(index);
@@ -176,6 +175,26 @@
     BOOST_TEST(isReset(flow));
 }
 
+// A new target's record waited for the control budget; an entry that did not know it reset a flow that was open there.
+BOOST_AUTO_TEST_CASE(AnEntryThatLacksANewTargetDoesNotResetAtOnce)
+{
+    Scene scene(2, 4);
+    scene.runFor(11s);
+    std::vector<CallerFlow*> const flows = openFlows(scene, 20);
+    scene.runFor(100ms);
+    ServiceView part = scene.view();
+    part.targets.pop_back();
+    scene.entries[1]->relay->setView(part, scene.now());
+    scene.runFor(400ms);
+    for (CallerFlow* const flow : flows) {
+        flow->entry = 1;
+        scene.request(*flow);
+    }
+    scene.runFor(1s);
+    for (CallerFlow const* const flow : flows)
+        BOOST_TEST(!isReset(*flow));
+}
+
 // One agent that does not answer may own the flow.
 BOOST_AUTO_TEST_CASE(AFlowIsNotResetWhileAnAgentIsSilent)
 {
