--- a/include/plantaindrift/plantaindrift.h
+++ b/include/plantaindrift/plantaindrift.h
@@ -26,6 +26,7 @@
 #include "plantaindrift/packet/Encapsulation.h"
 #include "plantaindrift/packet/FlowMessage.h"
 #include "plantaindrift/packet/InnerPacket.h"
+#include "plantaindrift/packet/PacketVerdict.h"
 #include "plantaindrift/packet/Refusal.h"
 #include "plantaindrift/packet/RouteOption.h"
 #include "plantaindrift/relay/AgentRelay.h"
--- a/include/plantaindrift/relay/AgentRelay.h
+++ b/include/plantaindrift/relay/AgentRelay.h
@@ -3,6 +3,7 @@
 #include "plantaindrift/base/Types.h"
 #include "plantaindrift/membership/ServiceView.h"
 #include "plantaindrift/packet/Encapsulation.h"
+#include "plantaindrift/packet/PacketVerdict.h"
 #include "plantaindrift/relay/RelayMessage.h"
 #include "plantaindrift/relay/RelayObserver.h"
 #include "plantaindrift/relay/RelaySender.h"
@@ -47,7 +48,6 @@
     Endpoint target; ///< where the local target takes segments
     std::string service;
     KeyRing keys;
-    std::uint64_t randomSeed { 1 };
     std::uint16_t callerPort { 0 }; ///< UDP port at which callers receive
     std::size_t flows { 1U << 14U }; ///< flows known at most
 };
@@ -88,10 +88,10 @@
     void beginStop(TimePoint now, std::uint32_t nowSeconds);
 
     /// \brief Decides one datagram of an entry or another agent.
-    [[nodiscard]] RelayVerdict decide(std::span<std::byte const> datagram, Endpoint from, TimePoint now, std::uint32_t nowSeconds) noexcept;
+    [[nodiscard]] PacketVerdict decide(std::span<std::byte const> datagram, Endpoint from, TimePoint now, std::uint32_t nowSeconds) noexcept;
 
     /// \brief Decides one datagram of the local target.
-    [[nodiscard]] RelayVerdict decideTarget(std::span<std::byte const> datagram, TimePoint now, std::uint32_t nowSeconds) noexcept;
+    [[nodiscard]] PacketVerdict decideTarget(std::span<std::byte const> datagram, TimePoint now, std::uint32_t nowSeconds) noexcept;
 
     /// \brief Periodic work, every 100 ms: sends load, tells other agents of owned flows, forgets idle flows.
     void tick(TimePoint now, std::uint32_t nowSeconds);
--- a/include/plantaindrift/relay/EntryRelay.h
+++ b/include/plantaindrift/relay/EntryRelay.h
@@ -4,6 +4,7 @@
 #include "plantaindrift/configuration/Configuration.h"
 #include "plantaindrift/membership/ServiceView.h"
 #include "plantaindrift/packet/Encapsulation.h"
+#include "plantaindrift/packet/PacketVerdict.h"
 #include "plantaindrift/relay/RelayMessage.h"
 #include "plantaindrift/relay/RelayObserver.h"
 #include "plantaindrift/relay/RelaySender.h"
@@ -76,7 +77,7 @@
     void setKeys(KeyRing const& keys);
 
     /// \brief Decides one datagram of a caller.
-    [[nodiscard]] RelayVerdict decide(std::span<std::byte const> datagram, TimePoint now, std::uint32_t nowSeconds) noexcept;
+    [[nodiscard]] PacketVerdict decide(std::span<std::byte const> datagram, TimePoint now, std::uint32_t nowSeconds) noexcept;
 
     /// \brief Takes a notice or load from an agent. \returns false if it is malformed or not authenticated
     bool receive(Endpoint from, std::span<std::byte const> datagram, TimePoint now, std::uint32_t nowSeconds) noexcept;
--- a/include/plantaindrift/relay/RelayMessage.h
+++ b/include/plantaindrift/relay/RelayMessage.h
@@ -121,6 +121,13 @@
 /// \returns       bytes written
 [[nodiscard]] std::size_t writeRelayPacket(RelayRoute const& route, std::span<std::byte const> segment, RelaySeal const& seal, std::span<std::byte> output) noexcept;
 
+/// \brief The same for a segment whose header is another one than in the datagram that it came in.
+///
+/// \param segmentHeader  written behind the relay's own header
+/// \param data           what follows it in the segment; not written
+/// \param output         at least maximumRelayHeaderBytes and the segment's header
+[[nodiscard]] std::size_t writeRelayPacket(RelayRoute const& route, std::span<std::byte const> segmentHeader, std::span<std::byte const> data, RelaySeal const& seal, std::span<std::byte> output) noexcept;
+
 [[nodiscard]] std::size_t writeRelayNotice(RelayFlow const& flow, TargetLoad const& load, RelaySeal const& seal, std::span<std::byte> output) noexcept;
 [[nodiscard]] std::size_t writeRelayLoad(ServiceHash service, TargetLoad const& load, RelaySeal const& seal, std::span<std::byte> output) noexcept;
 [[nodiscard]] std::size_t writeRelaySubscribe(std::chrono::milliseconds interval, RelaySeal const& seal, std::span<std::byte> output) noexcept;
--- a/include/plantaindrift/relay/RelaySender.h
+++ b/include/plantaindrift/relay/RelaySender.h
@@ -16,11 +16,4 @@
     virtual void send(Endpoint to, std::span<std::byte const> datagram) noexcept = 0;
 };
 
-/// \brief What to send for one received datagram; nothing if `to` is unset.
-struct RelayVerdict {
-    Endpoint to;
-    std::span<std::byte const> header; ///< sent before the payload; valid until the next decision
-    std::span<std::byte const> payload; ///< inside the datagram
-};
-
 } // namespace plantaindrift
--- a/src/membership/EntryControl.cpp
+++ b/src/membership/EntryControl.cpp
@@ -325,7 +325,7 @@
 bool EntryControl::State::needsList(std::string_view agent, std::uint32_t reported, std::uint32_t own)
 {
     auto const last = reportedViews.find(agent);
-    // An agent whose view is empty has no fingerprint 0 either: 0 says that no list is wanted now.
+    // No list is wanted now.
     if (reported == 0)
         return false;
     bool const repeated = last != reportedViews.end() && last->second == reported;
--- a/src/membership/MonitorContacts.cpp
+++ b/src/membership/MonitorContacts.cpp
@@ -53,10 +53,15 @@
         if (!contacts_.contains(entry))
             fresh.push_back(entry);
     }
-    std::size_t const count = std::min(maximumNamed, fresh.size());
+    tryRandom(fresh, maximumNamed, now);
+}
+
+void MonitorContacts::tryRandom(std::vector<Endpoint>& entries, std::size_t most, TimePoint now)
+{
+    std::size_t const count = std::min(most, entries.size());
     for (std::size_t index = 0; index < count; ++index) {
-        std::swap(fresh[index], fresh[index + random_.below(fresh.size() - index)]);
-        add(fresh[index], now);
+        std::swap(entries[index], entries[index + random_.below(entries.size() - index)]);
+        add(entries[index], now);
     }
 }
 
@@ -105,12 +110,8 @@
     bool const recent = lastFallBack_ && now - *lastFallBack_ < silentHeartbeats * interval_;
     if ((answered && !contacts_.empty()) || recent || entries_.empty())
         return;
-    std::size_t const count = std::min(fallbackEntries, entries_.size());
     lastFallBack_ = now;
-    for (std::size_t index = 0; index < count; ++index) {
-        std::swap(entries_[index], entries_[index + random_.below(entries_.size() - index)]);
-        add(entries_[index], now);
-    }
+    tryRandom(entries_, fallbackEntries, now);
 }
 
 void MonitorContacts::probe(TimePoint now)
--- a/src/membership/MonitorContacts.h
+++ b/src/membership/MonitorContacts.h
@@ -69,6 +69,8 @@
     };
 
     Contact& add(Endpoint entry, TimePoint now);
+    /// Adds random entries of a list, which it reorders.
+    void tryRandom(std::vector<Endpoint>& entries, std::size_t most, TimePoint now);
     void dropUnnamed(TimePoint now);
     void fallBack(TimePoint now);
     void probe(TimePoint now);
--- a/src/packet/Encapsulation.cpp
+++ b/src/packet/Encapsulation.cpp
@@ -46,12 +46,6 @@
     };
     static_assert(sizeof(RouteFields) == 52);
 
-    struct EndpointField {
-        wire::big_uint32_buf_t address;
-        wire::big_uint16_buf_t port;
-    };
-    static_assert(sizeof(EndpointField) == 6);
-
     constexpr std::size_t wordBytes = 4;
     constexpr std::uint8_t optionWordsMask = 0x3F;
     constexpr std::uint8_t optionLengthMask = 0x1F;
@@ -151,7 +145,7 @@
 
     constexpr std::size_t routeBytesFor(std::size_t candidates) noexcept
     {
-        std::size_t const bytes = sizeof(RouteFields) + candidates * sizeof(EndpointField);
+        std::size_t const bytes = sizeof(RouteFields) + candidates * sizeof(wire::EndpointField);
         return (bytes + wordBytes - 1) / wordBytes * wordBytes;
     }
     static_assert(routeBytesFor(maximumCandidates) <= optionLengthMask * wordBytes);
@@ -227,11 +221,8 @@
     void writeCandidates(std::span<Endpoint const> candidates, std::span<std::byte> output) noexcept
     {
         for (Endpoint const& candidate : candidates) {
-            EndpointField field;
-            field.address = candidate.address;
-            field.port = candidate.port;
-            wire::write(field, output);
-            output = output.subspan(sizeof(field));
+            wire::write(wire::toField(candidate), output);
+            output = output.subspan(sizeof(wire::EndpointField));
         }
         std::fill(output.begin(), output.end(), std::byte { 0 });
     }
@@ -239,8 +230,7 @@
     bool readCandidates(std::span<std::byte const> bytes, RouteOption& route) noexcept
     {
         for (std::size_t index = 0; index < route.candidateCount; ++index) {
-            EndpointField const field = wire::read<EndpointField>(bytes.subspan(index * sizeof(EndpointField)));
-            route.candidates[index] = { field.address.value(), field.port.value() };
+            route.candidates[index] = wire::fromField(wire::read<wire::EndpointField>(bytes.subspan(index * sizeof(wire::EndpointField))));
             if (!route.candidates[index].isSet())
                 return false;
         }
--- a/src/packet/Wire.h
+++ b/src/packet/Wire.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "plantaindrift/base/Types.h"
+
 #include <boost/endian/buffers.hpp>
 
 #include <cstddef>
@@ -67,6 +69,26 @@
 };
 static_assert(sizeof(IcmpHeader) == 8);
 
+/// \brief An endpoint in messages between the project's own processes.
+struct EndpointField {
+    big_uint32_buf_t address;
+    big_uint16_buf_t port;
+};
+static_assert(sizeof(EndpointField) == 6);
+
+[[nodiscard]] inline EndpointField toField(Endpoint endpoint) noexcept
+{
+    EndpointField field;
+    field.address = endpoint.address;
+    field.port = endpoint.port;
+    return field;
+}
+
+[[nodiscard]] inline Endpoint fromField(EndpointField const& field) noexcept
+{
+    return { field.address.value(), field.port.value() };
+}
+
 /// \brief Copies a fixed-layout record out of bytes; the caller has checked the length.
 template <typename Record>
 [[nodiscard]] Record read(std::span<std::byte const> bytes) noexcept
--- a/src/relay/AgentRelay.cpp
+++ b/src/relay/AgentRelay.cpp
@@ -63,12 +63,12 @@
         bool hasRequest { false };
         std::uint32_t targetSequence { 0 }; ///< of the target's answer to the opening segment
         std::uint32_t requestEnd { 0 }; ///< sequence number after the caller's last data
-        RelayFlow flow;
         Endpoint entry; ///< entry that sends the flow's segments
-        TimePoint opened;
         TimePoint last;
         TimePoint requested; ///< last data of the request in progress
         std::uint16_t busyAtRequest { 0 };
+
+        [[nodiscard]] bool isOver() const noexcept { return closing || lost; }
     };
 
     struct RedirectNote {
@@ -172,7 +172,7 @@
         return load;
     }
 
-    RelayVerdict count(AgentRelayOutcome outcome) noexcept
+    PacketVerdict count(AgentRelayOutcome outcome) noexcept
     {
         ++outcomes[static_cast<std::size_t>(outcome)];
         return {};
@@ -191,7 +191,7 @@
         observer.decided(decision);
     }
 
-    RelayVerdict drop(Work const& work, AgentRelayOutcome outcome) noexcept
+    PacketVerdict drop(Work const& work, AgentRelayOutcome outcome) noexcept
     {
         tell(work, outcome, {});
         return count(outcome);
@@ -202,7 +202,7 @@
     // ---- verdicts ----
 
     /// Gives the segment to the target; the target returns what it does not hold with the token.
-    RelayVerdict deliver(Work const& work, AgentRelayOutcome outcome, bool mayReturn) noexcept
+    PacketVerdict deliver(Work const& work, AgentRelayOutcome outcome, bool mayReturn) noexcept
     {
         ++outcomes[static_cast<std::size_t>(outcome)];
         if (outcome != AgentRelayOutcome::Delivered)
@@ -216,36 +216,23 @@
         return { options.target, headerSpan(codec.headerBytes()), work.datagram.subspan(codec.headerBytes()) };
     }
 
-    RelayVerdict pass(Work& work, Endpoint to, AgentRelayOutcome outcome) noexcept
+    PacketVerdict pass(Work& work, Endpoint to, AgentRelayOutcome outcome) noexcept
     {
         if (work.route.hops >= mostPasses)
             return drop(work, AgentRelayOutcome::DroppedUnknown);
         ++outcomes[static_cast<std::size_t>(outcome)];
         tell(work, outcome, to);
         ++work.route.hops;
-        // A returned segment travels on without the mark, so its header is copied behind the relay header.
+        // A returned segment travels on without the mark.
         std::array<std::byte, 64> segmentHeader;
         codec.copyHeader(work.datagram, 0, segmentHeader);
         std::span<std::byte const> const head = std::span<std::byte const>(segmentHeader).first(codec.headerBytes());
-        std::size_t const bytes = writePacketHeader(work, head);
-        return { to, headerSpan(bytes), work.datagram.subspan(codec.headerBytes()) };
-    }
-
-    std::size_t writePacketHeader(Work const& work, std::span<std::byte const> segmentHeader) noexcept
-    {
-        // The tag covers the segment as it travels: the new header and the unchanged data.
-        std::array<std::byte, 2048> segment;
-        std::span<std::byte const> const data = work.datagram.subspan(segmentHeader.size());
-        std::size_t const size = std::min(segment.size(), segmentHeader.size() + data.size());
-        std::copy(segmentHeader.begin(), segmentHeader.end(), segment.begin());
-        std::size_t const tagged = std::min<std::size_t>(data.size(), 64);
-        std::copy_n(data.begin(), tagged, segment.begin() + static_cast<std::ptrdiff_t>(segmentHeader.size()));
-        std::size_t const bytes = writeRelayPacket(work.route, std::span<std::byte const>(segment).first(size), { options.keys, work.nowSeconds }, header);
-        std::copy(segmentHeader.begin(), segmentHeader.end(), header.begin() + static_cast<std::ptrdiff_t>(bytes));
-        return bytes + segmentHeader.size();
+        std::span<std::byte const> const data = work.datagram.subspan(head.size());
+        std::size_t const bytes = writeRelayPacket(work.route, head, data, { options.keys, work.nowSeconds }, header);
+        return { to, headerSpan(bytes), data };
     }
 
-    RelayVerdict reset(Work const& work, AgentRelayOutcome outcome) noexcept
+    PacketVerdict reset(Work const& work, AgentRelayOutcome outcome) noexcept
     {
         ++outcomes[static_cast<std::size_t>(outcome)];
         tell(work, outcome, work.flow.caller);
@@ -264,10 +251,10 @@
 
     // ---- first segments ----
 
-    RelayVerdict decideFirst(Work& work) noexcept
+    PacketVerdict decideFirst(Work& work) noexcept
     {
         FlowRecord* const known = flows.find(work.hash);
-        if (known != nullptr && !known->closing && !known->lost)
+        if (known != nullptr && !known->isOver())
             return admit(work);
         RelayCandidate* const better = findBetter(work);
         if (better != nullptr)
@@ -291,7 +278,7 @@
         return isWorth ? &*cheapest : nullptr;
     }
 
-    RelayVerdict passFirst(Work& work, RelayCandidate& candidate) noexcept
+    PacketVerdict passFirst(Work& work, RelayCandidate& candidate) noexcept
     {
         Endpoint const to = candidate.agent;
         std::swap(candidate, work.route.candidates[work.route.count - 1]);
@@ -300,7 +287,7 @@
         return pass(work, to, AgentRelayOutcome::PassedFirst);
     }
 
-    RelayVerdict passToAnyPeer(Work& work) noexcept
+    PacketVerdict passToAnyPeer(Work& work) noexcept
     {
         if (work.route.hops >= mostFirstPasses)
             return refuse(work);
@@ -328,7 +315,7 @@
         note->expires = expires;
     }
 
-    RelayVerdict refuse(Work const& work) noexcept
+    PacketVerdict refuse(Work const& work) noexcept
     {
         // An earlier copy may have opened the flow elsewhere, which a reset would break. A target that is still starting
         // may take a later copy.
@@ -337,10 +324,10 @@
         return reset(work, AgentRelayOutcome::Refused);
     }
 
-    RelayVerdict admit(Work const& work) noexcept
+    PacketVerdict admit(Work const& work) noexcept
     {
         FlowRecord* record = flows.find(work.hash);
-        if (record != nullptr && (record->closing || record->lost)) {
+        if (record != nullptr && record->isOver()) {
             erase(*record);
             record = nullptr;
         }
@@ -357,7 +344,7 @@
 
     // ---- later segments ----
 
-    RelayVerdict decideLater(Work& work) noexcept
+    PacketVerdict decideLater(Work& work) noexcept
     {
         FlowRecord* const record = flows.find(work.hash);
         if (record == nullptr)
@@ -380,7 +367,7 @@
         return record.answered && segment.acknowledges && segment.acknowledgement - record.targetSequence < acknowledgedRange;
     }
 
-    RelayVerdict decideForeign(Work& work) noexcept
+    PacketVerdict decideForeign(Work& work) noexcept
     {
         if (work.route.count == 0)
             return decideUnknown(work);
@@ -389,7 +376,7 @@
         return pass(work, other, AgentRelayOutcome::PassedKnown);
     }
 
-    RelayVerdict decideUnknown(Work& work) noexcept
+    PacketVerdict decideUnknown(Work& work) noexcept
     {
         RedirectNote* const note = notes.find(work.hash);
         bool const isNoted = note != nullptr && note->expires > work.now && note->owner != options.self;
@@ -419,7 +406,7 @@
     }
 
     /// The entry tells the caller if no target holds the flow.
-    RelayVerdict reportAbsent(Work const& work) noexcept
+    PacketVerdict reportAbsent(Work const& work) noexcept
     {
         bool const isWanted = work.route.search != RelaySearch::Follow && work.route.entry.isSet();
         if (isWanted) {
@@ -452,28 +439,25 @@
         }
     }
 
-    void endRequest(FlowRecord& record) noexcept
-    {
-        if (record.pending)
-            requests.cancel();
-        record.pending = false;
-    }
-
     FlowRecord* insert(Work const& work)
     {
         FlowRecord* const record = flows.insert(work.hash);
-        if (record == nullptr)
-            return nullptr;
-        record->flow = work.flow;
-        record->opened = work.now;
-        ++openFlows;
+        openFlows += record != nullptr ? 1 : 0;
         return record;
     }
 
+    /// Ends what counts for the load; the record says why afterwards.
+    void retire(FlowRecord& record) noexcept
+    {
+        if (record.pending)
+            requests.cancel();
+        record.pending = false;
+        openFlows -= record.isOver() ? 0 : 1;
+    }
+
     void close(FlowRecord& record) noexcept
     {
-        endRequest(record);
-        openFlows -= record.closing || record.lost ? 0 : 1;
+        retire(record);
         record.closing = true;
     }
 
@@ -485,7 +469,7 @@
 
     // ---- segments of the target ----
 
-    RelayVerdict decideAnswer(Work const& work) noexcept
+    PacketVerdict decideAnswer(Work const& work) noexcept
     {
         FlowRecord* record = flows.find(work.hash);
         // A target answers data of a flow that it does not hold with a reset at times; the flow may be open elsewhere.
@@ -519,7 +503,7 @@
             close(record);
     }
 
-    RelayVerdict decideReturned(Work& work) noexcept
+    PacketVerdict decideReturned(Work& work) noexcept
     {
         FlowRecord* const record = flows.find(work.hash);
         Trial const& trial = trialRing[work.segment.token % trials];
@@ -554,13 +538,12 @@
 
     void lose(FlowRecord& record) noexcept
     {
-        endRequest(record);
-        openFlows -= record.closing || record.lost ? 0 : 1;
+        retire(record);
         record.lost = true;
     }
 
     /// The target does not hold a flow that was open there: it restarted, or discarded the flow.
-    RelayVerdict loseFlow(FlowRecord& record, Work const& work) noexcept
+    PacketVerdict loseFlow(FlowRecord& record, Work const& work) noexcept
     {
         if (record.closing || work.segment.closing || work.segment.reset) {
             erase(record);
@@ -683,7 +666,7 @@
     state_->sendLoadToAll(now, nowSeconds);
 }
 
-RelayVerdict AgentRelay::decide(std::span<std::byte const> datagram, Endpoint from, TimePoint now, std::uint32_t nowSeconds) noexcept
+PacketVerdict AgentRelay::decide(std::span<std::byte const> datagram, Endpoint from, TimePoint now, std::uint32_t nowSeconds) noexcept
 {
     state_->clock = now;
     DecodedRelay const decoded = decodeRelay(datagram, state_->options.keys, nowSeconds);
@@ -707,7 +690,7 @@
     return segment->isFirst() ? state_->decideFirst(work) : state_->decideLater(work);
 }
 
-RelayVerdict AgentRelay::decideTarget(std::span<std::byte const> datagram, TimePoint now, std::uint32_t nowSeconds) noexcept
+PacketVerdict AgentRelay::decideTarget(std::span<std::byte const> datagram, TimePoint now, std::uint32_t nowSeconds) noexcept
 {
     state_->clock = now;
     std::optional<Segment> const segment = state_->codec.read(datagram);
--- a/src/relay/EntryRelay.cpp
+++ b/src/relay/EntryRelay.cpp
@@ -81,7 +81,7 @@
     };
 
     struct RouteShare {
-        std::string service;
+        TargetGroup* group { nullptr };
         std::uint32_t share { 0 };
     };
 
@@ -147,13 +147,13 @@
     bool configured { false };
     bool viewsComplete { false };
 
-    RelayVerdict count(EntryRelayOutcome outcome) noexcept
+    PacketVerdict count(EntryRelayOutcome outcome) noexcept
     {
         ++outcomes[static_cast<std::size_t>(outcome)];
         return {};
     }
 
-    RelayVerdict drop(Work const& work, EntryRelayOutcome outcome) noexcept
+    PacketVerdict drop(Work const& work, EntryRelayOutcome outcome) noexcept
     {
         tell(work, outcome, {}, 0);
         return count(outcome);
@@ -185,7 +185,7 @@
         std::uint32_t point = static_cast<std::uint32_t>((work.hash >> 20U) % route->second.totalShare);
         for (RouteShare const& share : route->second.services) {
             if (point < share.share)
-                return directory.findService(share.service);
+                return share.group;
             point -= share.share;
         }
         return nullptr;
@@ -193,7 +193,7 @@
 
     // ---- segments ----
 
-    RelayVerdict forward(Work const& work, RelayRoute& route, EntryRelayOutcome outcome) noexcept
+    PacketVerdict forward(Work const& work, RelayRoute& route, EntryRelayOutcome outcome) noexcept
     {
         ++outcomes[static_cast<std::size_t>(outcome)];
         Endpoint const to = route.candidates.front().agent;
@@ -206,7 +206,7 @@
         return { to, std::span<std::byte const>(header).first(bytes), work.datagram };
     }
 
-    RelayVerdict refuse(Work const& work, EntryRelayOutcome refused, EntryRelayOutcome dropped) noexcept
+    PacketVerdict refuse(Work const& work, EntryRelayOutcome refused, EntryRelayOutcome dropped) noexcept
     {
         // An earlier copy may have opened the flow, which a reset would break.
         bool const mayBeOpen = work.segment.acknowledgement != 0 || flows.find(work.hash) != nullptr;
@@ -218,7 +218,7 @@
         return { { work.segment.source.address, options.callerPort }, std::span<std::byte const>(reset).first(codec.headerBytes()), {} };
     }
 
-    RelayVerdict decideFirst(Work const& work) noexcept
+    PacketVerdict decideFirst(Work const& work) noexcept
     {
         TargetGroup* const service = serviceOf(work);
         if (service == nullptr)
@@ -233,7 +233,7 @@
         bool const isCopy = record != nullptr;
         Endpoint const chosen = route.candidates.front().agent;
         if (!isCopy)
-            record = insertFlow(work);
+            record = insertFlow(work.hash, { work.segment.source, work.segment.destination }, work.now);
         if (record != nullptr) {
             if (isCopy && record->owner != chosen)
                 record->alternate = record->owner;
@@ -244,17 +244,18 @@
         return forward(work, route, isCopy ? EntryRelayOutcome::CopyForwarded : EntryRelayOutcome::FirstForwarded);
     }
 
-    FlowRecord* insertFlow(Work const& work)
+    /// Finds or adds a flow. \returns null if no more can be remembered
+    FlowRecord* insertFlow(std::uint64_t hash, RelayFlow const& flow, TimePoint now)
     {
-        FlowRecord* const record = flows.insert(work.hash);
-        if (record == nullptr)
-            return nullptr;
-        record->flow = { work.segment.source, work.segment.destination };
-        record->opened = work.now;
+        FlowRecord* const record = flows.insert(hash);
+        if (record == nullptr || record->flow.caller.isSet())
+            return record;
+        record->flow = flow;
+        record->opened = now;
         return record;
     }
 
-    RelayVerdict decideLater(Work const& work) noexcept
+    PacketVerdict decideLater(Work const& work) noexcept
     {
         FlowRecord* const record = flows.find(work.hash);
         if (record == nullptr)
@@ -273,8 +274,8 @@
         return forward(work, route, EntryRelayOutcome::OwnerForwarded);
     }
 
-    /// Agents that own a flow tell the agents that rank first for it. The first one asks the others if it was not told.
-    RelayVerdict search(Work const& work)
+    /// Entries tell the agents that rank first for a flow who owns it. The first one asks the others if it was not told.
+    PacketVerdict search(Work const& work)
     {
         TargetGroup* const service = serviceOf(work);
         if (service == nullptr)
@@ -408,15 +409,11 @@
         std::uint64_t const hash = hashRelayFlow(flow);
         if (Search* const search = searches.find(hash))
             searches.erase(*search);
-        FlowRecord* const record = flows.insert(hash);
+        FlowRecord* const record = insertFlow(hash, flow, now);
         if (record == nullptr)
             return;
         if (record->owner.isSet() && record->owner != from)
             record->alternate = record->owner;
-        if (!record->flow.caller.isSet()) {
-            record->flow = flow;
-            record->opened = now;
-        }
         record->owner = from;
         record->last = now;
         record->confirmed = true;
@@ -457,7 +454,7 @@
             sendBatch(batch.first, batch.second, nowSeconds);
     }
 
-    using Batches = std::map<std::pair<std::string_view, Endpoint>, std::vector<OwnedFlow>>;
+    using Batches = std::map<Endpoint, std::vector<OwnedFlow>>; ///< by the agent that is told
 
     void addRedirects(FlowRecord& record, TimePoint now, Batches& batches)
     {
@@ -482,17 +479,18 @@
         record.redirected = now;
         for (std::pair<std::uint64_t, Endpoint> const& holder : holders) {
             if (holder.second.isSet())
-                batches[{ group->name, holder.second }].push_back({ record.flow, record.owner });
+                batches[holder.second].push_back({ record.flow, record.owner });
         }
     }
 
-    void sendBatch(std::pair<std::string_view, Endpoint> const& to, std::span<OwnedFlow const> owned, std::uint32_t nowSeconds)
+    void sendBatch(Endpoint to, std::span<OwnedFlow const> owned, std::uint32_t nowSeconds)
     {
+        ServiceHash const service = directory.findServiceOf(to)->hash;
         std::array<std::byte, maximumRelayMessageBytes> message;
         while (!owned.empty()) {
             std::size_t const named = std::min(owned.size(), maximumRedirectedFlows);
-            std::size_t const bytes = writeRelayRedirect(hashService(to.first), owned.first(named), { options.keys, nowSeconds }, message);
-            sender.send(to.second, std::span<std::byte const>(message).first(bytes));
+            std::size_t const bytes = writeRelayRedirect(service, owned.first(named), { options.keys, nowSeconds }, message);
+            sender.send(to, std::span<std::byte const>(message).first(bytes));
             owned = owned.subspan(named);
         }
     }
@@ -520,10 +518,10 @@
     state_->configured = true;
     state_->routes.clear();
     for (Service const& service : configuration.services) {
-        state_->directory.declare(service.name);
+        TargetGroup& group = state_->directory.declare(service.name);
         for (ServiceAddress const& address : service.addresses) {
             AddressRoute& route = state_->routes[endpointKey(address.endpoint)];
-            route.services.push_back({ service.name, address.share });
+            route.services.push_back({ &group, address.share });
             route.totalShare += address.share;
         }
     }
@@ -546,7 +544,7 @@
     state_->options.keys = keys;
 }
 
-RelayVerdict EntryRelay::decide(std::span<std::byte const> datagram, TimePoint now, std::uint32_t nowSeconds) noexcept
+PacketVerdict EntryRelay::decide(std::span<std::byte const> datagram, TimePoint now, std::uint32_t nowSeconds) noexcept
 {
     std::optional<Segment> const segment = state_->codec.read(datagram);
     if (!segment || segment->returned)
--- a/src/relay/RelayMessage.cpp
+++ b/src/relay/RelayMessage.cpp
@@ -23,11 +23,9 @@
     static_assert(sizeof(CommonFields) == 24);
     constexpr std::size_t tagOffset = sizeof(CommonFields) - tagBytes;
 
-    struct EndpointField {
-        wire::big_uint32_buf_t address;
-        wire::big_uint16_buf_t port;
-    };
-    static_assert(sizeof(EndpointField) == 6);
+    using wire::EndpointField;
+    using wire::fromField;
+    using wire::toField;
 
     struct FlowField {
         EndpointField caller;
@@ -68,19 +66,6 @@
     /// Segment bytes under the tag; a format's header is shorter.
     constexpr std::size_t taggedSegmentBytes = 64;
 
-    EndpointField toField(Endpoint endpoint) noexcept
-    {
-        EndpointField field;
-        field.address = endpoint.address;
-        field.port = endpoint.port;
-        return field;
-    }
-
-    Endpoint fromField(EndpointField const& field) noexcept
-    {
-        return { field.address.value(), field.port.value() };
-    }
-
     FlowField toField(RelayFlow const& flow) noexcept
     {
         return { toField(flow.caller), toField(flow.service) };
@@ -107,6 +92,12 @@
         return { field.accepting.value() != 0, field.slots.value(), field.busy.value(), field.flows.value(), field.serviceTenths.value() };
     }
 
+    /// A relayed segment; its header may be another one than in the datagram that it came in.
+    struct SegmentParts {
+        std::span<std::byte const> header;
+        std::span<std::byte const> data;
+    };
+
     /// Appends fixed-layout records to a datagram; the output has room for them.
     class Writer {
     public:
@@ -131,7 +122,7 @@
             size_ += sizeof(Record);
         }
 
-        [[nodiscard]] std::size_t finish(std::span<std::byte const> segment) noexcept;
+        [[nodiscard]] std::size_t finish(SegmentParts const& segment) noexcept;
 
     private:
         RelaySeal const& seal_;
@@ -140,7 +131,7 @@
     };
 
     /// The segment's length makes a datagram that was cut or extended after the tagged bytes invalid.
-    Tag computeRelayTag(std::span<std::byte const> header, std::span<std::byte const> segment, DatagramKey const& key) noexcept
+    Tag computeRelayTag(std::span<std::byte const> header, SegmentParts const& segment, DatagramKey const& key) noexcept
     {
         std::array<std::byte, maximumRelayMessageBytes + sizeof(wire::big_uint32_buf_t) + taggedSegmentBytes> input;
         std::span<std::byte> const all { input };
@@ -148,19 +139,22 @@
         std::span<std::byte> const tagField = all.subspan(tagOffset, tagBytes);
         std::fill(tagField.begin(), tagField.end(), std::byte { 0 });
         wire::big_uint32_buf_t length;
-        length = static_cast<std::uint32_t>(segment.size());
+        length = static_cast<std::uint32_t>(segment.header.size() + segment.data.size());
         wire::write(length, all.subspan(header.size()));
-        std::span<std::byte const> const tagged = segment.first(std::min(segment.size(), taggedSegmentBytes));
-        std::size_t const offset = header.size() + sizeof(length);
-        std::copy(tagged.begin(), tagged.end(), all.subspan(offset).begin());
-        return computeTag(all.first(offset + tagged.size()), key);
+        std::span<std::byte> const tagged = all.subspan(header.size() + sizeof(length), taggedSegmentBytes);
+        std::size_t const headerBytes = std::min(segment.header.size(), tagged.size());
+        std::size_t const dataBytes = std::min(segment.data.size(), tagged.size() - headerBytes);
+        std::copy_n(segment.header.begin(), headerBytes, tagged.begin());
+        std::copy_n(segment.data.begin(), dataBytes, tagged.subspan(headerBytes).begin());
+        return computeTag(all.first(header.size() + sizeof(length) + headerBytes + dataBytes), key);
     }
 
-    std::size_t Writer::finish(std::span<std::byte const> segment) noexcept
+    std::size_t Writer::finish(SegmentParts const& segment) noexcept
     {
         Tag const tag = computeRelayTag(output_.first(size_), segment, seal_.keys.keys.front());
         wire::write(tag, output_.subspan(tagOffset));
-        return size_;
+        std::copy(segment.header.begin(), segment.header.end(), output_.subspan(size_).begin());
+        return size_ + segment.header.size();
     }
 
     /// Takes fixed-layout records from the front of a datagram.
@@ -311,6 +305,11 @@
 }
 
 std::size_t writeRelayPacket(RelayRoute const& route, std::span<std::byte const> segment, RelaySeal const& seal, std::span<std::byte> output) noexcept
+{
+    return writeRelayPacket(route, {}, segment, seal, output);
+}
+
+std::size_t writeRelayPacket(RelayRoute const& route, std::span<std::byte const> segmentHeader, std::span<std::byte const> data, RelaySeal const& seal, std::span<std::byte> output) noexcept
 {
     Writer writer(RelayKind::Packet, route.count, seal, output);
     RouteFields fields;
@@ -325,7 +324,7 @@
         field.costTenths = candidate.costTenths;
         writer.add(field);
     }
-    return writer.finish(segment);
+    return writer.finish({ segmentHeader, data });
 }
 
 std::size_t writeRelayNotice(RelayFlow const& flow, TargetLoad const& load, RelaySeal const& seal, std::span<std::byte> output) noexcept
@@ -390,7 +389,7 @@
         return refused(DatagramError::BadRoute);
     DatagramKey const* const key = findKey(keys, common.keyEpoch.value());
     std::span<std::byte const> const header = datagram.first(datagram.size() - decoded.segment.size());
-    if (key == nullptr || !isEqualTag(common.tag, computeRelayTag(header, decoded.segment, *key)))
+    if (key == nullptr || !isEqualTag(common.tag, computeRelayTag(header, { {}, decoded.segment }, *key)))
         return refused(DatagramError::Unauthenticated);
     if (isStale(common.sentSeconds.value(), nowSeconds))
         return refused(DatagramError::Stale);
--- a/src/relay/TargetDirectory.cpp
+++ b/src/relay/TargetDirectory.cpp
@@ -51,19 +51,18 @@
 {
 }
 
-void TargetDirectory::declare(std::string_view service)
+TargetGroup& TargetDirectory::declare(std::string_view service)
 {
     TargetGroup& group = groups_[std::string(service)];
-    group.name = service;
     group.hash = hashService(service);
+    return group;
 }
 
 void TargetDirectory::setView(ServiceView const& view, TimePoint now)
 {
-    declare(view.service);
-    TargetGroup& group = groups_[view.service];
+    TargetGroup& group = declare(view.service);
     for (DirectoryTarget const& target : group.targets)
-        agentServices_.erase(endpointKey(target.agent));
+        agentGroups_.erase(endpointKey(target.agent));
     std::vector<DirectoryTarget> targets;
     for (ViewTarget const& seen : view.targets) {
         DirectoryTarget target;
@@ -79,7 +78,7 @@
         target.draining = seen.draining;
         target.deadSince = seen.dead && !target.dead ? now : target.deadSince;
         target.dead = seen.dead;
-        agentServices_[endpointKey(seen.data)] = view.service;
+        agentGroups_[endpointKey(seen.data)] = &group;
         targets.push_back(std::move(target));
     }
     group.targets = std::move(targets);
@@ -88,16 +87,10 @@
     group.viewChanged = now;
 }
 
-TargetGroup* TargetDirectory::findService(std::string_view service) noexcept
-{
-    std::map<std::string, TargetGroup, std::less<>>::iterator const found = groups_.find(service);
-    return found != groups_.end() ? &found->second : nullptr;
-}
-
 TargetGroup* TargetDirectory::findServiceOf(Endpoint agent) noexcept
 {
-    absl::flat_hash_map<std::uint64_t, std::string>::iterator const service = agentServices_.find(endpointKey(agent));
-    return service != agentServices_.end() ? findService(service->second) : nullptr;
+    absl::flat_hash_map<std::uint64_t, TargetGroup*>::iterator const group = agentGroups_.find(endpointKey(agent));
+    return group != agentGroups_.end() ? group->second : nullptr;
 }
 
 DirectoryTarget* TargetDirectory::findTarget(Endpoint agent) noexcept
@@ -123,7 +116,7 @@
 
 std::chrono::milliseconds TargetDirectory::loadInterval() const noexcept
 {
-    double const seconds = static_cast<double>(agentServices_.size()) * loadMessageBytes / loadBytesPerSecond;
+    double const seconds = static_cast<double>(agentGroups_.size()) * loadMessageBytes / loadBytesPerSecond;
     return std::clamp(std::chrono::milliseconds { static_cast<std::int64_t>(1000 * seconds) }, shortestInterval, longestInterval);
 }
 
--- a/src/relay/TargetDirectory.h
+++ b/src/relay/TargetDirectory.h
@@ -38,7 +38,6 @@
 
 /// \brief The targets of one service.
 struct TargetGroup {
-    std::string name;
     ServiceHash hash {};
     std::vector<DirectoryTarget> targets;
     std::vector<std::uint32_t> order; ///< indices of the targets, shuffled as samples are drawn
@@ -58,14 +57,12 @@
 public:
     TargetDirectory(std::string dataCentre, std::uint64_t randomSeed);
 
-    /// \brief Adds a service that has no targets yet.
-    void declare(std::string_view service);
+    /// \brief The group of a service, which is added without targets if it is new; stays where it is.
+    TargetGroup& declare(std::string_view service);
 
     /// \brief Replaces the targets of a service; load that was heard is kept.
     void setView(ServiceView const& view, TimePoint now);
 
-    [[nodiscard]] TargetGroup* findService(std::string_view service) noexcept;
-
     /// \brief The service of an agent; null if the agent is not known.
     [[nodiscard]] TargetGroup* findServiceOf(Endpoint agent) noexcept;
 
@@ -97,7 +94,7 @@
     std::string dataCentre_;
     RandomSource random_;
     std::map<std::string, TargetGroup, std::less<>> groups_;
-    absl::flat_hash_map<std::uint64_t, std::string> agentServices_; ///< by agent endpoint
+    absl::flat_hash_map<std::uint64_t, TargetGroup*> agentGroups_; ///< by agent endpoint
 
     [[nodiscard]] bool isSilent(DirectoryTarget const& target, TimePoint now) const noexcept;
     [[nodiscard]] double costOf(DirectoryTarget const& target, TimePoint now) noexcept;
--- a/src/runtime/DatagramControl.cpp
+++ b/src/runtime/DatagramControl.cpp
@@ -3,9 +3,9 @@
 #include "packet/Tag.h"
 #include "packet/Wire.h"
 #include "runtime/ControlSocket.h"
+#include "runtime/DaemonCore.h"
 
 #include <array>
-#include <chrono>
 #include <vector>
 
 namespace plantaindrift {
@@ -20,11 +20,6 @@
     };
     static_assert(sizeof(ControlHeader) == 24);
 
-    std::uint32_t nowSeconds() noexcept
-    {
-        return static_cast<std::uint32_t>(std::chrono::duration_cast<std::chrono::seconds>(std::chrono::system_clock::now().time_since_epoch()).count());
-    }
-
     Tag computeControlTag(ControlHeader header, std::span<std::byte const> message, DatagramKey const& key)
     {
         header.tag.fill(0);
@@ -34,17 +29,12 @@
         return computeTag(input, key);
     }
 
-    KeyRing ringOf(FleetKeys const& keys) noexcept
-    {
-        return keys.empty() ? insecureKeys() : datagramKeys(keys);
-    }
-
 } // namespace
 
 DatagramControl::DatagramControl(asio::io_context& loop, Endpoint self, FleetKeys const& keys, Receiver receiver)
     : socket_(loop)
     , self_(self)
-    , keys_(ringOf(keys))
+    , keys_(keyRing(keys))
     , receiver_(std::move(receiver))
 {
 }
@@ -64,7 +54,7 @@
     ControlHeader header;
     header.keyEpoch = keys_.keys.front().epoch;
     header.reserved = 0;
-    header.sentSeconds = nowSeconds();
+    header.sentSeconds = wallSeconds();
     header.tag = computeControlTag(header, message, keys_.keys.front());
     std::array<std::byte, sizeof(ControlHeader)> bytesOfHeader;
     wire::write(header, bytesOfHeader);
@@ -82,7 +72,7 @@
     std::span<std::byte const> const message = datagram.subspan(sizeof(ControlHeader));
     DatagramKey const* const key = findKey(keys_, header.keyEpoch.value());
     bool const isAuthentic = key != nullptr && isEqualTag(header.tag, computeControlTag(header, message, *key));
-    if (!isAuthentic || isStale(header.sentSeconds.value(), nowSeconds())) {
+    if (!isAuthentic || isStale(header.sentSeconds.value(), wallSeconds())) {
         ++counts_.refusedPeers;
         return;
     }
@@ -92,7 +82,7 @@
 
 absl::Status DatagramControl::setKeys(FleetKeys keys)
 {
-    keys_ = ringOf(keys);
+    keys_ = keyRing(keys);
     return absl::OkStatus();
 }
 
--- a/src/runtime/FleetStoreThread.cpp
+++ b/src/runtime/FleetStoreThread.cpp
@@ -53,7 +53,10 @@
 
 void FleetStoreThread::requestStop()
 {
-    stopping_ = true;
+    {
+        std::lock_guard<std::mutex> const lock(mutex_);
+        stopping_ = true;
+    }
     wake_.notify_all();
 }
 
@@ -87,7 +90,6 @@
 
 absl::Status FleetStoreThread::step()
 {
-    ++calls_;
     // Without the configuration nothing is served; without the members the seeds still name peers.
     if (handlers_.configuration && !hasConfiguration_)
         return readConfiguration();
@@ -102,6 +104,7 @@
 
 absl::Status FleetStoreThread::readMembers()
 {
+    ++calls_;
     absl::StatusOr<std::vector<Member>> members = store_->readMembers(memberReads_ == 0);
     if (!members.ok())
         return members.status();
@@ -127,6 +130,7 @@
 
 absl::Status FleetStoreThread::writeSelf()
 {
+    ++calls_;
     absl::Status status = store_->writeMember(self_);
     isWritten_ = status.ok();
     return status;
@@ -134,6 +138,7 @@
 
 absl::Status FleetStoreThread::readConfiguration()
 {
+    ++calls_;
     absl::StatusOr<std::optional<VersionedConfiguration>> configuration = store_->readConfiguration();
     if (!configuration.ok())
         return configuration.status();
@@ -150,6 +155,7 @@
 
 absl::Status FleetStoreThread::awaitConfiguration()
 {
+    ++calls_;
     absl::StatusOr<std::optional<VersionedConfiguration>> configuration = store_->awaitConfiguration(watchTime);
     if (!configuration.ok()) {
         // What the wait has missed is in the next read.
--- a/src/runtime/PacketLoop.h
+++ b/src/runtime/PacketLoop.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "plantaindrift/base/Types.h"
+#include "plantaindrift/packet/PacketVerdict.h"
 
 #include "absl/status/statusor.h"
 
@@ -11,13 +12,6 @@
 
 namespace plantaindrift {
 
-/// \brief What to send for one received datagram; nothing if `to` is unset.
-struct PacketVerdict {
-    Endpoint to;
-    std::span<std::byte const> header; ///< sent before the payload; valid until the next decision
-    std::span<std::byte const> payload; ///< inside the datagram, or valid until the next decision
-};
-
 /// \brief The times that a batch of datagrams is decided with.
 struct PacketTime {
     TimePoint now;
--- a/src/runtime/RelayAgentDaemon.cpp
+++ b/src/runtime/RelayAgentDaemon.cpp
@@ -54,7 +54,6 @@
         options.target = settings.target;
         options.service = settings.service;
         options.keys = keys;
-        options.randomSeed = mixHash(hashText(self.name), self.incarnation);
         options.callerPort = settings.common.data.port;
         return options;
     }
@@ -87,8 +86,7 @@
 
         [[nodiscard]] PacketVerdict decide(std::span<std::byte const> datagram, Endpoint from, PacketTime const& time) noexcept override
         {
-            RelayVerdict const verdict = relay_.decide(datagram, from, time.now, time.nowSeconds);
-            return { verdict.to, verdict.header, verdict.payload };
+            return relay_.decide(datagram, from, time.now, time.nowSeconds);
         }
 
     private:
@@ -102,8 +100,7 @@
 
             [[nodiscard]] PacketVerdict decide(std::span<std::byte const> datagram, Endpoint /*from*/, PacketTime const& time) noexcept override
             {
-                RelayVerdict const verdict = daemon_.relay_.decideTarget(datagram, time.now, time.nowSeconds);
-                return { verdict.to, verdict.header, verdict.payload };
+                return daemon_.relay_.decideTarget(datagram, time.now, time.nowSeconds);
             }
 
         private:
--- a/src/runtime/RelayEntryDaemon.cpp
+++ b/src/runtime/RelayEntryDaemon.cpp
@@ -83,8 +83,7 @@
 
         [[nodiscard]] PacketVerdict decide(std::span<std::byte const> datagram, Endpoint /*from*/, PacketTime const& time) noexcept override
         {
-            RelayVerdict const verdict = relay_.decide(datagram, time.now, time.nowSeconds);
-            return { verdict.to, verdict.header, verdict.payload };
+            return relay_.decide(datagram, time.now, time.nowSeconds);
         }
 
     private:
--- a/tests/AgentRelayTests.cpp
+++ b/tests/AgentRelayTests.cpp
@@ -245,7 +245,7 @@
 {
     Scene scene(1, 2);
     Bytes const reset = makePacket({ 1, 1, 0, serviceAddress, { 0x64400001U, 2000 }, resetFlag, 0 });
-    RelayVerdict const verdict = scene.agents[0]->relay->decideTarget(reset, scene.now(), wallSeconds);
+    PacketVerdict const verdict = scene.agents[0]->relay->decideTarget(reset, scene.now(), wallSeconds);
     BOOST_TEST(!verdict.to.isSet());
 }
 
@@ -275,7 +275,7 @@
     agent.relay->setTarget(agent.state, scene.now());
     BOOST_TEST(agent.relay->load().accepting);
     Bytes const returned = makePacket({ 100, 0, 0, { 0x64400001U, 2000 }, serviceAddress, openingFlag | returnedFlag, 0 });
-    RelayVerdict const verdict = agent.relay->decideTarget(returned, scene.now(), wallSeconds);
+    PacketVerdict const verdict = agent.relay->decideTarget(returned, scene.now(), wallSeconds);
     BOOST_TEST((verdict.to == scene.agents[1]->data));
     scene.runFor(1s);
     BOOST_TEST(!agent.relay->load().accepting);
@@ -295,7 +295,7 @@
     Bytes datagram(maximumRelayHeaderBytes);
     datagram.resize(writeRelayPacket(route, packet, { keys, wallSeconds }, datagram));
     datagram.insert(datagram.end(), packet.begin(), packet.end());
-    RelayVerdict const verdict = scene.agents[0]->relay->decide(datagram, scene.entries[0]->data, scene.now(), wallSeconds);
+    PacketVerdict const verdict = scene.agents[0]->relay->decide(datagram, scene.entries[0]->data, scene.now(), wallSeconds);
     BOOST_TEST(!verdict.to.isSet());
     BOOST_TEST(scene.agents[0]->relay->outcomes()[static_cast<std::size_t>(AgentRelayOutcome::DroppedService)] == 1U);
 }
--- a/tests/EntryRelayTests.cpp
+++ b/tests/EntryRelayTests.cpp
@@ -9,7 +9,7 @@
 
 using namespace relay_scene;
 
-RelayVerdict sendOpening(Scene& scene, std::size_t entry, std::uint16_t port, std::uint32_t copy, Endpoint address = serviceAddress)
+PacketVerdict sendOpening(Scene& scene, std::size_t entry, std::uint16_t port, std::uint32_t copy, Endpoint address = serviceAddress)
 {
     static Bytes packet;
     packet = makePacket({ 100, copy, 0, { 0x64400001U, port }, address, openingFlag, 0 });
@@ -59,7 +59,7 @@
 BOOST_AUTO_TEST_CASE(AnAddressWithoutARouteIsRefusedAtOnce)
 {
     Scene scene(1, 2);
-    RelayVerdict const verdict = sendOpening(scene, 0, 2000, 0, { 0xC6120009U, 443 });
+    PacketVerdict const verdict = sendOpening(scene, 0, 2000, 0, { 0xC6120009U, 443 });
     BOOST_TEST((verdict.to == Endpoint { 0x64400001U, callerPort }));
     BOOST_TEST(verdict.header.size() == 31U);
     BOOST_TEST((verdict.header[30] == std::byte { resetFlag }));
@@ -69,7 +69,7 @@
 BOOST_AUTO_TEST_CASE(ALaterCopyIsNeverRefused)
 {
     Scene scene(1, 2);
-    RelayVerdict const verdict = sendOpening(scene, 0, 2000, 1, { 0xC6120009U, 443 });
+    PacketVerdict const verdict = sendOpening(scene, 0, 2000, 1, { 0xC6120009U, 443 });
     BOOST_TEST(!verdict.to.isSet());
 }
 
@@ -108,7 +108,7 @@
     scene.runFor(800us);
     // The copy overtakes the answer to the first one.
     Bytes const copy = makePacket({ 100, 1, 0, flow.caller, serviceAddress, openingFlag, 0 });
-    RelayVerdict const verdict = scene.entries[0]->relay->decide(copy, scene.now(), wallSeconds);
+    PacketVerdict const verdict = scene.entries[0]->relay->decide(copy, scene.now(), wallSeconds);
     Bytes sent(verdict.header.begin(), verdict.header.end());
     sent.insert(sent.end(), verdict.payload.begin(), verdict.payload.end());
     scene.deliver(scene.entries[0]->data, verdict.to, sent);
--- a/tests/RelayScene.h
+++ b/tests/RelayScene.h
@@ -371,7 +371,7 @@
             arriveAtCaller(bytes);
     }
 
-    void carry(Agent& agent, RelayVerdict const& verdict)
+    void carry(Agent& agent, PacketVerdict const& verdict)
     {
         if (!verdict.to.isSet())
             return;
@@ -458,7 +458,7 @@
             Entry& at = *entries[entry];
             if (!at.up)
                 return;
-            RelayVerdict const verdict = at.relay->decide(bytes, now_, wallSeconds);
+            PacketVerdict const verdict = at.relay->decide(bytes, now_, wallSeconds);
             if (!verdict.to.isSet())
                 return;
             Bytes sent(verdict.header.begin(), verdict.header.end());
