A later packet whose chain of notes is broken searches along the list only

The last agent of a chain of notes had left. Each agent of the list that the packet visited afterwards sent it by its own note into the same chain again, so that the search took a number of hops that grows with the square of the list and ended at the limit of 16; the owner was the seventh of seven candidates. Ruled out: a higher limit, which longer chains meet again. The mark is one flag of the route option.

--- a/include/plantaindrift/packet/RouteOption.h
+++ b/include/plantaindrift/packet/RouteOption.h
@@ -21,7 +21,8 @@
     std::uint32_t viewFingerprint { 0 }; ///< of the membership the candidates were ranked with
     Endpoint entry; ///< entry that takes owner notices for this packet
     Endpoint claimant; ///< agent that admits the flow if no candidate knows it; unset if none
-    bool returning { false }; ///< the probe found no owner and goes back to the claimant
+    bool returning { false }; ///< first packet: the probe found no owner and goes back to the claimant
+    bool alongList { false }; ///< later packet: notes led nowhere, and the search goes along the candidates
     std::uint8_t hops { 0 }; ///< times the packet was sent on between agents
     std::uint8_t position { 0 }; ///< index of the candidate the packet was sent to
     std::uint8_t candidateCount { 0 };
--- a/src/agent/AgentPipeline.cpp
+++ b/src/agent/AgentPipeline.cpp
@@ -292,7 +292,7 @@
         PassNote& note = *passage.note;
         bool const points = note.kind == NoteKind::Passed || note.kind == NoteKind::Claimed || note.kind == NoteKind::Redirected;
         if (!passage.first)
-            return points && note.owner != options.self && passAlong(passage, note.owner);
+            return points && note.owner != options.self && followForLater(passage);
         if (note.kind == NoteKind::HalfOpen)
             return admit(passage);
         if (note.kind == NoteKind::Refused)
@@ -350,6 +350,16 @@
         return passAlong(passage, note.owner);
     }
 
+    // A search along the list visits its agents anyway. Their notes would lead into the broken chain again, once for each
+    // candidate, up to the hop limit.
+    bool followForLater(Passage& passage) noexcept
+    {
+        RouteOption const& route = passage.route;
+        Endpoint const owner = passage.note->owner;
+        bool const isVisited = route.alongList && indexOf(route.candidateSpan(), owner) < route.candidateCount;
+        return !isVisited && passAlong(passage, owner);
+    }
+
     bool passAlong(Passage& passage, Endpoint owner) noexcept
     {
         if (passage.route.hops >= maximumHops) {
@@ -458,6 +468,8 @@
             return false;
         RouteOption& route = passage.route;
         route.claimant = {};
+        // The notes that led here end here.
+        route.alongList = route.alongList || !passage.inOrder;
         if (route.hops >= maximumHops)
             return drop(passage, AgentReason::HopLimit);
         std::size_t next = nextCandidate(route, route.position + 1U);
--- a/src/packet/Encapsulation.cpp
+++ b/src/packet/Encapsulation.cpp
@@ -60,6 +60,7 @@
     /// Critical, so that a kernel that receives a routed datagram by mistake drops it.
     constexpr std::uint8_t routeOptionType = criticalOption | 0x01;
     constexpr std::uint8_t returningFlag = 0x01;
+    constexpr std::uint8_t alongListFlag = 0x02;
 
     /// Inner bytes under the tag: the IPv4 and TCP headers without options and the first payload bytes.
     constexpr std::size_t taggedInnerBytes = 64;
@@ -179,7 +180,7 @@
         fields.claimantAddress = route.claimant.address;
         fields.entryPort = route.entry.port;
         fields.claimantPort = route.claimant.port;
-        fields.flags = route.returning ? returningFlag : std::uint8_t { 0 };
+        fields.flags = static_cast<std::uint8_t>((route.returning ? returningFlag : 0) | (route.alongList ? alongListFlag : 0));
         fields.hops = route.hops;
         fields.position = route.position;
         fields.candidateCount = static_cast<std::uint8_t>(candidates);
@@ -198,6 +199,7 @@
         route.entry = { fields.entryAddress.value(), fields.entryPort.value() };
         route.claimant = { fields.claimantAddress.value(), fields.claimantPort.value() };
         route.returning = (fields.flags.value() & returningFlag) != 0;
+        route.alongList = (fields.flags.value() & alongListFlag) != 0;
         route.hops = fields.hops.value();
         route.position = fields.position.value();
         route.candidateCount = fields.candidateCount.value();
@@ -214,7 +216,7 @@
             && routeBytes == routeBytesFor(candidates)
             && fields.position.value() <= candidates
             && fields.hops.value() <= maximumHops
-            && (fields.flags.value() & ~returningFlag) == 0
+            && (fields.flags.value() & ~(returningFlag | alongListFlag)) == 0
             && (!isReturning || hasClaimant);
     }
 
--- a/tests/AgentRandomTests.cpp
+++ b/tests/AgentRandomTests.cpp
@@ -35,6 +35,7 @@
     std::size_t entries { 3 };
     std::size_t targets { 4 };
     std::uint32_t slots { 3 };
+    std::uint32_t queuePerSlot { 0 };
     bool membership { true }; // joins, drains, leaves
     bool weights { false };
     bool restarts { false };
@@ -112,6 +113,7 @@
         service_.idempotent = scenario.traffic != Traffic::StrictUdp;
         service_.limits.slots = scenario.slots;
         service_.limits.connections = 200;
+        service_.limits.queuePerSlot = scenario.queuePerSlot;
         keys_.count = 1;
         for (std::size_t index = 0; index < scenario.entries; ++index)
             addEntry(index);
@@ -843,6 +845,16 @@
     checkSeeds(Traffic::Tcp, [](Scenario& scenario) { scenario.weights = true; });
 }
 
+// Queues let flows stay at targets that full ones pass them to, so that notes form longer chains: a later packet that had
+// seen the whole list followed seven notes and met the hop limit.
+BOOST_AUTO_TEST_CASE(TcpWithWeightChangesAndQueues)
+{
+    checkSeeds(Traffic::Tcp, [](Scenario& scenario) {
+        scenario.weights = true;
+        scenario.queuePerSlot = 2;
+    });
+}
+
 BOOST_AUTO_TEST_CASE(TcpWithCrashes)
 {
     checkSeeds(Traffic::Tcp, [](Scenario& scenario) { scenario.crashes = true; });
--- a/tests/EncapsulationTests.cpp
+++ b/tests/EncapsulationTests.cpp
@@ -18,6 +18,7 @@
     route.entry = { 0x0A000001, 6000 };
     route.claimant = { 0x0A000002, 6001 };
     route.returning = true;
+    route.alongList = true;
     route.hops = 3;
     route.position = candidates == 0 ? 0 : static_cast<std::uint8_t>(candidates - 1);
     route.candidateCount = candidates;
@@ -44,7 +45,7 @@
 bool isEqualRoute(RouteOption const& left, RouteOption const& right)
 {
     return left.service == right.service && left.viewFingerprint == right.viewFingerprint && left.entry == right.entry
-        && left.claimant == right.claimant && left.returning == right.returning && left.hops == right.hops
+        && left.claimant == right.claimant && left.returning == right.returning && left.alongList == right.alongList && left.hops == right.hops
         && left.position == right.position && left.candidateCount == right.candidateCount
         && std::ranges::equal(left.candidateSpan(), right.candidateSpan()) && left.sentSeconds == right.sentSeconds;
 }
