Agents measure the service time of an overloaded target by the pace of its answers

Cause: a target whose slots were all taken for 20 requests in a row gave the next time with its wait as a sample. Ruled out: leaving such samples out altogether, which would not notice a target that turns slow under load.

--- a/src/relay/AgentRelay.cpp
+++ b/src/relay/AgentRelay.cpp
@@ -67,7 +67,6 @@
         Endpoint entry; ///< entry that sends the flow's segments
         TimePoint last;
         TimePoint requested; ///< last data of the request in progress
-        std::uint16_t busyAtRequest { 0 };
 
         [[nodiscard]] bool isOver() const noexcept { return closing || lost; }
     };
@@ -445,7 +444,6 @@
         record.requestEnd = end;
         record.requested = work.now;
         if (!record.pending) {
-            record.busyAtRequest = static_cast<std::uint16_t>(requests.busy());
             record.pending = true;
             requests.begin();
         }
@@ -511,7 +509,7 @@
         record.established = record.established || !segment.opening;
         if (segment.dataBytes > 0 && record.pending) {
             record.pending = false;
-            requests.finish(work.now - record.requested, record.busyAtRequest < target.slots);
+            requests.finish(record.requested, work.now, target.slots);
         }
         if (segment.closing || segment.reset)
             close(record);
--- a/src/relay/RequestCount.cpp
+++ b/src/relay/RequestCount.cpp
@@ -11,9 +11,6 @@
     // A mean over about twenty requests follows a target that turns slow within a second.
     constexpr double newShare = 0.05;
 
-    // A target whose slots are all busy for this many requests in a row gives no other sample.
-    constexpr std::uint32_t waitedBeforeSample = 20;
-
     // A target that has just started works at about this part of its later speed.
     constexpr double coldFactor = 1.6;
 
@@ -24,11 +21,19 @@
     busy_ -= busy_ > 0 ? 1 : 0;
 }
 
-void RequestCount::finish(Duration took, bool wasFree) noexcept
+// A target whose slots are all taken ends one request in each part of the service time that its slots make; the time since
+// the request came holds its wait.
+void RequestCount::finish(TimePoint requested, TimePoint now, std::size_t slots) noexcept
 {
     cancel();
-    waitedInRow_ = wasFree ? 0 : waitedInRow_ + 1;
-    if (!wasFree && waitedInRow_ < waitedBeforeSample)
+    Duration const whole = now - requested;
+    Duration const paced = (now - finished_) * static_cast<std::int64_t>(slots);
+    Duration const took = wasFull_ ? std::min(whole, paced) : whole;
+    bool const holdsWait = !wasFull_ && busy_ >= slots;
+    finished_ = now;
+    wasFull_ = busy_ >= slots;
+    // The first one that ends after the slots filled up may have waited, and nothing tells how long.
+    if (holdsWait && meanTenths_ > 0)
         return;
     double const tenths = std::chrono::duration<double, std::milli>(took).count() * 10;
     meanTenths_ = meanTenths_ == 0 ? tenths : meanTenths_ + newShare * (tenths - meanTenths_);
@@ -38,7 +43,7 @@
 {
     busy_ = 0;
     meanTenths_ = 0;
-    waitedInRow_ = 0;
+    wasFull_ = false;
 }
 
 std::uint16_t RequestCount::serviceTenths() const noexcept
--- a/src/relay/RequestCount.h
+++ b/src/relay/RequestCount.h
@@ -18,9 +18,9 @@
 
     /// \brief The first part of an answer left the target.
     ///
-    /// \param took      time since the last part of the request
-    /// \param wasFree   the target had a free slot when the request came, so that the time holds no wait
-    void finish(Duration took, bool wasFree) noexcept;
+    /// \param requested  when the last part of the request entered
+    /// \param slots      requests that the target serves at once
+    void finish(TimePoint requested, TimePoint now, std::size_t slots) noexcept;
 
     /// \brief The target is slow after its start until this time.
     void setCold(TimePoint until) noexcept { coldUntil_ = until; }
@@ -32,13 +32,14 @@
 
     [[nodiscard]] std::size_t busy() const noexcept { return busy_; }
 
-    /// \brief Mean time of a request that does not wait, in 0.1 ms; 0 if none was measured.
+    /// \brief Mean time of a request without its wait, in 0.1 ms; 0 if none was measured.
     [[nodiscard]] std::uint16_t serviceTenths() const noexcept;
 
 private:
     std::size_t busy_ { 0 };
     double meanTenths_ { 0 };
-    std::uint32_t waitedInRow_ { 0 };
+    TimePoint finished_; ///< last end of a request
+    bool wasFull_ { false }; ///< all slots were taken after it
     TimePoint coldUntil_;
     TimePoint now_;
 };
