New flows that no target would answer in time are refused, less urgent routes first

Cause: in the seconds after a loss of power targets are cold (95 ms in place of 59 ms) and callers come back together. The entry now gives an opening segment the longest useful time, 0.8 of the route's objective and 0.75 of that for each more urgent priority of the service; the agent compares it with the service time and the wait at its target and refuses a first copy at once. While most first copies come too late, it drops them, because three tries within 300 ms would all fail; later copies are dropped, as before an earlier one may be open. Addresses added within 30 s have no limit: a refusal there looks like an old configuration. AdmissionLimitTests plays the cold start without a network: 100 of 100 late without a limit, none with it.

--- a/include/plantaindrift/relay/AgentRelay.h
+++ b/include/plantaindrift/relay/AgentRelay.h
@@ -30,13 +30,15 @@
     Searched, ///< of an unknown flow; all agents of the service were asked
     Answered, ///< from the local target to the caller
     Refused, ///< the caller was told that no flow was opened
+    RefusedLate, ///< the target would answer too late; the caller was told that no flow was opened
     Reset, ///< the target lost the flow; the caller was told
     DroppedService, ///< another service's segment
     DroppedUnknown, ///< of a flow that the local target does not hold
+    DroppedLate, ///< the target would answer too late; the caller repeats it or tries again
     DroppedMalformed
 };
 
-inline constexpr std::size_t agentRelayOutcomes = 12;
+inline constexpr std::size_t agentRelayOutcomes = 14;
 
 /// \brief Lower-case name of an outcome, for logs and metrics.
 [[nodiscard]] std::string_view agentRelayOutcomeName(AgentRelayOutcome outcome) noexcept;
--- a/include/plantaindrift/relay/EntryRelay.h
+++ b/include/plantaindrift/relay/EntryRelay.h
@@ -64,7 +64,10 @@
     EntryRelay& operator=(EntryRelay const&) = delete;
 
     /// \brief Replaces the routes; known flows stay with their owners.
-    void setConfiguration(Configuration const& configuration);
+    ///
+    /// Overloaded targets refuse no flow of an address that was added lately, because a caller could not tell that from an
+    /// address that is not served yet.
+    void setConfiguration(Configuration const& configuration, TimePoint now);
 
     /// \brief Replaces one service's targets; load that was heard is kept.
     void setView(ServiceView const& view, TimePoint now);
--- a/include/plantaindrift/relay/RelayMessage.h
+++ b/include/plantaindrift/relay/RelayMessage.h
@@ -56,6 +56,7 @@
     Endpoint entry; ///< takes notices of this flow
     std::uint8_t hops { 0 }; ///< times the packet was passed on between agents
     RelaySearch search { RelaySearch::Start };
+    std::uint16_t limitTenths { 0 }; ///< expected time above which no target is to take the new flow, in 0.1 ms; 0 for none
     std::uint8_t count { 0 };
     std::array<RelayCandidate, maximumRelayCandidates> candidates {}; ///< agents that were not asked yet
 
--- a/src/relay/AgentRelay.cpp
+++ b/src/relay/AgentRelay.cpp
@@ -1,6 +1,7 @@
 #include "plantaindrift/relay/AgentRelay.h"
 
 #include "plantaindrift/base/Hash.h"
+#include "relay/AdmissionLimit.h"
 #include "relay/HashTable.h"
 #include "relay/RequestCount.h"
 #include "relay/TargetCost.h"
@@ -17,7 +18,7 @@
 
     constexpr std::array<std::string_view, agentRelayOutcomes> outcomeNames {
         "admitted", "delivered", "tried", "passed_first", "passed_known", "searched",
-        "answered", "refused", "reset", "dropped_service", "dropped_unknown", "dropped_malformed"
+        "answered", "refused", "refused_late", "reset", "dropped_service", "dropped_unknown", "dropped_late", "dropped_malformed"
     };
 
     // A flow without packets for this time, or older, may be discarded by the system that callers rely on.
@@ -143,6 +144,7 @@
     TimePoint refusingUntil; ///< the target returned an opening segment: it is full or still starts
     TimePoint clock; ///< of the last call
     RequestCount requests;
+    LateShare late;
     HashTable<FlowRecord> flows;
     HashTable<RedirectNote> notes;
     std::vector<Trial> trialRing;
@@ -262,11 +264,25 @@
         RelayCandidate* const better = findBetter(work);
         if (better != nullptr)
             return passFirst(work, *better);
+        bool const isLate = !isWithinLimit(load(), work.route.limitTenths, work.segment.acknowledgement);
+        if (work.segment.acknowledgement == 0)
+            late.note(isLate);
+        if (isLate)
+            return refuseLate(work);
         if (isAccepting())
             return admit(work);
         return passToAnyPeer(work);
     }
 
+    /// No target is expected to answer in time. A later copy is not refused, because an earlier one may be open. A first one
+    /// that is dropped has later copies.
+    PacketVerdict refuseLate(Work const& work) noexcept
+    {
+        if (work.segment.acknowledgement != 0 || !late.isRetryUseful())
+            return drop(work, AgentRelayOutcome::DroppedLate);
+        return reset(work, AgentRelayOutcome::RefusedLate);
+    }
+
     RelayCandidate* findBetter(Work& work) const noexcept
     {
         if (work.route.count == 0 || work.route.hops >= mostFirstPasses)
--- a/src/relay/EntryRelay.cpp
+++ b/src/relay/EntryRelay.cpp
@@ -1,6 +1,7 @@
 #include "plantaindrift/relay/EntryRelay.h"
 
 #include "plantaindrift/base/Hash.h"
+#include "relay/AdmissionLimit.h"
 #include "relay/HashTable.h"
 #include "relay/TargetCost.h"
 #include "relay/TargetDirectory.h"
@@ -10,6 +11,7 @@
 #include <algorithm>
 #include <chrono>
 #include <map>
+#include <set>
 #include <utility>
 #include <vector>
 
@@ -80,6 +82,9 @@
         std::array<std::byte, keptSegmentBytes> kept {}; ///< segment that started the search
     };
 
+    // An address counts as new for this time after it was added.
+    constexpr std::chrono::seconds newAddressTime { 30 };
+
     struct RouteShare {
         TargetGroup* group { nullptr };
         std::uint32_t share { 0 };
@@ -88,6 +93,8 @@
     struct AddressRoute {
         std::vector<RouteShare> services;
         std::uint32_t totalShare { 0 };
+        std::uint16_t limitTenths { 0 }; ///< as in RelayRoute
+        TimePoint limitedFrom; ///< when the address counts as known to callers
     };
 
     struct FlowRecord {
@@ -137,7 +144,8 @@
     TargetDirectory directory;
     HashTable<FlowRecord> flows;
     HashTable<Search> searches { mostSearches };
-    absl::flat_hash_map<std::uint64_t, AddressRoute> routes;
+    using Routes = absl::flat_hash_map<std::uint64_t, AddressRoute>; ///< by address
+    Routes routes;
     std::array<std::uint64_t, entryRelayOutcomes> outcomes {};
     std::array<std::byte, maximumRelayHeaderBytes> header {};
     std::array<std::byte, 64> reset {};
@@ -176,9 +184,16 @@
 
     // ---- choice ----
 
+    [[nodiscard]] std::uint16_t limitOf(Work const& work) const noexcept
+    {
+        Routes::const_iterator const route = routes.find(endpointKey(work.segment.destination));
+        bool const isLimited = route != routes.end() && work.now >= route->second.limitedFrom;
+        return isLimited ? route->second.limitTenths : std::uint16_t { 0 };
+    }
+
     TargetGroup* serviceOf(Work const& work) noexcept
     {
-        absl::flat_hash_map<std::uint64_t, AddressRoute>::iterator const route = routes.find(endpointKey(work.segment.destination));
+        Routes::iterator const route = routes.find(endpointKey(work.segment.destination));
         if (route == routes.end() || route->second.totalShare == 0)
             return nullptr;
         // Every entry and every copy of a segment gives the same service.
@@ -226,6 +241,7 @@
         FlowRecord* record = flows.find(work.hash);
         RelayRoute route;
         route.service = service->hash;
+        route.limitTenths = limitOf(work);
         std::array<Endpoint, 2> const asked { record != nullptr ? record->owner : Endpoint {}, record != nullptr ? record->alternate : Endpoint {} };
         directory.chooseTargets(*service, asked, work.now, route);
         if (route.count == 0)
@@ -507,6 +523,18 @@
     }
 };
 
+namespace {
+
+    std::set<std::uint16_t> prioritiesOf(Service const& service)
+    {
+        std::set<std::uint16_t> priorities;
+        for (ServiceAddress const& address : service.addresses)
+            priorities.insert(address.priority);
+        return priorities;
+    }
+
+} // namespace
+
 EntryRelay::EntryRelay(EntryRelayOptions const& options, SegmentCodec const& codec, RelaySender& sender, RelayObserver& observer)
     : state_(std::make_unique<State>(options, codec, sender, observer))
 {
@@ -514,18 +542,27 @@
 
 EntryRelay::~EntryRelay() = default;
 
-void EntryRelay::setConfiguration(Configuration const& configuration)
+void EntryRelay::setConfiguration(Configuration const& configuration, TimePoint now)
 {
-    state_->configured = true;
-    state_->routes.clear();
+    State::Routes const known = std::exchange(state_->routes, {});
     for (Service const& service : configuration.services) {
         TargetGroup& group = state_->directory.declare(service.name);
+        std::set<std::uint16_t> const priorities = prioritiesOf(service);
         for (ServiceAddress const& address : service.addresses) {
-            AddressRoute& route = state_->routes[endpointKey(address.endpoint)];
+            std::uint64_t const key = endpointKey(address.endpoint);
+            AddressRoute& route = state_->routes[key];
             route.services.push_back({ &group, address.share });
             route.totalShare += address.share;
+            std::size_t const rank = static_cast<std::size_t>(std::distance(priorities.begin(), priorities.find(address.priority)));
+            route.limitTenths = admissionLimit(address.targetLatency, rank);
+            State::Routes::const_iterator const before = known.find(key);
+            if (before != known.end())
+                route.limitedFrom = before->second.limitedFrom;
+            else if (state_->configured)
+                route.limitedFrom = now + newAddressTime;
         }
     }
+    state_->configured = true;
 }
 
 void EntryRelay::setView(ServiceView const& view, TimePoint now)
--- a/src/relay/RelayMessage.cpp
+++ b/src/relay/RelayMessage.cpp
@@ -53,8 +53,9 @@
         EndpointField entry;
         wire::big_uint8_buf_t hops;
         wire::big_uint8_buf_t search;
+        wire::big_uint16_buf_t limitTenths;
     };
-    static_assert(sizeof(RouteFields) == 16);
+    static_assert(sizeof(RouteFields) == 18);
 
     struct CandidateField {
         EndpointField agent;
@@ -201,6 +202,7 @@
         if (fields.search.value() > static_cast<std::uint8_t>(RelaySearch::Probe))
             return false;
         decoded.route.search = static_cast<RelaySearch>(fields.search.value());
+        decoded.route.limitTenths = fields.limitTenths.value();
         decoded.route.count = static_cast<std::uint8_t>(count);
         for (std::size_t index = 0; index < count; ++index) {
             CandidateField candidate;
@@ -317,6 +319,7 @@
     fields.entry = toField(route.entry);
     fields.hops = route.hops;
     fields.search = static_cast<std::uint8_t>(route.search);
+    fields.limitTenths = route.limitTenths;
     writer.add(fields);
     for (RelayCandidate const& candidate : route.candidateSpan()) {
         CandidateField field;
--- a/src/relay/TargetCost.cpp
+++ b/src/relay/TargetCost.cpp
@@ -31,6 +31,14 @@
     return service * (1 + (waiting + spread) / slots);
 }
 
+double expectedTime(TargetLoad const& load) noexcept
+{
+    double const service = load.serviceTenths > 0 ? load.serviceTenths : assumedServiceTenths;
+    double const slots = std::max<std::uint16_t>(load.slots, 1);
+    double const waiting = std::max(0.0, load.busy + 1 - slots);
+    return service * (1 + waiting / slots);
+}
+
 std::uint16_t toCostTenths(double cost) noexcept
 {
     return static_cast<std::uint16_t>(std::clamp(cost, 0.0, mostTenths));
--- a/src/relay/TargetCost.h
+++ b/src/relay/TargetCost.h
@@ -13,7 +13,10 @@
 /// \param extra  requests that are on their way there and not in the load yet
 [[nodiscard]] double targetCost(TargetLoad const& load, std::uint32_t extra) noexcept;
 
-/// \brief The same as carried by a relayed packet.
+/// \brief Time that a request takes at a target with its wait, in 0.1 ms, as far as its load tells.
+[[nodiscard]] double expectedTime(TargetLoad const& load) noexcept;
+
+/// \brief A cost as carried by a relayed packet.
 [[nodiscard]] std::uint16_t toCostTenths(double cost) noexcept;
 
 /// \brief Score of a target for a flow; the highest ranks first in every process.
--- a/src/runtime/RelayEntryDaemon.cpp
+++ b/src/runtime/RelayEntryDaemon.cpp
@@ -201,7 +201,7 @@
         {
             configurationVersion_ = control_.configurationVersion();
             Configuration const& configuration = control_.changeLog().configuration();
-            relay_.setConfiguration(configuration);
+            relay_.setConfiguration(configuration, std::chrono::steady_clock::now());
             std::size_t addresses = 0;
             for (Service const& service : configuration.services)
                 addresses += service.addresses.size();
--- /dev/null
+++ b/tests/AdmissionLimitTests.cpp
@@ -0,0 +1,119 @@
+// Guards against an overload in which every request is answered, and every one too late: the seconds after all targets
+// started anew and cold, and bursts above what a service can do.
+#include "relay/AdmissionLimit.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <algorithm>
+#include <vector>
+
+namespace {
+
+using namespace plantaindrift;
+using namespace std::chrono_literals;
+
+constexpr std::uint16_t slots = 3;
+constexpr std::uint16_t serviceTenths = 950;
+constexpr Duration service = 95ms;
+constexpr std::chrono::milliseconds objective = 400ms;
+
+TargetLoad loadOf(std::size_t busy)
+{
+    TargetLoad load;
+    load.accepting = true;
+    load.slots = slots;
+    load.busy = static_cast<std::uint16_t>(busy);
+    load.serviceTenths = serviceTenths;
+    return load;
+}
+
+struct Outcome {
+    int inTime { 0 };
+    int late { 0 };
+    int refused { 0 };
+};
+
+// One target that gets requests at an even pace, for some of the time that it takes to serve one with one slot.
+Outcome play(std::uint16_t limit, std::size_t backlog, Duration interval, int requests)
+{
+    std::vector<TimePoint> ends;
+    std::vector<TimePoint> freeAt(slots, TimePoint { 1000s });
+    TimePoint now { 1000s };
+    Outcome outcome;
+    auto const take = [&] {
+        std::vector<TimePoint>::iterator const slot = std::min_element(freeAt.begin(), freeAt.end());
+        *slot = std::max(*slot, now) + service;
+        ends.push_back(*slot);
+        return *slot;
+    };
+    for (std::size_t index = 0; index < backlog; ++index)
+        take();
+    for (int index = 0; index < requests; ++index) {
+        std::size_t const busy = static_cast<std::size_t>(std::count_if(ends.begin(), ends.end(), [now](TimePoint end) { return end > now; }));
+        if (!isWithinLimit(loadOf(busy), limit, 0))
+            ++outcome.refused;
+        else if (take() - now <= objective)
+            ++outcome.inTime;
+        else
+            ++outcome.late;
+        now += interval;
+    }
+    return outcome;
+}
+
+} // namespace
+
+// A service whose targets all started cold has 1.3 times the work that it can do, and requests that waited for the start.
+BOOST_AUTO_TEST_CASE(AfterAColdStartWhatIsTakenIsAnsweredInTime)
+{
+    constexpr Duration interval = 24ms;
+    Outcome const unlimited = play(0, 20, interval, 100);
+    Outcome const limited = play(admissionLimit(objective, 0), 20, interval, 100);
+    BOOST_TEST(unlimited.late == 100);
+    BOOST_TEST(limited.late == 0);
+    BOOST_TEST(limited.inTime >= 50);
+}
+
+BOOST_AUTO_TEST_CASE(LessUrgentRoutesGiveWayFirst)
+{
+    constexpr std::size_t busy = 8;
+    BOOST_TEST(isWithinLimit(loadOf(busy), admissionLimit(objective, 0), 0));
+    BOOST_TEST(!isWithinLimit(loadOf(busy), admissionLimit(objective, 1), 0));
+}
+
+BOOST_AUTO_TEST_CASE(NothingIsRefusedWhileASlotIsFree)
+{
+    // An objective below the service time would refuse everything.
+    BOOST_TEST(isWithinLimit(loadOf(slots - 1), admissionLimit(10ms, 3), 2));
+    BOOST_TEST(!isWithinLimit(loadOf(slots), admissionLimit(10ms, 3), 0));
+}
+
+BOOST_AUTO_TEST_CASE(ARouteWithoutObjectiveRefusesNothing)
+{
+    BOOST_TEST(admissionLimit(0ms, 0) == 0U);
+    BOOST_TEST(isWithinLimit(loadOf(500), 0, 0));
+}
+
+BOOST_AUTO_TEST_CASE(ALaterCopyHasLessTimeLeft)
+{
+    constexpr std::size_t busy = 6;
+    std::uint16_t const limit = admissionLimit(objective, 0);
+    BOOST_TEST(isWithinLimit(loadOf(busy), limit, 0));
+    BOOST_TEST(!isWithinLimit(loadOf(busy), limit, 1));
+}
+
+// Three tries within 300 ms all failed while most new flows came too late, and the request failed for good.
+BOOST_AUTO_TEST_CASE(RefusalsStopWhileMostNewFlowsComeTooLate)
+{
+    LateShare share;
+    BOOST_TEST(share.isRetryUseful());
+    for (int index = 0; index < 20; ++index)
+        share.note(index % 4 == 0);
+    BOOST_TEST(share.isRetryUseful());
+    for (int index = 0; index < 20; ++index)
+        share.note(true);
+    BOOST_TEST(!share.isRetryUseful());
+    for (int index = 0; index < 20; ++index)
+        share.note(false);
+    BOOST_TEST(share.isRetryUseful());
+}
--- a/tests/AgentRelayTests.cpp
+++ b/tests/AgentRelayTests.cpp
@@ -46,21 +46,19 @@
 }
 
 /// A caller's segment as an entry sends it to an agent.
-Bytes relayedPacket(Bytes const& packet, std::string_view service)
+///
+/// \param limitTenths  expected time above which the flow is not to be taken
+PacketVerdict decideRelayed(Scene& scene, std::size_t agent, Header const& header, std::string_view service = "desk", std::uint16_t limitTenths = 0)
 {
+    Bytes const packet = makePacket(header);
     RelayRoute route;
     route.service = hashService(service);
+    route.limitTenths = limitTenths;
     KeyRing keys;
     keys.count = 1;
     Bytes datagram(maximumRelayHeaderBytes);
     datagram.resize(writeRelayPacket(route, packet, { keys, wallSeconds }, datagram));
     datagram.insert(datagram.end(), packet.begin(), packet.end());
-    return datagram;
-}
-
-PacketVerdict decideRelayed(Scene& scene, std::size_t agent, Header const& header, std::string_view service = "desk")
-{
-    Bytes const datagram = relayedPacket(makePacket(header), service);
     return scene.agents[agent]->relay->decide(datagram, scene.entries[0]->data, scene.now(), wallSeconds);
 }
 
@@ -395,3 +393,24 @@
     (void)decideRelayed(scene, 0, { 101, otherSequence + 1, 0, caller, serviceAddress, acknowledgementFlag, 100 });
     BOOST_TEST(outcomeCount(scene, 0, AgentRelayOutcome::Reset) == 0U);
 }
+
+// All targets of a service have more work than they can answer in time.
+BOOST_AUTO_TEST_CASE(AnOverloadedTargetRefusesFirstCopiesOnlyAndOnlyWithinALimit)
+{
+    Scene scene(1, 1);
+    AgentRelay& relay = *scene.agents[0]->relay;
+    std::uint16_t port = 2000;
+    auto const open = [&](std::uint32_t copy, std::uint16_t limit) {
+        return decideRelayed(scene, 0, { 100, copy, 0, { 0x64400001U, ++port }, serviceAddress, openingFlag, 0 }, "desk", limit);
+    };
+    for (int count = 0; count < 12; ++count)
+        scene.open(0);
+    scene.runFor(15ms);
+    BOOST_TEST_REQUIRE(relay.load().busy == 12U);
+    BOOST_TEST((open(0, 0).to == scene.agents[0]->app));
+    BOOST_TEST((open(0, 10'000).to == scene.agents[0]->app));
+    BOOST_TEST((open(0, 500).to == Endpoint { 0x64400001U, callerPort }));
+    BOOST_TEST(!open(1, 500).to.isSet());
+    BOOST_TEST(outcomeCount(scene, 0, AgentRelayOutcome::RefusedLate) == 1U);
+    BOOST_TEST(outcomeCount(scene, 0, AgentRelayOutcome::DroppedLate) == 1U);
+}
--- a/tests/EntryRelayTests.cpp
+++ b/tests/EntryRelayTests.cpp
@@ -182,3 +182,29 @@
         most = std::max(most, agent->target.flows.size());
     BOOST_TEST(most <= 50U);
 }
+
+// A caller takes a refusal at an address that was added lately for one of an entry that does not serve it yet.
+BOOST_AUTO_TEST_CASE(NewAddressesHaveNoLimitForSomeTime)
+{
+    Scene scene(1, 2);
+    Endpoint const added { 0xC6120001U, 8080 };
+    Service service;
+    service.name = "desk";
+    service.addresses.push_back({ serviceAddress, Protocol::Tcp });
+    service.addresses.push_back({ added, Protocol::Tcp });
+    for (ServiceAddress& address : service.addresses)
+        address.targetLatency = 400ms;
+    scene.entries[0]->relay->setConfiguration({ { service } }, scene.now());
+    auto const limitOf = [&](std::uint16_t port, Endpoint address) {
+        PacketVerdict const verdict = sendOpening(scene, 0, port, 0, address);
+        Bytes sent(verdict.header.begin(), verdict.header.end());
+        sent.insert(sent.end(), verdict.payload.begin(), verdict.payload.end());
+        KeyRing keys;
+        keys.count = 1;
+        return decodeRelay(sent, keys, wallSeconds).route.limitTenths;
+    };
+    BOOST_TEST(limitOf(2000, serviceAddress) > 0U);
+    BOOST_TEST(limitOf(2001, added) == 0U);
+    scene.runFor(31s);
+    BOOST_TEST(limitOf(2002, added) > 0U);
+}
--- a/tests/RelayScene.h
+++ b/tests/RelayScene.h
@@ -193,7 +193,7 @@
         options.randomSeed = 7 + index;
         options.callerPort = callerPort;
         entry.relay = std::make_unique<EntryRelay>(options, codec_, *entry.sender, decisions);
-        entry.relay->setConfiguration(configuration());
+        entry.relay->setConfiguration(configuration(), now_);
         if (!view_.targets.empty())
             entry.relay->setView(view_, now_);
         entry.relay->setViewsComplete(true);
