--- a/src/relay/AgentRelay.cpp
+++ b/src/relay/AgentRelay.cpp
@@ -3,8 +3,10 @@
 #include "plantaindrift/base/Hash.h"
 #include "relay/AdmissionLimit.h"
 #include "relay/HashTable.h"
-#include "relay/RequestCount.h"
+#include "relay/LoadSubscribers.h"
+#include "relay/RelayTimes.h"
 #include "relay/TargetCost.h"
+#include "relay/TargetFlows.h"
 
 #include <algorithm>
 #include <chrono>
@@ -21,18 +23,9 @@
         "answered", "refused", "refused_late", "reset", "dropped_service", "dropped_unknown", "dropped_late", "dropped_malformed"
     };
 
-    // A flow without packets for this time, or older, may be discarded by the system that callers rely on.
-    constexpr std::chrono::seconds flowLifetime { 60 };
-
-    // Segments that a caller repeats after both ends have finished come within this time.
-    constexpr std::chrono::seconds closingLifetime { 5 };
-
     // Entries renew redirects every 20 s.
     constexpr std::chrono::seconds redirectLifetime { 50 };
 
-    // An entry that has not subscribed for this time takes no more load.
-    constexpr std::chrono::seconds subscriptionLifetime { 3 };
-
     // Notes of agents with different views can form a loop.
     constexpr std::uint8_t mostPasses = 8;
     constexpr std::uint8_t mostFirstPasses = 3;
@@ -47,31 +40,9 @@
     // A caller acknowledges the answer to its opening segment within this time, or gives up.
     constexpr std::chrono::seconds passNoteLifetime { 3 };
 
-    // A target sends no data before the caller's first later segment arrives, which thus acknowledges the answer itself or
-    // at most the number after it. A range of 2^26 took one in 64 flows of other targets for own ones.
-    constexpr std::uint32_t mostAcknowledged = 1;
-
     constexpr std::size_t trials = 1024;
     constexpr std::size_t redirectNotes = 1U << 15U;
 
-    struct FlowRecord {
-        std::uint64_t hash { 0 };
-        bool used { false };
-        bool established { false }; ///< the caller acknowledged this target's answer
-        bool answered { false }; ///< the target answered the opening segment
-        bool closing { false };
-        bool lost { false }; ///< the target was replaced or does not hold the flow any more
-        bool pending { false }; ///< a request is in progress
-        bool hasRequest { false };
-        std::uint32_t targetSequence { 0 }; ///< of the target's answer to the opening segment
-        std::uint32_t requestEnd { 0 }; ///< sequence number after the caller's last data
-        Endpoint entry; ///< entry that sends the flow's segments
-        TimePoint last;
-        TimePoint requested; ///< last data of the request in progress
-
-        [[nodiscard]] bool isOver() const noexcept { return closing || lost; }
-    };
-
     struct RedirectNote {
         std::uint64_t hash { 0 };
         bool used { false };
@@ -86,13 +57,6 @@
         RelayRoute route;
     };
 
-    struct Subscriber {
-        Endpoint entry;
-        std::chrono::milliseconds interval { 0 };
-        TimePoint renewed;
-        TimePoint sent;
-    };
-
     struct Peer {
         std::uint64_t nameHash { 0 };
         Endpoint agent;
@@ -143,19 +107,17 @@
     bool hasReturned { false }; ///< the target returned an opening segment before it announced itself
     TimePoint refusingUntil; ///< the target returned an opening segment: it is full or still starts
     TimePoint clock; ///< of the last call
-    RequestCount requests;
     LateShare late;
-    HashTable<FlowRecord> flows;
+    TargetFlows flows;
     HashTable<RedirectNote> notes;
     std::vector<Trial> trialRing;
     std::uint32_t lastToken { 0 };
-    std::vector<Subscriber> subscribers;
+    LoadSubscribers subscribers;
     std::vector<Peer> peers; ///< all targets of the service but the own one
     TimePoint lastSweep;
     std::array<std::uint64_t, agentRelayOutcomes> outcomes {};
     std::array<std::byte, maximumRelayHeaderBytes + 64> header {};
     std::array<std::byte, 2048> probe {};
-    std::size_t openFlows { 0 }; ///< neither closing nor lost; those that still open count, so that bursts spread
 
     [[nodiscard]] bool isAccepting() const noexcept
     {
@@ -168,9 +130,9 @@
         TargetLoad load;
         load.accepting = isAccepting();
         load.slots = std::max<std::uint16_t>(target.slots, 1);
-        load.busy = static_cast<std::uint16_t>(std::min<std::size_t>(requests.busy(), std::numeric_limits<std::uint16_t>::max()));
-        load.flows = static_cast<std::uint16_t>(std::min<std::size_t>(openFlows, std::numeric_limits<std::uint16_t>::max()));
-        load.serviceTenths = requests.serviceTenths();
+        load.busy = static_cast<std::uint16_t>(std::min<std::size_t>(flows.requests().busy(), std::numeric_limits<std::uint16_t>::max()));
+        load.flows = static_cast<std::uint16_t>(std::min<std::size_t>(flows.openCount(), std::numeric_limits<std::uint16_t>::max()));
+        load.serviceTenths = flows.requests().serviceTenths();
         return load;
     }
 
@@ -258,7 +220,7 @@
 
     PacketVerdict decideFirst(Work& work) noexcept
     {
-        FlowRecord* const known = flows.find(work.hash);
+        TargetFlow* const known = flows.find(work.hash);
         if (known != nullptr && !known->isOver())
             return admit(work);
         RelayCandidate* const better = findBetter(work);
@@ -292,7 +254,7 @@
         if (!isAccepting())
             return &*cheapest;
         double const own = targetCost(load(), 0);
-        double const service = std::max<double>(requests.serviceTenths(), passGainTenths);
+        double const service = std::max<double>(flows.requests().serviceTenths(), passGainTenths);
         bool const isWorth = own > cheapest->costTenths + passGainTenths + passGainShare * service;
         return isWorth ? &*cheapest : nullptr;
     }
@@ -345,13 +307,13 @@
 
     PacketVerdict admit(Work const& work) noexcept
     {
-        FlowRecord* record = flows.find(work.hash);
+        TargetFlow* record = flows.find(work.hash);
         if (record != nullptr && record->isOver()) {
-            erase(*record);
+            flows.erase(*record);
             record = nullptr;
         }
         if (record == nullptr) {
-            record = insert(work);
+            record = flows.insert(work.hash);
             if (record == nullptr)
                 return drop(work, AgentRelayOutcome::DroppedUnknown);
         }
@@ -365,27 +327,21 @@
 
     PacketVerdict decideLater(Work& work) noexcept
     {
-        FlowRecord* const record = flows.find(work.hash);
+        TargetFlow* const record = flows.find(work.hash);
         if (record == nullptr)
             return decideUnknown(work);
         if (record->lost)
             return work.segment.reset ? drop(work, AgentRelayOutcome::DroppedUnknown) : reset(work, AgentRelayOutcome::Reset);
-        if (!record->established && !belongsHere(*record, work.segment))
+        if (!record->established && !record->isAcknowledgedBy(work.segment))
             return decideForeign(work);
         record->established = true;
-        track(*record, work);
+        flows.trackRequest(*record, work.segment, work.now);
         if (work.route.hops > 0 || record->entry != work.route.entry)
             notifyEntry(work);
         record->entry = work.route.entry;
         return deliver(work, AgentRelayOutcome::Delivered, false);
     }
 
-    /// Several targets may have answered the opening segment; the caller acknowledges one of them.
-    static bool belongsHere(FlowRecord const& record, Segment const& segment) noexcept
-    {
-        return record.answered && segment.acknowledges && segment.acknowledgement - record.targetSequence <= mostAcknowledged;
-    }
-
     PacketVerdict decideForeign(Work& work) noexcept
     {
         if (work.route.count == 0)
@@ -444,96 +400,29 @@
         return drop(work, AgentRelayOutcome::DroppedUnknown);
     }
 
-    void track(FlowRecord& record, Work const& work) noexcept
-    {
-        Segment const& segment = work.segment;
-        record.last = work.now;
-        if (segment.closing || segment.reset) {
-            close(record);
-            return;
-        }
-        std::uint32_t const end = segment.sequence + segment.dataBytes;
-        bool const isNew = !record.hasRequest || static_cast<std::int32_t>(end - record.requestEnd) > 0;
-        if (segment.dataBytes == 0 || !isNew)
-            return;
-        record.hasRequest = true;
-        record.requestEnd = end;
-        record.requested = work.now;
-        if (!record.pending) {
-            record.pending = true;
-            requests.begin();
-        }
-    }
-
-    FlowRecord* insert(Work const& work)
-    {
-        FlowRecord* const record = flows.insert(work.hash);
-        openFlows += record != nullptr ? 1 : 0;
-        return record;
-    }
-
-    /// Ends what counts for the load; the record says why afterwards.
-    void retire(FlowRecord& record) noexcept
-    {
-        if (record.pending)
-            requests.cancel();
-        record.pending = false;
-        openFlows -= record.isOver() ? 0 : 1;
-    }
-
-    void close(FlowRecord& record) noexcept
-    {
-        retire(record);
-        record.closing = true;
-    }
-
-    void erase(FlowRecord& record) noexcept
-    {
-        close(record);
-        flows.erase(record);
-    }
-
     // ---- segments of the target ----
 
     PacketVerdict decideAnswer(Work const& work) noexcept
     {
-        FlowRecord* record = flows.find(work.hash);
+        TargetFlow* record = flows.find(work.hash);
         // A target answers data of a flow that it does not hold with a reset at times; the flow may be open elsewhere.
         if (work.segment.reset && (record == nullptr || !record->established))
             return count(AgentRelayOutcome::DroppedUnknown);
         if (record == nullptr) {
             // The target holds flows from before this process started.
-            record = insert(work);
+            record = flows.insert(work.hash);
             if (record != nullptr)
                 record->established = !work.segment.opening;
         }
         if (record != nullptr)
-            trackAnswer(*record, work);
+            flows.trackAnswer(*record, work.segment, work.now, target.slots);
         ++outcomes[static_cast<std::size_t>(AgentRelayOutcome::Answered)];
         return { { work.flow.caller.address, options.callerPort }, {}, work.datagram };
     }
 
-    void trackAnswer(FlowRecord& record, Work const& work) noexcept
-    {
-        Segment const& segment = work.segment;
-        record.last = work.now;
-        if (segment.opening) {
-            record.answered = true;
-            record.targetSequence = segment.sequence;
-        }
-        // A target sends later segments only on flows that are open there.
-        record.established = record.established || !segment.opening;
-        if (segment.dataBytes > 0 && record.pending) {
-            record.pending = false;
-            requests.finish(record.requested, work.now, target.slots);
-        }
-        if (segment.closing || segment.reset)
-            close(record);
-    }
-
     PacketVerdict decideReturned(Work& work) noexcept
     {
-        FlowRecord* const record = flows.find(work.hash);
+        TargetFlow* const record = flows.find(work.hash);
         Trial const& trial = trialRing[work.segment.token % trials];
         bool const isTrial = work.segment.token != 0 && trial.token == work.segment.token && trial.hash == work.hash;
         if (isTrial)
@@ -542,7 +431,7 @@
             work.route.service = service;
         if (work.segment.isFirst()) {
             if (record != nullptr && !record->established)
-                erase(*record);
+                flows.erase(*record);
             noteReturnedFirst(work);
             if (work.route.count > 0 && work.route.hops < mostFirstPasses)
                 return passFirst(work, work.route.candidates.front());
@@ -551,7 +440,7 @@
         if (record != nullptr && record->established)
             return loseFlow(*record, work);
         if (record != nullptr)
-            erase(*record);
+            flows.erase(*record);
         return reportAbsent(work);
     }
 
@@ -564,30 +453,14 @@
             sendLoadToAll(work.now, work.nowSeconds);
     }
 
-    void lose(FlowRecord& record) noexcept
-    {
-        retire(record);
-        record.lost = true;
-    }
-
-    /// A flow that was only offered to the target may be open at another one.
-    void loseAll() noexcept
-    {
-        flows.eraseIf([this](FlowRecord& record) {
-            lose(record);
-            return !record.established;
-        });
-        requests.reset();
-    }
-
     /// The target does not hold a flow that was open there: it restarted, or discarded the flow.
-    PacketVerdict loseFlow(FlowRecord& record, Work const& work) noexcept
+    PacketVerdict loseFlow(TargetFlow& record, Work const& work) noexcept
     {
         if (record.closing || work.segment.closing || work.segment.reset) {
-            erase(record);
+            flows.erase(record);
             return drop(work, AgentRelayOutcome::DroppedUnknown);
         }
-        lose(record);
+        flows.lose(record);
         return reset(work, AgentRelayOutcome::Reset);
     }
 
@@ -595,15 +468,8 @@
 
     void noteSubscription(Endpoint from, std::chrono::milliseconds interval, TimePoint now, std::uint32_t nowSeconds)
     {
-        for (Subscriber& subscriber : subscribers) {
-            if (subscriber.entry == from) {
-                subscriber.interval = interval;
-                subscriber.renewed = now;
-                return;
-            }
-        }
-        subscribers.push_back({ from, interval, now, now });
-        sendLoad(from, nowSeconds);
+        if (subscribers.renew(from, interval, now))
+            sendLoad(from, nowSeconds);
     }
 
     void sendLoad(Endpoint to, std::uint32_t nowSeconds) noexcept
@@ -615,10 +481,8 @@
 
     void sendLoadToAll(TimePoint now, std::uint32_t nowSeconds) noexcept
     {
-        for (Subscriber& subscriber : subscribers) {
-            subscriber.sent = now;
-            sendLoad(subscriber.entry, nowSeconds);
-        }
+        for (Endpoint const entry : subscribers.takeAll(now))
+            sendLoad(entry, nowSeconds);
     }
 
     void noteRedirects(DecodedRelay const& decoded, TimePoint now)
@@ -635,13 +499,8 @@
 
     void sendDueLoads(TimePoint now, std::uint32_t nowSeconds)
     {
-        std::erase_if(subscribers, [now](Subscriber const& subscriber) { return now - subscriber.renewed > subscriptionLifetime; });
-        for (Subscriber& subscriber : subscribers) {
-            if (now - subscriber.sent < subscriber.interval)
-                continue;
-            subscriber.sent = now;
-            sendLoad(subscriber.entry, nowSeconds);
-        }
+        for (Endpoint const entry : subscribers.takeDue(now))
+            sendLoad(entry, nowSeconds);
     }
 
     void sweep(TimePoint now)
@@ -650,14 +509,7 @@
         if (now - lastSweep < sweepPeriod)
             return;
         lastSweep = now;
-        flows.eraseIf([this, now](FlowRecord& record) {
-            bool const isEnding = record.closing || (!record.established && !record.answered);
-            Duration const lifetime = isEnding ? Duration(closingLifetime) : Duration(flowLifetime);
-            bool const isOld = now - record.last > lifetime;
-            if (isOld)
-                close(record);
-            return isOld;
-        });
+        flows.sweep(now);
         notes.eraseIf([now](RedirectNote const& note) { return note.expires <= now; });
     }
 };
@@ -689,12 +541,12 @@
     if (target.announced)
         state_->hasReturned = false;
     state_->target = target;
-    state_->requests.setCold(now + target.coldFor);
+    state_->flows.requests().setCold(now + target.coldFor);
 }
 
 void AgentRelay::forgetFlows()
 {
-    state_->loseAll();
+    state_->flows.loseAll();
 }
 
 void AgentRelay::beginStop(TimePoint now, std::uint32_t nowSeconds)
@@ -741,7 +593,7 @@
 void AgentRelay::tick(TimePoint now, std::uint32_t nowSeconds)
 {
     state_->clock = now;
-    state_->requests.tick(now);
+    state_->flows.requests().tick(now);
     state_->sendDueLoads(now, nowSeconds);
     state_->sweep(now);
 }
--- a/src/relay/EntryRelay.cpp
+++ b/src/relay/EntryRelay.cpp
@@ -1,17 +1,15 @@
 #include "plantaindrift/relay/EntryRelay.h"
 
 #include "plantaindrift/base/Hash.h"
-#include "relay/AdmissionLimit.h"
+#include "relay/AddressRoutes.h"
 #include "relay/HashTable.h"
+#include "relay/OwnerSearch.h"
 #include "relay/TargetCost.h"
 #include "relay/TargetDirectory.h"
 
-#include "absl/container/flat_hash_map.h"
-
 #include <algorithm>
 #include <chrono>
 #include <map>
-#include <set>
 #include <utility>
 #include <vector>
 
@@ -35,23 +33,11 @@
     // of its flows fills 10 Mbit/s.
     constexpr std::size_t mostProbes = 4;
 
-    // Searches under way at once, and bytes of a segment that is kept to ask all agents with it.
     constexpr std::size_t mostSearches = 1024;
-    constexpr std::size_t keptSegmentBytes = 320;
-
-    // Services with more targets get no reset for lost flows.
-    constexpr std::size_t mostSearchedTargets = 256;
 
     // Gossip carries a join to all entries within this time.
     constexpr std::chrono::milliseconds viewSettleTime { 300 };
 
-    // A target that lives refutes a false suspicion within this time.
-    constexpr std::chrono::seconds surelyDeadTime { 10 };
-
-    // An agent that a live entry asks for its load every 100 ms, or that sends it at least every 2 s, and that is silent for
-    // longer is not there any more. Its flows wait for nothing.
-    constexpr std::chrono::milliseconds goneTime { 2500 };
-
     // An entry that has been up for a while may lack a target whose record still waits for the control budget, so that it
     // tells a caller of a lost flow only when the search has lasted for this long. One that has just started has read the
     // members from the store, and after a loss of power most searches are for lost flows.
@@ -68,35 +54,6 @@
     // Ticks in which all flows are looked at once.
     constexpr std::size_t redirectTicks = 5;
 
-    /// A flow whose owner is looked for.
-    struct Search {
-        std::uint64_t hash { 0 };
-        bool used { false };
-        bool continued { false }; ///< further agents were asked because the first answer was late
-        std::uint8_t rank { 0 }; ///< of the agent that is asked
-        TimePoint started; ///< at the caller's first segment
-        TimePoint asked;
-        Segment segment; ///< the caller's last one
-        std::array<std::uint64_t, mostSearchedTargets / 64> absent {}; ///< by target index
-        std::uint16_t keptBytes { 0 };
-        std::array<std::byte, keptSegmentBytes> kept {}; ///< segment that started the search
-    };
-
-    // An address counts as new for this time after it was added.
-    constexpr std::chrono::seconds newAddressTime { 30 };
-
-    struct RouteShare {
-        TargetGroup* group { nullptr };
-        std::uint32_t share { 0 };
-    };
-
-    struct AddressRoute {
-        std::vector<RouteShare> services;
-        std::uint32_t totalShare { 0 };
-        std::uint16_t limitTenths { 0 }; ///< as in RelayRoute
-        TimePoint limitedFrom; ///< when the address counts as known to callers
-    };
-
     struct FlowRecord {
         std::uint64_t hash { 0 };
         bool used { false };
@@ -143,16 +100,14 @@
     RelayObserver& observer;
     TargetDirectory directory;
     HashTable<FlowRecord> flows;
-    HashTable<Search> searches { mostSearches };
-    using Routes = absl::flat_hash_map<std::uint64_t, AddressRoute>; ///< by address
-    Routes routes;
+    HashTable<OwnerSearch> searches { mostSearches }; ///< under way
+    AddressRoutes routes;
     std::array<std::uint64_t, entryRelayOutcomes> outcomes {};
     std::array<std::byte, maximumRelayHeaderBytes> header {};
     std::array<std::byte, 64> reset {};
     std::array<std::byte, 2048> probe {};
     TimePoint firstTick;
     TimePoint lastSweep;
-    bool configured { false };
     bool viewsComplete { false };
 
     PacketVerdict count(EntryRelayOutcome outcome) noexcept
@@ -184,26 +139,9 @@
 
     // ---- choice ----
 
-    [[nodiscard]] std::uint16_t limitOf(Work const& work) const noexcept
-    {
-        Routes::const_iterator const route = routes.find(endpointKey(work.segment.destination));
-        bool const isLimited = route != routes.end() && work.now >= route->second.limitedFrom;
-        return isLimited ? route->second.limitTenths : std::uint16_t { 0 };
-    }
-
-    TargetGroup* serviceOf(Work const& work) noexcept
+    [[nodiscard]] TargetGroup* serviceOf(Work const& work) const noexcept
     {
-        Routes::iterator const route = routes.find(endpointKey(work.segment.destination));
-        if (route == routes.end() || route->second.totalShare == 0)
-            return nullptr;
-        // Every entry and every copy of a segment gives the same service.
-        std::uint32_t point = static_cast<std::uint32_t>((work.hash >> 20U) % route->second.totalShare);
-        for (RouteShare const& share : route->second.services) {
-            if (point < share.share)
-                return share.group;
-            point -= share.share;
-        }
-        return nullptr;
+        return routes.findService(work.segment.destination, work.hash);
     }
 
     // ---- segments ----
@@ -225,7 +163,7 @@
     {
         // An earlier copy may have opened the flow, which a reset would break.
         bool const mayBeOpen = work.segment.acknowledgement != 0 || flows.find(work.hash) != nullptr;
-        if (!configured || mayBeOpen)
+        if (!routes.isConfigured() || mayBeOpen)
             return drop(work, dropped);
         tell(work, refused, {}, 0);
         codec.writeReset(work.segment, reset);
@@ -241,7 +179,7 @@
         FlowRecord* record = flows.find(work.hash);
         RelayRoute route;
         route.service = service->hash;
-        route.limitTenths = limitOf(work);
+        route.limitTenths = routes.limitOf(work.segment.destination, work.now);
         std::array<Endpoint, 2> const asked { record != nullptr ? record->owner : Endpoint {}, record != nullptr ? record->alternate : Endpoint {} };
         directory.chooseTargets(*service, asked, work.now, route);
         if (route.count == 0)
@@ -296,7 +234,7 @@
         TargetGroup* const service = serviceOf(work);
         if (service == nullptr)
             return drop(work, EntryRelayOutcome::DroppedNoRoute);
-        Search* search = searches.find(work.hash);
+        OwnerSearch* search = searches.find(work.hash);
         bool const isNew = search == nullptr;
         if (isNew)
             search = searches.insert(work.hash);
@@ -309,7 +247,7 @@
         if (isStart && !isNew)
             ++search->rank;
         if (isStart)
-            startSearch(*search, work);
+            search->begin(work.datagram, work.now);
         DirectoryTarget const* const target = directory.findRanked(*service, work.hash, search->rank, work.now);
         if (target == nullptr)
             return drop(work, EntryRelayOutcome::DroppedNoTarget);
@@ -320,27 +258,11 @@
         return forward(work, route, EntryRelayOutcome::SearchForwarded);
     }
 
-    static void startSearch(Search& search, Work const& work) noexcept
-    {
-        search.asked = work.now;
-        search.continued = false;
-        search.absent = {};
-        search.keptBytes = 0;
-        if (work.datagram.size() > search.kept.size())
-            return;
-        std::copy(work.datagram.begin(), work.datagram.end(), search.kept.begin());
-        search.keptBytes = static_cast<std::uint16_t>(work.datagram.size());
-    }
-
     /// The agent that was asked first may be dead, or may not know all others.
-    void continueSearch(TargetGroup const& service, Search& search, Work const& work)
+    void continueSearch(TargetGroup const& service, OwnerSearch& search, Work const& work)
     {
         search.continued = true;
-        std::vector<Endpoint> missing;
-        for (std::size_t index = 0; index < std::min(service.targets.size(), mostSearchedTargets); ++index) {
-            if (!isAbsent(search, index))
-                missing.push_back(service.targets[index].agent);
-        }
+        std::vector<Endpoint> const missing = search.missing(service);
         bool const isFirstSilent = missing.size() > mostProbes;
         if (isFirstSilent) {
             if (DirectoryTarget const* const next = directory.findRanked(service, work.hash, ++search.rank, work.now))
@@ -351,9 +273,9 @@
             sendSearch(service, agent, RelaySearch::Probe, search, work.nowSeconds);
     }
 
-    void sendSearch(TargetGroup const& service, Endpoint agent, RelaySearch kind, Search const& search, std::uint32_t nowSeconds) noexcept
+    void sendSearch(TargetGroup const& service, Endpoint agent, RelaySearch kind, OwnerSearch const& search, std::uint32_t nowSeconds) noexcept
     {
-        std::span<std::byte const> const segment = std::span<std::byte const>(search.kept).first(search.keptBytes);
+        std::span<std::byte const> const segment = search.keptSegment();
         RelayRoute route;
         route.service = service.hash;
         route.entry = options.self;
@@ -363,22 +285,17 @@
         sender.send(agent, std::span<std::byte const>(probe).first(bytes + segment.size()));
     }
 
-    [[nodiscard]] static bool isAbsent(Search const& search, std::size_t index) noexcept
-    {
-        return (search.absent[index / 64] >> (index % 64) & 1U) != 0;
-    }
-
     void noteAbsent(Endpoint from, RelayFlow const& flow, TimePoint now, std::uint32_t nowSeconds)
     {
         std::uint64_t const hash = hashRelayFlow(flow);
-        Search* const search = searches.find(hash);
+        OwnerSearch* const search = searches.find(hash);
         TargetGroup const* const group = directory.findServiceOf(from);
         if (search == nullptr || group == nullptr)
             return;
         TargetGroup const& service = *group;
         Work const work { {}, search->segment, hash, now, nowSeconds };
-        markAbsent(service, from, *search);
-        if (!isAbsentEverywhere(service, *search, now))
+        search->markAbsent(service, from);
+        if (!isLost(service, *search, now))
             return;
         bool const isReset = search->segment.reset;
         searches.erase(*search);
@@ -387,28 +304,12 @@
             resetLost(work);
     }
 
-    static void markAbsent(TargetGroup const& service, Endpoint from, Search& search) noexcept
-    {
-        for (std::size_t index = 0; index < std::min(service.targets.size(), mostSearchedTargets); ++index) {
-            if (service.targets[index].agent == from)
-                search.absent[index / 64] |= std::uint64_t { 1 } << (index % 64);
-        }
-    }
-
-    [[nodiscard]] bool isAbsentEverywhere(TargetGroup const& service, Search const& search, TimePoint now) const noexcept
+    /// No target of a view that is complete by all that is known holds the flow.
+    [[nodiscard]] bool isLost(TargetGroup const& service, OwnerSearch const& search, TimePoint now) const noexcept
     {
         bool const isViewSettled = viewsComplete && now - service.viewChanged >= viewSettleTime;
         bool const isLongEnough = now - firstTick < freshTime || now - search.started >= longSearch;
-        if (!isViewSettled || !isLongEnough || service.targets.size() > mostSearchedTargets)
-            return false;
-        for (std::size_t index = 0; index < service.targets.size(); ++index) {
-            DirectoryTarget const& target = service.targets[index];
-            bool const isSurelyDead = target.dead && now - target.deadSince > surelyDeadTime;
-            bool const isGone = now - std::max(target.heard, target.added) > goneTime;
-            if (!isSurelyDead && !isGone && !isAbsent(search, index))
-                return false;
-        }
-        return true;
+        return isViewSettled && isLongEnough && search.isAbsentEverywhere(service, now);
     }
 
     void resetLost(Work const& work) noexcept
@@ -424,7 +325,7 @@
     void noteOwner(Endpoint from, RelayFlow const& flow, TimePoint now)
     {
         std::uint64_t const hash = hashRelayFlow(flow);
-        if (Search* const search = searches.find(hash))
+        if (OwnerSearch* const search = searches.find(hash))
             searches.erase(*search);
         FlowRecord* const record = insertFlow(hash, flow, now);
         if (record == nullptr)
@@ -448,8 +349,8 @@
 
     void continueSearches(TimePoint now, std::uint32_t nowSeconds)
     {
-        searches.forEach([this, now, nowSeconds](Search& search) {
-            bool const isDue = !search.continued && search.keptBytes > 0 && now - search.asked >= firstAnswerTime;
+        searches.forEach([this, now, nowSeconds](OwnerSearch& search) {
+            bool const isDue = !search.continued && !search.keptSegment().empty() && now - search.asked >= firstAnswerTime;
             if (!isDue)
                 return;
             Work const work { {}, search.segment, search.hash, now, nowSeconds };
@@ -519,22 +420,10 @@
             return;
         lastSweep = now;
         flows.eraseIf([now](FlowRecord const& record) { return now - record.last > flowIdle; });
-        searches.eraseIf([now, sweepPeriod](Search const& search) { return now - search.asked > sweepPeriod; });
+        searches.eraseIf([now, sweepPeriod](OwnerSearch const& search) { return now - search.asked > sweepPeriod; });
     }
 };
 
-namespace {
-
-    std::set<std::uint16_t> prioritiesOf(Service const& service)
-    {
-        std::set<std::uint16_t> priorities;
-        for (ServiceAddress const& address : service.addresses)
-            priorities.insert(address.priority);
-        return priorities;
-    }
-
-} // namespace
-
 EntryRelay::EntryRelay(EntryRelayOptions const& options, SegmentCodec const& codec, RelaySender& sender, RelayObserver& observer)
     : state_(std::make_unique<State>(options, codec, sender, observer))
 {
@@ -544,32 +433,14 @@
 
 void EntryRelay::setConfiguration(Configuration const& configuration, TimePoint now)
 {
-    State::Routes const known = std::exchange(state_->routes, {});
-    for (Service const& service : configuration.services) {
-        TargetGroup& group = state_->directory.declare(service.name);
-        std::set<std::uint16_t> const priorities = prioritiesOf(service);
-        for (ServiceAddress const& address : service.addresses) {
-            std::uint64_t const key = endpointKey(address.endpoint);
-            AddressRoute& route = state_->routes[key];
-            route.services.push_back({ &group, address.share });
-            route.totalShare += address.share;
-            std::size_t const rank = static_cast<std::size_t>(std::distance(priorities.begin(), priorities.find(address.priority)));
-            route.limitTenths = admissionLimit(address.targetLatency, rank);
-            State::Routes::const_iterator const before = known.find(key);
-            if (before != known.end())
-                route.limitedFrom = before->second.limitedFrom;
-            else if (state_->configured)
-                route.limitedFrom = now + newAddressTime;
-        }
-    }
-    state_->configured = true;
+    state_->routes.set(configuration, state_->directory, now);
 }
 
 void EntryRelay::setView(ServiceView const& view, TimePoint now)
 {
     state_->directory.setView(view, now);
     // Searches under way count targets by their old indices.
-    state_->searches.forEach([](Search& search) { search.absent = {}; });
+    state_->searches.forEach([](OwnerSearch& search) { search.forgetAnswers(); });
 }
 
 void EntryRelay::setViewsComplete(bool complete) noexcept
--- /dev/null
+++ b/src/relay/LoadSubscribers.cpp
@@ -0,0 +1,49 @@
+#include "relay/LoadSubscribers.h"
+
+#include <algorithm>
+
+namespace plantaindrift {
+
+namespace {
+
+    // An entry that has not subscribed for this time takes no more load.
+    constexpr std::chrono::seconds subscriptionLifetime { 3 };
+
+} // namespace
+
+bool LoadSubscribers::renew(Endpoint entry, std::chrono::milliseconds interval, TimePoint now)
+{
+    std::vector<Subscriber>::iterator const known = std::find_if(subscribers_.begin(), subscribers_.end(), [entry](Subscriber const& subscriber) { return subscriber.entry == entry; });
+    if (known != subscribers_.end()) {
+        known->interval = interval;
+        known->renewed = now;
+        return false;
+    }
+    subscribers_.push_back({ entry, interval, now, now });
+    return true;
+}
+
+std::vector<Endpoint> LoadSubscribers::takeDue(TimePoint now)
+{
+    std::erase_if(subscribers_, [now](Subscriber const& subscriber) { return now - subscriber.renewed > subscriptionLifetime; });
+    std::vector<Endpoint> due;
+    for (Subscriber& subscriber : subscribers_) {
+        if (now - subscriber.sent < subscriber.interval)
+            continue;
+        subscriber.sent = now;
+        due.push_back(subscriber.entry);
+    }
+    return due;
+}
+
+std::vector<Endpoint> LoadSubscribers::takeAll(TimePoint now)
+{
+    std::vector<Endpoint> all;
+    for (Subscriber& subscriber : subscribers_) {
+        subscriber.sent = now;
+        all.push_back(subscriber.entry);
+    }
+    return all;
+}
+
+} // namespace plantaindrift
--- a/standins/division/Store.cpp
+++ b/standins/division/Store.cpp
@@ -17,7 +17,8 @@
 Store::Store(asio::io_context& loop, Endpoint listen, ConfigurationObserver configured)
     : loop_(loop)
     , configured_(std::move(configured))
-    , server_(loop, listen, [](std::uint16_t) {}, [this](Request const& request, std::string const& path) { handle(request, path); })
+    , server_(
+          loop, listen, [](std::uint16_t) {}, [this](Request const& request, std::string const& path) { handle(request, path); })
 {
 }
 
--- a/standins/division/main.cpp
+++ b/standins/division/main.cpp
@@ -64,8 +64,10 @@
         Division()
             : store_(process_.loop, requireEndpoint("store", FLAGS_store), [this](nlohmann::json const& contents) { noteConfiguration(contents); })
             , sockets_(process_.loop)
-            , router_(process_.loop, parseEntries(FLAGS_entries), [this](Endpoint to, std::span<std::byte const> bytes) { sockets_.send(to, bytes); }, FLAGS_seed)
-            , callers_(judge_, requireEndpoint("callers", FLAGS_callers).address, parseRoutes(FLAGS_routes), [this](FlowEnds const& flow, std::span<std::byte const> bytes) { router_.forward(flow, bytes); }, FLAGS_seed + 1)
+            , router_(
+                  process_.loop, parseEntries(FLAGS_entries), [this](Endpoint to, std::span<std::byte const> bytes) { sockets_.send(to, bytes); }, FLAGS_seed)
+            , callers_(
+                  judge_, requireEndpoint("callers", FLAGS_callers).address, parseRoutes(FLAGS_routes), [this](FlowEnds const& flow, std::span<std::byte const> bytes) { router_.forward(flow, bytes); }, FLAGS_seed + 1)
             , http_(process_.loop, requireEndpoint("http", FLAGS_http), [this](HttpRequest const& request) { return answer(request); })
         {
             std::uint64_t seed = FLAGS_seed + 2;
