--- a/src/relay/AgentRelay.cpp
+++ b/src/relay/AgentRelay.cpp
@@ -142,10 +142,12 @@
         return {};
     }
 
-    /// Answers to a search at another agent are left out: they are as many as targets, and the search has its own line.
+    /// That this target does not hold a flow is left out for searches of other agents: there are as many such answers as
+    /// targets, and the search has its own line.
     void tell(Work const& work, AgentRelayOutcome outcome, Endpoint to) noexcept
     {
-        if (work.route.search == RelaySearch::Probe && outcome != AgentRelayOutcome::Searched)
+        bool const isCommon = outcome == AgentRelayOutcome::Tried || outcome == AgentRelayOutcome::DroppedUnknown;
+        if (work.route.search == RelaySearch::Probe && isCommon)
             return;
         RelayDecision decision;
         decision.outcome = agentRelayOutcomeName(outcome);
--- a/standins/division/Packet.cpp
+++ b/standins/division/Packet.cpp
@@ -28,8 +28,8 @@
     constexpr std::uint32_t sumKey = 0x5EED;
     constexpr std::size_t flagsOffset = 30;
 
-    // Covers everything but the echo and the mark of a returned packet.
-    std::uint32_t computeSum(Packet const& packet)
+    /// Without the sum and the echo.
+    PacketHeader makeHeader(Packet const& packet)
     {
         PacketHeader header {};
         header.sequence = packet.sequence;
@@ -39,6 +39,14 @@
         header.sourcePort = packet.source.port;
         header.destination = packet.destination.address;
         header.destinationPort = packet.destination.port;
+        header.flags = packet.flags;
+        return header;
+    }
+
+    // Covers everything but the echo and the mark of a returned packet.
+    std::uint32_t computeSum(Packet const& packet)
+    {
+        PacketHeader header = makeHeader(packet);
         header.flags = static_cast<std::uint8_t>(packet.flags & ~Packet::returned);
         std::uint32_t const first = XXH32(&header, sizeof(header), sumKey);
         return XXH32(packet.data.data(), packet.data.size(), first) | 1U;
@@ -48,17 +56,9 @@
 
 std::vector<std::byte> writePacket(Packet const& packet)
 {
-    PacketHeader header {};
+    PacketHeader header = makeHeader(packet);
     header.sum = computeSum(packet);
-    header.sequence = packet.sequence;
-    header.acknowledgement = packet.acknowledgement;
     header.echo = packet.echo;
-    header.dataBytes = static_cast<std::uint16_t>(packet.data.size());
-    header.source = packet.source.address;
-    header.sourcePort = packet.source.port;
-    header.destination = packet.destination.address;
-    header.destinationPort = packet.destination.port;
-    header.flags = packet.flags;
     std::vector<std::byte> datagram(sizeof(header) + packet.data.size());
     std::memcpy(datagram.data(), &header, sizeof(header));
     std::memcpy(datagram.data() + sizeof(header), packet.data.data(), packet.data.size());
