--- a/tests/AgentRelayTests.cpp
+++ b/tests/AgentRelayTests.cpp
@@ -45,6 +45,15 @@
     return sum;
 }
 
+/// A loss of power: targets come back without flows, and their agents know nothing.
+void restartTargetsAndAgents(Scene& scene)
+{
+    for (std::size_t index = 0; index < scene.agents.size(); ++index) {
+        scene.agents[index]->target.flows.clear();
+        scene.startAgent(index);
+    }
+}
+
 /// A caller's segment as an entry sends it to an agent.
 ///
 /// \param limitTenths  expected time above which the flow is not to be taken
@@ -157,11 +166,9 @@
     scene.runFor(1s);
     ServiceView part;
     part.service = "desk";
-    for (std::size_t index = 0; index < scene.agents.size(); ++index) {
-        scene.agents[index]->target.flows.clear();
-        scene.startAgent(index);
-        scene.agents[index]->relay->setView(part);
-    }
+    restartTargetsAndAgents(scene);
+    for (std::unique_ptr<Agent> const& agent : scene.agents)
+        agent->relay->setView(part);
     scene.startEntry(0);
     scene.runFor(500ms);
     scene.request(flow);
@@ -252,10 +259,7 @@
     Scene scene(1, 4);
     CallerFlow& flow = scene.open(0);
     scene.runFor(1s);
-    for (std::size_t index = 0; index < scene.agents.size(); ++index) {
-        scene.agents[index]->target.flows.clear();
-        scene.startAgent(index);
-    }
+    restartTargetsAndAgents(scene);
     scene.startEntry(0);
     scene.runFor(500ms);
     scene.request(flow);
@@ -269,10 +273,7 @@
     Scene scene(1, 4);
     CallerFlow& flow = scene.open(0);
     scene.runFor(1s);
-    for (std::size_t index = 0; index < scene.agents.size(); ++index) {
-        scene.agents[index]->target.flows.clear();
-        scene.startAgent(index);
-    }
+    restartTargetsAndAgents(scene);
     scene.startEntry(0);
     scene.runFor(500ms);
     scene.close(flow);
