Latency histograms of requests, searches and store calls

Cause: the metrics pages held counters and gauges only, so the time that a request took at a target, or a search for an owner, could be had from the log alone, which leaves lines out under load.

Ruled out: prometheus-cpp's own Histogram, which locks and counts by an atomic for each class on the packet path.

Before: no histogram (the new tests did not compile).

--- a/include/plantaindrift/relay/AgentRelay.h
+++ b/include/plantaindrift/relay/AgentRelay.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "plantaindrift/base/LatencyHistogram.h"
 #include "plantaindrift/base/Types.h"
 #include "plantaindrift/membership/ServiceView.h"
 #include "plantaindrift/packet/Encapsulation.h"
@@ -104,6 +105,9 @@
     /// \brief Segments by outcome since start.
     [[nodiscard]] std::array<std::uint64_t, agentRelayOutcomes> const& outcomes() const noexcept;
 
+    /// \brief Times from a request's last segment to its answer's first, since start.
+    [[nodiscard]] LatencyHistogram const& requestTimes() const noexcept;
+
 private:
     struct State;
     std::unique_ptr<State> state_;
--- a/include/plantaindrift/relay/EntryRelay.h
+++ b/include/plantaindrift/relay/EntryRelay.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "plantaindrift/base/LatencyHistogram.h"
 #include "plantaindrift/base/Types.h"
 #include "plantaindrift/configuration/Configuration.h"
 #include "plantaindrift/membership/ServiceView.h"
@@ -96,6 +97,12 @@
 
     [[nodiscard]] std::size_t flowCount() const noexcept;
 
+    /// \brief Times from a search's first segment to the word of the owner, since start.
+    [[nodiscard]] LatencyHistogram const& foundTimes() const noexcept;
+
+    /// \brief Times from a search's first segment until the flow was given up as lost, since start.
+    [[nodiscard]] LatencyHistogram const& lostTimes() const noexcept;
+
 private:
     struct State;
     std::unique_ptr<State> state_;
--- a/scripts/division_bed.py
+++ b/scripts/division_bed.py
@@ -185,6 +185,11 @@
     def state(self):
         return fetch_json(self.http, "/state")
 
+    def metric(self, machine, name):
+        """Sum of a metric's values over all labels."""
+        lines = fetch(self.at(machine, "http"), "/metrics").splitlines()
+        return sum(float(line.rsplit(" ", 1)[1]) for line in lines if line.startswith((name + " ", name + "{")))
+
     def disturb(self, machine=None):
         """Something unplanned begins or ends at a machine, or at all of them."""
         self.tell("disturb", address=machine.address if machine else "")
--- a/src/relay/AgentRelay.cpp
+++ b/src/relay/AgentRelay.cpp
@@ -626,4 +626,9 @@
     return state_->outcomes;
 }
 
+LatencyHistogram const& AgentRelay::requestTimes() const noexcept
+{
+    return state_->flows.requests().times();
+}
+
 } // namespace plantaindrift
--- a/src/relay/EntryRelay.cpp
+++ b/src/relay/EntryRelay.cpp
@@ -101,6 +101,8 @@
     TargetDirectory directory;
     HashTable<FlowRecord> flows;
     HashTable<OwnerSearch> searches { mostSearches }; ///< under way
+    LatencyHistogram foundTimes;
+    LatencyHistogram lostTimes;
     AddressRoutes routes;
     std::array<std::uint64_t, entryRelayOutcomes> outcomes {};
     std::array<std::byte, maximumRelayHeaderBytes> header {};
@@ -311,6 +313,7 @@
         if (!isLost(service, *search, now))
             return;
         bool const isReset = search->segment.reset;
+        lostTimes.observe(now - search->started);
         searches.erase(*search);
         // A caller that gets no answer to its end of a lost flow repeats it many times, and each one starts a search.
         if (!isReset)
@@ -338,8 +341,10 @@
     void noteOwner(Endpoint from, RelayFlow const& flow, TimePoint now)
     {
         std::uint64_t const hash = hashRelayFlow(flow);
-        if (OwnerSearch* const search = searches.find(hash))
+        if (OwnerSearch* const search = searches.find(hash)) {
+            foundTimes.observe(now - search->started);
             searches.erase(*search);
+        }
         FlowRecord* const record = insertFlow(hash, flow, now);
         if (record == nullptr)
             return;
@@ -516,4 +521,14 @@
     return state_->flows.size();
 }
 
+LatencyHistogram const& EntryRelay::foundTimes() const noexcept
+{
+    return state_->foundTimes;
+}
+
+LatencyHistogram const& EntryRelay::lostTimes() const noexcept
+{
+    return state_->lostTimes;
+}
+
 } // namespace plantaindrift
--- a/src/relay/RequestCount.cpp
+++ b/src/relay/RequestCount.cpp
@@ -27,6 +27,7 @@
 {
     cancel();
     Duration const whole = now - requested;
+    times_.observe(whole);
     Duration const paced = (now - finished_) * static_cast<std::int64_t>(slots);
     Duration const took = wasFull_ ? std::min(whole, paced) : whole;
     bool const holdsWait = !wasFull_ && busy_ >= slots;
--- a/src/relay/RequestCount.h
+++ b/src/relay/RequestCount.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "plantaindrift/base/LatencyHistogram.h"
 #include "plantaindrift/base/Types.h"
 
 #include <cstddef>
@@ -30,6 +31,9 @@
     /// \brief Forgets everything, because the target was replaced.
     void reset() noexcept;
 
+    /// \brief Times from a request's last part to its answer's first, with the wait at the target.
+    [[nodiscard]] LatencyHistogram const& times() const noexcept { return times_; }
+
     [[nodiscard]] std::size_t busy() const noexcept { return busy_; }
 
     /// \brief Mean time of a request without its wait, in 0.1 ms; 0 if none was measured.
@@ -38,6 +42,7 @@
 private:
     std::size_t busy_ { 0 };
     double meanTenths_ { 0 };
+    LatencyHistogram times_; ///< since the start of this process, for all targets in turn
     TimePoint finished_; ///< last end of a request
     bool wasFull_ { false }; ///< all slots were taken after it
     TimePoint coldUntil_;
--- a/src/runtime/FleetStoreThread.cpp
+++ b/src/runtime/FleetStoreThread.cpp
@@ -27,6 +27,8 @@
     constexpr std::chrono::milliseconds firstBackoff { 100 };
     constexpr std::chrono::milliseconds longestBackoff { 1500 };
 
+    constexpr std::array<std::string_view, storeCalls> storeCallNames { "read_members", "read_configuration", "write_member" };
+
 } // namespace
 
 FleetStoreThread::FleetStoreThread(asio::io_context& loop, std::unique_ptr<FleetStore> store, Member const& self, Handlers handlers)
@@ -104,8 +106,9 @@
 
 absl::Status FleetStoreThread::readMembers()
 {
-    ++calls_;
+    TimePoint const started = std::chrono::steady_clock::now();
     absl::StatusOr<std::vector<Member>> members = store_->readMembers(memberReads_ == 0);
+    noteCall(StoreCall::ReadMembers, started);
     if (!members.ok())
         return members.status();
     hasMembers_ = true;
@@ -130,16 +133,18 @@
 
 absl::Status FleetStoreThread::writeSelf()
 {
-    ++calls_;
+    TimePoint const started = std::chrono::steady_clock::now();
     absl::Status status = store_->writeMember(self_);
+    noteCall(StoreCall::WriteMember, started);
     isWritten_ = status.ok();
     return status;
 }
 
 absl::Status FleetStoreThread::readConfiguration()
 {
-    ++calls_;
+    TimePoint const started = std::chrono::steady_clock::now();
     absl::StatusOr<std::optional<VersionedConfiguration>> configuration = store_->readConfiguration();
+    noteCall(StoreCall::ReadConfiguration, started);
     if (!configuration.ok())
         return configuration.status();
     hasConfiguration_ = configuration->has_value();
@@ -173,6 +178,21 @@
     asio::post(loop_, [this, found = std::move(*configuration)] { handlers_.configuration(found); });
 }
 
+void FleetStoreThread::noteCall(StoreCall call, TimePoint started)
+{
+    ++calls_;
+    Duration const took = std::chrono::steady_clock::now() - started;
+    asio::post(loop_, [this, call, took] { times_[static_cast<std::size_t>(call)].observe(took); });
+}
+
+void FleetStoreThread::addMetrics(MetricsPage& page) const
+{
+    page.addGauge("plantaindrift_store_reachable", "1 if the last call to the store was answered.", {}, reachable_ ? 1 : 0);
+    page.addCounter("plantaindrift_store_calls_total", "Calls to the store.", {}, static_cast<double>(calls_));
+    for (std::size_t call = 0; call < storeCalls; ++call)
+        page.addHistogram("plantaindrift_store_call_seconds", "Times of calls to the store, answered or not, without watches.", { { "call", std::string(storeCallNames[call]) } }, times_[call]);
+}
+
 void FleetStoreThread::noteResult(absl::Status const& status)
 {
     if (status.ok())
--- a/src/runtime/FleetStoreThread.h
+++ b/src/runtime/FleetStoreThread.h
@@ -1,7 +1,10 @@
 #pragma once
 
+#include "plantaindrift/base/LatencyHistogram.h"
 #include "plantaindrift/store/FleetStore.h"
+#include "runtime/MetricsPage.h"
 
+#include <array>
 #include <asio/io_context.hpp>
 #include <atomic>
 #include <chrono>
@@ -17,6 +20,15 @@
 
 namespace plantaindrift {
 
+/// \brief Calls to the store whose time is measured; a watch lasts as long as nothing changes.
+enum class StoreCall : std::uint8_t {
+    ReadMembers,
+    ReadConfiguration,
+    WriteMember,
+};
+
+inline constexpr std::size_t storeCalls = 3;
+
 /// \brief Reads a FleetStore on a thread of its own and posts what it finds to the loop.
 ///
 /// Starts with the members and the configuration, writes the own record if the store lacks it, then waits for changes.
@@ -42,11 +54,8 @@
     /// \brief Ends the thread and removes the own record; blocks for the call under way and this one.
     void removeSelf();
 
-    /// \brief True while the last call was answered.
-    [[nodiscard]] bool isReachable() const noexcept { return reachable_; }
-
-    /// \brief Calls to the store since start.
-    [[nodiscard]] std::uint64_t calls() const noexcept { return calls_; }
+    /// \brief Reachability, calls and their times; to be called on the loop.
+    void addMetrics(MetricsPage& page) const;
 
 private:
     asio::io_context& loop_;
@@ -57,6 +66,7 @@
     std::atomic<bool> stopping_ { false };
     std::atomic<bool> reachable_ { true };
     std::atomic<std::uint64_t> calls_ { 0 };
+    std::array<LatencyHistogram, storeCalls> times_; ///< belongs to the loop
     std::mutex mutex_;
     std::condition_variable wake_;
     std::chrono::milliseconds backoff_;
@@ -75,6 +85,7 @@
     [[nodiscard]] absl::Status readConfiguration();
     [[nodiscard]] absl::Status awaitConfiguration();
     void post(std::optional<VersionedConfiguration> configuration);
+    void noteCall(StoreCall call, TimePoint started);
     void noteResult(absl::Status const& status);
     void pause(std::chrono::milliseconds time);
     [[nodiscard]] bool isDone() const noexcept;
--- a/src/runtime/MetricsPage.cpp
+++ b/src/runtime/MetricsPage.cpp
@@ -1,6 +1,7 @@
 #include "runtime/MetricsPage.h"
 
 #include <fstream>
+#include <limits>
 #include <prometheus/text_serializer.h>
 #include <sys/resource.h>
 #include <unistd.h>
@@ -48,6 +49,19 @@
     add(name, help, labels, prometheus::MetricType::Gauge).gauge.value = value;
 }
 
+void MetricsPage::addHistogram(std::string_view name, std::string_view help, Labels const& labels, LatencyHistogram const& histogram)
+{
+    prometheus::ClientMetric::Histogram& printed = add(name, help, labels, prometheus::MetricType::Histogram).histogram;
+    std::uint64_t cumulative = 0;
+    for (std::size_t index = 0; index < histogram.counts().size(); ++index) {
+        bool const isBounded = index < LatencyHistogram::upperBounds.size();
+        cumulative += histogram.counts()[index];
+        printed.bucket.push_back({ cumulative, isBounded ? LatencyHistogram::upperBounds[index] : std::numeric_limits<double>::infinity() });
+    }
+    printed.sample_count = cumulative;
+    printed.sample_sum = histogram.sumSeconds();
+}
+
 void MetricsPage::addProcess()
 {
     rusage usage {};
--- a/src/runtime/MetricsPage.h
+++ b/src/runtime/MetricsPage.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "plantaindrift/base/LatencyHistogram.h"
+
 #include <map>
 #include <prometheus/metric_family.h>
 #include <string>
@@ -20,6 +22,9 @@
     /// \param name  ends in the unit, if there is one
     void addGauge(std::string_view name, std::string_view help, Labels const& labels, double value);
 
+    /// \param name  ends in _seconds
+    void addHistogram(std::string_view name, std::string_view help, Labels const& labels, LatencyHistogram const& histogram);
+
     /// \brief Processor time and resident memory of this process, under the ecosystem's common names.
     void addProcess();
 
--- a/src/runtime/RelayEntryDaemon.cpp
+++ b/src/runtime/RelayEntryDaemon.cpp
@@ -243,10 +243,11 @@
             page.addGauge("plantaindrift_entry_flows", "Flows whose owner is remembered.", {}, static_cast<double>(relay_.flowCount()));
             page.addCounter("plantaindrift_flow_messages_refused_total", "Relay messages that are malformed, stale or not authenticated.", {}, static_cast<double>(refusedMessages_));
             page.addGauge("plantaindrift_configuration_position", "Applied version of the configuration.", {}, static_cast<double>(control_.changeLog().position()));
-            if (store_) {
-                page.addGauge("plantaindrift_store_reachable", "1 if the last call to the store was answered.", {}, store_->isReachable() ? 1 : 0);
-                page.addCounter("plantaindrift_store_calls_total", "Calls to the store.", {}, static_cast<double>(store_->calls()));
-            }
+            std::string_view const searchHelp = "Times from the first segment of a flow without a known owner to the end of the search.";
+            page.addHistogram("plantaindrift_entry_search_seconds", searchHelp, { { "outcome", "found" } }, relay_.foundTimes());
+            page.addHistogram("plantaindrift_entry_search_seconds", searchHelp, { { "outcome", "lost" } }, relay_.lostTimes());
+            if (store_)
+                store_->addMetrics(page);
         }
     };
 
--- a/tests/AgentRelayTests.cpp
+++ b/tests/AgentRelayTests.cpp
@@ -89,6 +89,21 @@
     BOOST_TEST(ownerOf(scene, flow) < scene.agents.size());
 }
 
+// The page's times must hold the wait at the target: a caller waits for both.
+BOOST_AUTO_TEST_CASE(RequestTimesHoldTheWaitAtTheTarget)
+{
+    Scene scene(1, 1);
+    scene.agents[0]->target.slots = 1;
+    scene.agents[0]->target.serviceTime = 60ms;
+    scene.open(0);
+    scene.open(0);
+    scene.runFor(1s);
+    LatencyHistogram const& times = scene.agents[0]->relay->requestTimes();
+    BOOST_TEST(times.total() == 2U);
+    // 60 ms and, behind it, 120 ms.
+    BOOST_TEST(times.sumSeconds() == 0.18, boost::test_tools::tolerance(1e-6));
+}
+
 // A steward's feed moves to an entry that has just joined and knows nothing of it.
 BOOST_AUTO_TEST_CASE(AnotherEntryFindsTheOwner)
 {
@@ -265,6 +280,8 @@
     scene.request(flow);
     scene.runFor(50ms);
     BOOST_TEST(isReset(flow));
+    BOOST_TEST(scene.entries[0]->relay->lostTimes().total() == 1U);
+    BOOST_TEST(scene.entries[0]->relay->foundTimes().total() == 0U);
 }
 
 // The caller's end of a lost flow had no answer. It was repeated every 1.6 s, and each time all agents were asked.
--- a/tests/MetricsTests.cpp
+++ b/tests/MetricsTests.cpp
@@ -74,6 +74,24 @@
                        "packets_total{outcome=\"forward\"} 3\npackets_total{outcome=\"drop \\\"x\\\"\\n\"} 4\n");
 }
 
+// A collector takes the classes as cumulative; one that is not, or has no last class, is refused.
+BOOST_AUTO_TEST_CASE(AHistogramIsPrintedWithCumulativeClasses)
+{
+    LatencyHistogram histogram;
+    histogram.observe(std::chrono::milliseconds(40));
+    histogram.observe(std::chrono::milliseconds(40));
+    histogram.observe(std::chrono::seconds(20));
+    MetricsPage page;
+    page.addHistogram("wait_seconds", "Waits.", { { "service", "water" } }, histogram);
+    std::string const text = page.text();
+    BOOST_TEST(text.find("# TYPE wait_seconds histogram\n") != std::string::npos, text);
+    BOOST_TEST(text.find("wait_seconds_bucket{service=\"water\",le=\"0.02\"} 0\n") != std::string::npos, text);
+    BOOST_TEST(text.find("wait_seconds_bucket{service=\"water\",le=\"0.05\"} 2\n") != std::string::npos, text);
+    BOOST_TEST(text.find("wait_seconds_bucket{service=\"water\",le=\"+Inf\"} 3\n") != std::string::npos, text);
+    BOOST_TEST(text.find("wait_seconds_count{service=\"water\"} 3\n") != std::string::npos, text);
+    BOOST_TEST(text.find("wait_seconds_sum{service=\"water\"} 20.08\n") != std::string::npos, text);
+}
+
 BOOST_AUTO_TEST_CASE(ProcessValuesAreThere)
 {
     MetricsPage page;
