Targets that fail requests get fewer new flows

Cause: a target that resets requests at once has none in progress, looks idle and is chosen more often than others.

Change: agents keep the share of the latest requests that ended without an answer (the target reset or closed the flow, or the caller gave up after a second), halved every 3 s; it travels with the load, and each percent costs 5 ms in the choice. No flow is moved, a service whose targets all fail stays in use, and a target that answers again gets its share back.

--- a/include/plantaindrift/relay/RelayMessage.h
+++ b/include/plantaindrift/relay/RelayMessage.h
@@ -38,6 +38,7 @@
     std::uint16_t busy { 0 }; ///< requests in progress or queued
     std::uint16_t flows { 0 }; ///< open flows
     std::uint16_t serviceTenths { 0 }; ///< time of one request at the target, in 0.1 ms; 0 if not measured yet
+    std::uint8_t failedPercent { 0 }; ///< part of the latest requests that ended without an answer
 
     friend bool operator==(TargetLoad const&, TargetLoad const&) = default;
 };
--- a/src/relay/AgentRelay.cpp
+++ b/src/relay/AgentRelay.cpp
@@ -133,6 +133,7 @@
         load.busy = static_cast<std::uint16_t>(std::min<std::size_t>(flows.requests().busy(), std::numeric_limits<std::uint16_t>::max()));
         load.flows = static_cast<std::uint16_t>(std::min<std::size_t>(flows.openCount(), std::numeric_limits<std::uint16_t>::max()));
         load.serviceTenths = flows.requests().serviceTenths();
+        load.failedPercent = flows.requests().failedPercent();
         return load;
     }
 
--- a/src/relay/RelayMessage.cpp
+++ b/src/relay/RelayMessage.cpp
@@ -45,8 +45,9 @@
         wire::big_uint16_buf_t busy;
         wire::big_uint16_buf_t flows;
         wire::big_uint16_buf_t serviceTenths;
+        wire::big_uint8_buf_t failedPercent;
     };
-    static_assert(sizeof(LoadField) == 9);
+    static_assert(sizeof(LoadField) == 10);
 
     struct RouteFields {
         wire::big_uint64_buf_t service;
@@ -85,12 +86,13 @@
         field.busy = load.busy;
         field.flows = load.flows;
         field.serviceTenths = load.serviceTenths;
+        field.failedPercent = load.failedPercent;
         return field;
     }
 
     TargetLoad fromField(LoadField const& field) noexcept
     {
-        return { field.accepting.value() != 0, field.slots.value(), field.busy.value(), field.flows.value(), field.serviceTenths.value() };
+        return { field.accepting.value() != 0, field.slots.value(), field.busy.value(), field.flows.value(), field.serviceTenths.value(), field.failedPercent.value() };
     }
 
     /// A relayed segment; its header may be another one than in the datagram that it came in.
--- a/src/relay/RequestCount.cpp
+++ b/src/relay/RequestCount.cpp
@@ -21,11 +21,24 @@
     busy_ -= busy_ > 0 ? 1 : 0;
 }
 
+void RequestCount::fail() noexcept
+{
+    cancel();
+    failures_.note(true);
+}
+
+void RequestCount::tick(TimePoint now) noexcept
+{
+    now_ = now;
+    failures_.tick(now);
+}
+
 // A target whose slots are all taken ends one request in each part of the service time that its slots make; the time since
 // the request came holds its wait.
 void RequestCount::finish(TimePoint requested, TimePoint now, std::size_t slots) noexcept
 {
     cancel();
+    failures_.note(false);
     Duration const whole = now - requested;
     times_.observe(whole);
     Duration const paced = (now - finished_) * static_cast<std::int64_t>(slots);
@@ -45,6 +58,7 @@
     busy_ = 0;
     meanTenths_ = 0;
     wasFull_ = false;
+    failures_.reset();
 }
 
 std::uint16_t RequestCount::serviceTenths() const noexcept
--- a/src/relay/RequestCount.h
+++ b/src/relay/RequestCount.h
@@ -2,6 +2,7 @@
 
 #include "plantaindrift/base/LatencyHistogram.h"
 #include "plantaindrift/base/Types.h"
+#include "relay/FailureShare.h"
 
 #include <cstddef>
 #include <cstdint>
@@ -14,9 +15,12 @@
     /// \brief A request entered the target.
     void begin() noexcept { ++busy_; }
 
-    /// \brief A request ended without an answer.
+    /// \brief The caller ended a request that the target could still have answered.
     void cancel() noexcept;
 
+    /// \brief The target did not answer a request.
+    void fail() noexcept;
+
     /// \brief The first part of an answer left the target.
     ///
     /// \param requested  when the last part of the request entered
@@ -26,11 +30,14 @@
     /// \brief The target is slow after its start until this time.
     void setCold(TimePoint until) noexcept { coldUntil_ = until; }
 
-    void tick(TimePoint now) noexcept { now_ = now; }
+    void tick(TimePoint now) noexcept;
 
     /// \brief Forgets everything, because the target was replaced.
     void reset() noexcept;
 
+    /// \brief Part of the latest requests that failed, in percent.
+    [[nodiscard]] std::uint8_t failedPercent() const noexcept { return failures_.percent(); }
+
     /// \brief Times from a request's last part to its answer's first, with the wait at the target.
     [[nodiscard]] LatencyHistogram const& times() const noexcept { return times_; }
 
@@ -42,6 +49,7 @@
 private:
     std::size_t busy_ { 0 };
     double meanTenths_ { 0 };
+    FailureShare failures_;
     LatencyHistogram times_; ///< since the start of this process, for all targets in turn
     TimePoint finished_; ///< last end of a request
     bool wasFull_ { false }; ///< all slots were taken after it
--- a/src/relay/TargetCost.cpp
+++ b/src/relay/TargetCost.cpp
@@ -17,6 +17,11 @@
     // An open flow without a request in progress sends a request of 55 ms about once a second.
     constexpr double idleFlowShare = 0.05;
 
+    // A failed request is repeated after it is noticed, or lost; 500 ms is more than most routes' objective.
+    constexpr double failureTenths = 5000;
+
+    constexpr double percentScale = 100;
+
     constexpr double mostTenths = 65535;
 
 } // namespace
@@ -28,7 +33,8 @@
     double const requests = static_cast<double>(load.busy) + extra;
     double const waiting = std::max(0.0, requests + 1 - slots);
     double const spread = busyShare * std::min(requests, slots) + idleFlowShare * load.flows;
-    return service * (1 + (waiting + spread) / slots);
+    double const failure = failureTenths * load.failedPercent / percentScale;
+    return service * (1 + (waiting + spread) / slots) + failure;
 }
 
 double expectedTime(TargetLoad const& load) noexcept
--- a/src/relay/TargetCost.h
+++ b/src/relay/TargetCost.h
@@ -9,7 +9,7 @@
 /// \brief Time that a new request is expected to take at a target, in 0.1 ms.
 ///
 /// The service time, the wait behind queued requests, and a small share for work that does not queue yet: it spreads
-/// new flows evenly while every target has free slots.
+/// new flows evenly while every target has free slots. A target that fails requests costs their repetition as well.
 /// \param extra  requests that are on their way there and not in the load yet
 [[nodiscard]] double targetCost(TargetLoad const& load, std::uint32_t extra) noexcept;
 
--- a/src/relay/TargetDirectory.cpp
+++ b/src/relay/TargetDirectory.cpp
@@ -26,7 +26,7 @@
 
     // Received load may take this part of the 3 KB/s that control may use.
     constexpr double loadBytesPerSecond = 1500;
-    constexpr double loadMessageBytes = 41;
+    constexpr double loadMessageBytes = 42;
 
     // Time of a packet between data centres and back, in 0.1 ms; keeps bytes inside while that costs no wait.
     constexpr double remoteCostTenths = 20;
--- a/src/relay/TargetFlows.cpp
+++ b/src/relay/TargetFlows.cpp
@@ -15,6 +15,9 @@
     // at most the number after it. A range of 2^26 took one in 64 flows of other targets for own ones.
     constexpr std::uint32_t mostAcknowledged = 1;
 
+    // A caller that waited for so long has not left of its own will; the longest objectives of the routes are below it.
+    constexpr std::chrono::seconds unansweredTime { 1 };
+
 } // namespace
 
 bool TargetFlow::isAcknowledgedBy(Segment const& segment) const noexcept
@@ -38,6 +41,8 @@
 {
     flow.last = now;
     if (segment.closing || segment.reset) {
+        if (now - flow.requested >= unansweredTime)
+            failRequest(flow);
         close(flow);
         return;
     }
@@ -67,8 +72,19 @@
         flow.pending = false;
         requests_.finish(flow.requested, now, slots);
     }
-    if (segment.closing || segment.reset)
+    if (segment.closing || segment.reset) {
+        failRequest(flow);
         close(flow);
+    }
+}
+
+// A request that is in progress ends without an answer.
+void TargetFlows::failRequest(TargetFlow& flow) noexcept
+{
+    if (!flow.pending)
+        return;
+    flow.pending = false;
+    requests_.fail();
 }
 
 // Ends what counts for the load; the record says why afterwards.
--- a/src/relay/TargetFlows.h
+++ b/src/relay/TargetFlows.h
@@ -77,6 +77,7 @@
     std::size_t open_ { 0 };
 
     void retire(TargetFlow& flow) noexcept;
+    void failRequest(TargetFlow& flow) noexcept;
     void close(TargetFlow& flow) noexcept;
 };
 
--- a/src/runtime/RelayAgentDaemon.cpp
+++ b/src/runtime/RelayAgentDaemon.cpp
@@ -260,6 +260,7 @@
             page.addGauge("plantaindrift_agent_open_flows", "Flows in the flow table.", service, load.flows);
             page.addGauge("plantaindrift_agent_busy", "Requests in progress or queued at the target.", service, load.busy);
             page.addGauge("plantaindrift_agent_service_seconds", "Mean time of a request that does not wait.", service, load.serviceTenths / 10000.0);
+            page.addGauge("plantaindrift_agent_failed_ratio", "Part of the latest requests that ended without an answer.", service, load.failedPercent / 100.0);
             page.addGauge("plantaindrift_agent_accepting", "1 if the target takes new flows.", service, load.accepting ? 1 : 0);
             page.addHistogram("plantaindrift_agent_request_seconds", "Times from a request's last segment to its answer's first, with the wait at the target.", service, relay_.requestTimes());
             if (store_)
--- a/tests/EntryRelayTests.cpp
+++ b/tests/EntryRelayTests.cpp
@@ -3,6 +3,7 @@
 #include "RelayScene.h"
 
 #include <boost/test/unit_test.hpp>
+
 #include <random>
 
 namespace {
@@ -16,44 +17,6 @@
     return scene.entries[entry]->relay->decide(packet, scene.now(), wallSeconds);
 }
 
-struct Answers {
-    std::size_t inTime { 0 };
-    std::size_t all { 0 };
-    double worstMilliseconds { 0 };
-};
-
-// Flows of one request each, at random times; entries are picked by `entryOf`.
-Answers play(Scene& scene, double perSecond, Duration time, Duration aim, std::function<std::size_t(std::mt19937&)> const& entryOf)
-{
-    std::mt19937 random(11);
-    std::exponential_distribution<double> gap(perSecond);
-    std::vector<CallerFlow*> flows;
-    TimePoint const end = scene.now() + time;
-    double next = 0;
-    while (scene.now() < end) {
-        next = gap(random);
-        scene.runFor(std::chrono::duration_cast<Duration>(std::chrono::duration<double>(next)));
-        flows.push_back(&scene.open(entryOf(random)));
-    }
-    scene.runFor(5s);
-    Answers answers;
-    for (CallerFlow const* const flow : flows) {
-        Request const& request = flow->requests.front();
-        ++answers.all;
-        if (!request.answered)
-            continue;
-        Duration const took = *request.answered - request.sent;
-        answers.inTime += took <= aim ? 1 : 0;
-        answers.worstMilliseconds = std::max(answers.worstMilliseconds, std::chrono::duration<double, std::milli>(took).count());
-    }
-    return answers;
-}
-
-std::size_t anyEntry(std::mt19937& random)
-{
-    return random() % 4;
-}
-
 } // namespace
 
 BOOST_AUTO_TEST_CASE(AnAddressWithoutARouteIsRefusedAtOnce)
--- a/tests/RelayMessageTests.cpp
+++ b/tests/RelayMessageTests.cpp
@@ -24,7 +24,7 @@
 KeyRing const keys = keysOf(3, 7);
 RelayFlow const flow { { 0x64400007U, 40001 }, { 0xC6120001U, 443 } };
 OwnedFlow const owned { flow, { 0x0A02000CU, 8172 } };
-TargetLoad const load { true, 7, 5, 40, 553 };
+TargetLoad const load { true, 7, 5, 40, 553, 12 };
 
 Bytes packetOf(RelayRoute const& route, Bytes const& segment)
 {
--- a/tests/RelayScene.h
+++ b/tests/RelayScene.h
@@ -13,6 +13,7 @@
 #include <memory>
 #include <optional>
 #include <queue>
+#include <random>
 #include <string>
 #include <vector>
 
@@ -78,12 +79,14 @@
     std::size_t slots { 3 };
     std::size_t queue { 12 };
     std::chrono::microseconds serviceTime { 20ms };
+    std::uint64_t failEvery { 0 }; ///< resets each request of this number; 0: none
     bool up { true };
     std::map<std::uint64_t, RelayFlow> flows; ///< open ones
     std::map<std::uint64_t, RelayFlow> halfOpen;
     std::size_t busy { 0 };
     std::vector<std::function<void()>> waiting;
     std::uint64_t requests { 0 };
+    std::uint64_t failed { 0 }; ///< requests that were reset
     std::size_t longestQueue { 0 };
     std::uint64_t openings { 0 }; ///< opening segments it was given
     std::uint64_t foreign { 0 }; ///< segments of flows that it does not hold
@@ -432,6 +435,12 @@
     {
         FakeTarget& target = agent.target;
         ++target.requests;
+        if (target.failEvery > 0 && target.requests % target.failEvery == 0) {
+            ++target.failed;
+            target.flows.erase(hashRelayFlow(flow));
+            fromTarget(agent, makePacket({ 9000, 0, 0, flow.service, flow.caller, resetFlag, 0 }));
+            return;
+        }
         std::function<void()> work = [this, &agent, flow] {
             after(agent.target.serviceTime, [this, &agent, flow] { finishRequest(agent, flow); });
         };
@@ -527,4 +536,44 @@
     scene_.deliver(from_, to, Bytes(datagram.begin(), datagram.end()));
 }
 
+/// \brief Outcome of a part of a scene's traffic.
+struct Answers {
+    std::size_t inTime { 0 };
+    std::size_t all { 0 };
+    double worstMilliseconds { 0 };
+};
+
+/// \brief Plays flows of one request each, at random times; entries are picked by `entryOf`.
+inline Answers play(Scene& scene, double perSecond, Duration time, Duration aim, std::function<std::size_t(std::mt19937&)> const& entryOf)
+{
+    std::mt19937 random(11);
+    std::exponential_distribution<double> gap(perSecond);
+    std::vector<CallerFlow*> flows;
+    TimePoint const end = scene.now() + time;
+    double next = 0;
+    while (scene.now() < end) {
+        next = gap(random);
+        scene.runFor(std::chrono::duration_cast<Duration>(std::chrono::duration<double>(next)));
+        flows.push_back(&scene.open(entryOf(random)));
+    }
+    scene.runFor(5s);
+    Answers answers;
+    for (CallerFlow const* const flow : flows) {
+        Request const& request = flow->requests.front();
+        ++answers.all;
+        if (!request.answered)
+            continue;
+        Duration const took = *request.answered - request.sent;
+        answers.inTime += took <= aim ? 1 : 0;
+        answers.worstMilliseconds = std::max(answers.worstMilliseconds, std::chrono::duration<double, std::milli>(took).count());
+    }
+    return answers;
+}
+
+/// \brief One of four entries.
+inline std::size_t anyEntry(std::mt19937& random)
+{
+    return random() % 4;
+}
+
 } // namespace relay_scene
