Agents without a target answer searches and leave when stopped

Cause: after a loss of power agents start whose targets do not come back, because they drained.

Change: a target that has neither announced itself nor sent a segment for 3 s is taken as gone; its agent answers searches at once and leaves the membership when it is stopped.

Before: AnAgentWithoutATargetDoesNotKeepAFlow failed. After: it passes; ATargetThatStillAnswersIsNotGone guards the reverse.

--- a/include/plantaindrift/relay/AgentRelay.h
+++ b/include/plantaindrift/relay/AgentRelay.h
@@ -59,6 +59,7 @@
 struct TargetState {
     bool accepting { false }; ///< lives, is of the agent's service and does not drain
     bool announced { false }; ///< said so itself since this process started; else it is assumed
+    bool gone { false }; ///< ended, or has not announced itself for too long to be there
     bool seenFromStart { false }; ///< started after this process did, which thus knows all its flows
     std::uint16_t slots { 1 };
     std::uint32_t connections { 2000 };
--- a/src/relay/AgentRelay.cpp
+++ b/src/relay/AgentRelay.cpp
@@ -40,6 +40,9 @@
     // A caller acknowledges the answer to its opening segment within this time, or gives up.
     constexpr std::chrono::seconds passNoteLifetime { 3 };
 
+    // Announcements may be late at a target that still serves; segments of its flows come more often.
+    constexpr std::chrono::seconds targetSilence { 3 };
+
     constexpr std::size_t trials = 1024;
     constexpr std::size_t redirectNotes = 1U << 15U;
 
@@ -104,6 +107,7 @@
     TimePoint started;
     TargetState target;
     bool stopping { false };
+    TimePoint targetHeard; ///< last segment that the target sent or returned
     bool hasReturned { false }; ///< the target returned an opening segment before it announced itself
     TimePoint refusingUntil; ///< the target returned an opening segment: it is full or still starts
     TimePoint clock; ///< of the last call
@@ -376,7 +380,9 @@
     {
         bool const isYoung = work.now - started < flowLifetime;
         bool const isComplete = target.seenFromStart && work.route.search == RelaySearch::Probe;
-        return isYoung && !isComplete;
+        // A target that is not there returns nothing, and the search would wait for it.
+        bool const isGone = target.gone && work.now - targetHeard >= targetSilence;
+        return isYoung && !isComplete && !isGone;
     }
 
     /// Any agent may own the flow, and some may not answer. Agents have wider links than entries.
@@ -604,6 +610,7 @@
     std::optional<Segment> const segment = state_->codec.read(datagram);
     if (!segment)
         return state_->count(AgentRelayOutcome::DroppedMalformed);
+    state_->targetHeard = now;
     RelayFlow const flow = segment->returned ? RelayFlow { segment->source, segment->destination } : RelayFlow { segment->destination, segment->source };
     Work work { datagram, *segment, flow, hashRelayFlow(flow), {}, now, nowSeconds };
     return segment->returned ? state_->decideReturned(work) : state_->decideAnswer(work);
--- a/src/relay/TargetAnnouncements.cpp
+++ b/src/relay/TargetAnnouncements.cpp
@@ -70,6 +70,7 @@
     bool const isRecent = now - heard_ <= lease;
     state.announced = newest_.has_value();
     state.seenFromStart = isSeenFromStart_;
+    state.gone = !isRecent || (newest_ && newest_->leaving);
     state.slots = newest_ ? newest_->slots : assumedSlots;
     state.accepting = isRecent && (!newest_ || (!newest_->draining && !newest_->leaving));
     if (newest_ && newest_->coldFor > now - heard_)
--- a/src/runtime/RelayAgentDaemon.cpp
+++ b/src/runtime/RelayAgentDaemon.cpp
@@ -235,12 +235,10 @@
             });
         }
 
-        // A target that has ended does not come back under this name; otherwise a successor of this process will.
+        // Without a target nobody needs to find this agent; otherwise a successor of this process takes its place.
         void leaveIfDone()
         {
-            std::optional<TargetAnnouncement> const& newest = announcements_.newest();
-            bool const hasEnded = newest && newest->leaving;
-            if (!hasEnded)
+            if (!announcements_.state(std::chrono::steady_clock::now()).gone)
                 return;
             control_.leave(std::chrono::steady_clock::now());
             core_.sendControl(control_.takeMessages());
--- a/tests/AgentRelayTests.cpp
+++ b/tests/AgentRelayTests.cpp
@@ -284,6 +284,49 @@
     BOOST_TEST(scene.entries[0]->relay->foundTimes().total() == 0U);
 }
 
+// Targets that drained while the power was lost did not come back, but their agents did. These gave each lost flow to their
+// target and waited for it to return the segment, so that 1,053 callers had no answer for 12 s.
+BOOST_AUTO_TEST_CASE(AnAgentWithoutATargetDoesNotKeepAFlow)
+{
+    Scene scene(1, 4);
+    CallerFlow& flow = scene.open(0);
+    scene.runFor(1s);
+    restartTargetsAndAgents(scene);
+    Agent& lone = *scene.agents[2];
+    lone.target.up = false;
+    lone.state.accepting = false;
+    lone.state.announced = false;
+    lone.state.gone = true;
+    lone.relay->setTarget(lone.state, scene.now());
+    scene.startEntry(0);
+    scene.runFor(500ms);
+    scene.request(flow);
+    scene.runFor(100ms);
+    BOOST_TEST(isReset(flow));
+}
+
+// A target may be late with its announcement while it answers callers.
+BOOST_AUTO_TEST_CASE(ATargetThatStillAnswersIsNotGone)
+{
+    Scene scene(1, 3);
+    CallerFlow& first = scene.open(0);
+    std::vector<CallerFlow*> const others = openFlows(scene, 40);
+    scene.runFor(1s);
+    std::size_t const owner = ownerOf(scene, first);
+    CallerFlow* const second = *std::find_if(others.begin(), others.end(), [&](CallerFlow* flow) { return ownerOf(scene, *flow) == owner; });
+    scene.startAgent(owner);
+    scene.request(first);
+    scene.runFor(50ms);
+    Agent& agent = *scene.agents[owner];
+    agent.state.gone = true;
+    agent.relay->setTarget(agent.state, scene.now());
+    scene.startEntry(0);
+    scene.runFor(500ms);
+    scene.request(*second);
+    scene.runFor(100ms);
+    BOOST_TEST((isAnswered(first) && isAnswered(*second) && !isReset(*second)));
+}
+
 // The caller's end of a lost flow had no answer. It was repeated every 1.6 s, and each time all agents were asked.
 BOOST_AUTO_TEST_CASE(TheEndOfAFlowThatNobodyHoldsIsReset)
 {
--- a/tests/TargetAnnouncementsTests.cpp
+++ b/tests/TargetAnnouncementsTests.cpp
@@ -9,6 +9,7 @@
 using namespace std::chrono_literals;
 
 TimePoint const start { 1000s };
+constexpr std::chrono::milliseconds interval { 1200 };
 Endpoint const address { 0x0A02000CU, 8165 };
 
 TargetAnnouncement announcement(std::int64_t started, std::uint64_t sequence)
@@ -25,7 +26,7 @@
 
 TargetAnnouncements announcements()
 {
-    return { "desk", address, 1200ms, start };
+    return { "desk", address, interval, start };
 }
 
 } // namespace
@@ -91,6 +92,18 @@
     end.leaving = true;
     (void)kept.take(end, start);
     BOOST_TEST(!kept.state(start).accepting);
+    BOOST_TEST(kept.state(start).gone);
+}
+
+// Callers waited for agents whose targets had not come back after a loss of power.
+BOOST_AUTO_TEST_CASE(ATargetThatDoesNotAnnounceItselfIsGone)
+{
+    TargetAnnouncements kept = announcements();
+    BOOST_TEST(!kept.state(start + 2 * interval).gone);
+    BOOST_TEST(kept.state(start + 3 * interval).gone);
+    (void)kept.take(announcement(100, 1), start + 4 * interval);
+    BOOST_TEST(!kept.state(start + 6 * interval).gone);
+    BOOST_TEST(kept.state(start + 7 * interval).gone);
 }
 
 BOOST_AUTO_TEST_CASE(AColdStartEnds)
