One formula for a target's cost and expected time; unused state removed

No change of behaviour. targetCost and expectedTime computed service time, slots and wait twice; both call timeBehind now. TargetState::accepting follows from gone in place of repeating its conditions. A refused connection takes the next key by the modulo that opening it applies anyway. The report sorts the waits of a step once and takes its columns from the rows. Report.first and Machine.paused were never read. Six tests of AgentRelayTests shared the steps of an entry that starts anew; their checks and waits are the same.

Left as it is: the segment header in the stand-in and in platform/, so that the stand-in checks the format by its own copy.

--- a/scripts/division_bed.py
+++ b/scripts/division_bed.py
@@ -89,7 +89,6 @@
         self.service = service
         self.process = None
         self.proxy = None
-        self.paused = False
         self.planned_end = False  # the process was told to end, or killed
 
 
@@ -156,7 +155,6 @@
             output.write(self.settings(machine))
         role = "entry" if machine.service is None else "agent"
         machine.planned_end = False
-        machine.paused = False
         machine.process = self.launch(machine.name, [binary(f"plantaindrift-division-{role}"), f"--settings={path}"])
 
     def start_all(self):
--- a/scripts/fleet_report.py
+++ b/scripts/fleet_report.py
@@ -46,7 +46,6 @@
     def __init__(self, step_seconds):
         self.step_seconds = step_seconds
         self.steps = {}
-        self.first = None
         self.events = []  # (seconds, name of the process or file, event)
         self.left_out = 0
         self.unreadable = 0
@@ -96,12 +95,13 @@
         first, last = min(self.steps), max(self.steps)
         for index in range(first, last + 1):
             step = self.steps.get(index, Step())
+            waits = sorted(step.waits)
             yield {
                 "second": (index - first) * self.step_seconds,
                 **step.counts,
                 "use": step.use,
-                "wait_p50": quantile(step.waits, 0.5),
-                "wait_p99": quantile(step.waits, 0.99),
+                "wait_p50": quantile(waits, 0.5),
+                "wait_p99": quantile(waits, 0.99),
             }
 
     def events_by_second(self):
@@ -113,10 +113,10 @@
     return datetime.datetime.fromisoformat(text.replace("Z", "+00:00")).timestamp()
 
 
-def quantile(values, share):
-    if not values:
+def quantile(ordered, share):
+    if not ordered:
         return 0.0
-    return sorted(values)[min(len(values) - 1, math.floor(share * len(values)))]
+    return ordered[min(len(ordered) - 1, math.floor(share * len(ordered)))]
 
 
 def read_histograms(paths):
@@ -185,7 +185,7 @@
 
 
 def page_text(report, rows, histograms, picture):
-    columns = ["second", *COLUMNS, "other", "use", "wait_p50", "wait_p99"]
+    columns = list(rows[0])
     lines = ["# Report", "", f"![load, waits, refusals and flows]({picture})", "",
              f"{report.lines} lines; counts are of logged decisions, in steps of {report.step_seconds:g} s.", ""]
     if report.left_out:
--- a/src/relay/RequestCount.h
+++ b/src/relay/RequestCount.h
@@ -15,7 +15,7 @@
     /// \brief A request entered the target.
     void begin() noexcept { ++busy_; }
 
-    /// \brief The caller ended a request that the target could still have answered.
+    /// \brief A request ended, and nothing shows that the target failed it.
     void cancel() noexcept;
 
     /// \brief The target did not answer a request.
--- a/src/relay/TargetAnnouncements.cpp
+++ b/src/relay/TargetAnnouncements.cpp
@@ -72,7 +72,7 @@
     state.seenFromStart = isSeenFromStart_;
     state.gone = !isRecent || (newest_ && newest_->leaving);
     state.slots = newest_ ? newest_->slots : assumedSlots;
-    state.accepting = isRecent && (!newest_ || (!newest_->draining && !newest_->leaving));
+    state.accepting = !state.gone && (!newest_ || !newest_->draining);
     if (newest_ && newest_->coldFor > now - heard_)
         state.coldFor = std::chrono::duration_cast<std::chrono::milliseconds>(newest_->coldFor - (now - heard_));
     return state;
--- a/src/relay/TargetCost.cpp
+++ b/src/relay/TargetCost.cpp
@@ -24,25 +24,31 @@
 
     constexpr double mostTenths = 65535;
 
+    /// Service time and wait of a new request behind others.
+    ///
+    /// \param spread  further work at the target, in requests
+    double timeBehind(TargetLoad const& load, double requests, double spread) noexcept
+    {
+        double const service = load.serviceTenths > 0 ? load.serviceTenths : assumedServiceTenths;
+        double const slots = std::max<std::uint16_t>(load.slots, 1);
+        double const waiting = std::max(0.0, requests + 1 - slots);
+        return service * (1 + (waiting + spread) / slots);
+    }
+
 } // namespace
 
 double targetCost(TargetLoad const& load, std::uint32_t extra) noexcept
 {
-    double const service = load.serviceTenths > 0 ? load.serviceTenths : assumedServiceTenths;
-    double const slots = std::max<std::uint16_t>(load.slots, 1);
     double const requests = static_cast<double>(load.busy) + extra;
-    double const waiting = std::max(0.0, requests + 1 - slots);
-    double const spread = busyShare * std::min(requests, slots) + idleFlowShare * load.flows;
+    double const served = std::min<double>(requests, std::max<std::uint16_t>(load.slots, 1));
+    double const spread = busyShare * served + idleFlowShare * load.flows;
     double const failure = failureTenths * load.failedPercent / percentScale;
-    return service * (1 + (waiting + spread) / slots) + failure;
+    return timeBehind(load, requests, spread) + failure;
 }
 
 double expectedTime(TargetLoad const& load) noexcept
 {
-    double const service = load.serviceTenths > 0 ? load.serviceTenths : assumedServiceTenths;
-    double const slots = std::max<std::uint16_t>(load.slots, 1);
-    double const waiting = std::max(0.0, load.busy + 1 - slots);
-    return service * (1 + waiting / slots);
+    return timeBehind(load, load.busy, 0);
 }
 
 std::uint16_t toCostTenths(double cost) noexcept
--- a/src/runtime/ControlSocket.cpp
+++ b/src/runtime/ControlSocket.cpp
@@ -261,9 +261,8 @@
         if (!peer.isRefused || (!hasOtherKey && now - peer.opened < refusedRetryPeriod))
             return;
         TimePoint const lastUse = peer.lastUse;
-        std::size_t const next = hasOtherKey ? (peer.keyIndex + 1) % keys.size() : 0;
         peer.socket.set(zmq::sockopt::linger, 0);
-        peer = openPeer(to, next);
+        peer = openPeer(to, peer.keyIndex + 1);
         peer.lastUse = lastUse;
     }
 };
--- a/tests/AgentRelayTests.cpp
+++ b/tests/AgentRelayTests.cpp
@@ -54,6 +54,15 @@
     }
 }
 
+/// The entry starts anew and knows no flow; half a second later the caller sends a request.
+void requestThroughNewEntry(Scene& scene, CallerFlow& flow, Duration wait)
+{
+    scene.startEntry(0);
+    scene.runFor(500ms);
+    scene.request(flow);
+    scene.runFor(wait);
+}
+
 /// A caller's segment as an entry sends it to an agent.
 ///
 /// \param limitTenths  expected time above which the flow is not to be taken
@@ -184,10 +193,7 @@
     restartTargetsAndAgents(scene);
     for (std::unique_ptr<Agent> const& agent : scene.agents)
         agent->relay->setView(part);
-    scene.startEntry(0);
-    scene.runFor(500ms);
-    scene.request(flow);
-    scene.runFor(200ms);
+    requestThroughNewEntry(scene, flow, 200ms);
     BOOST_TEST(isReset(flow));
 }
 
@@ -275,10 +281,7 @@
     CallerFlow& flow = scene.open(0);
     scene.runFor(1s);
     restartTargetsAndAgents(scene);
-    scene.startEntry(0);
-    scene.runFor(500ms);
-    scene.request(flow);
-    scene.runFor(50ms);
+    requestThroughNewEntry(scene, flow, 50ms);
     BOOST_TEST(isReset(flow));
     BOOST_TEST(scene.entries[0]->relay->lostTimes().total() == 1U);
     BOOST_TEST(scene.entries[0]->relay->foundTimes().total() == 0U);
@@ -298,10 +301,7 @@
     lone.state.announced = false;
     lone.state.gone = true;
     lone.relay->setTarget(lone.state, scene.now());
-    scene.startEntry(0);
-    scene.runFor(500ms);
-    scene.request(flow);
-    scene.runFor(100ms);
+    requestThroughNewEntry(scene, flow, 100ms);
     BOOST_TEST(isReset(flow));
 }
 
@@ -320,10 +320,7 @@
     Agent& agent = *scene.agents[owner];
     agent.state.gone = true;
     agent.relay->setTarget(agent.state, scene.now());
-    scene.startEntry(0);
-    scene.runFor(500ms);
-    scene.request(*second);
-    scene.runFor(100ms);
+    requestThroughNewEntry(scene, *second, 100ms);
     BOOST_TEST((isAnswered(first) && isAnswered(*second) && !isReset(*second)));
 }
 
@@ -355,10 +352,7 @@
         scene.startAgent(index);
     }
     std::uint64_t const before = foreignSegments(scene);
-    scene.startEntry(0);
-    scene.runFor(500ms);
-    scene.request(flow);
-    scene.runFor(50ms);
+    requestThroughNewEntry(scene, flow, 50ms);
     BOOST_TEST(isReset(flow));
     // The agent that the entry asks tries its own target all the same.
     BOOST_TEST(foreignSegments(scene) - before == 1U);
@@ -392,10 +386,7 @@
     scene.runFor(1s);
     std::size_t const owner = ownerOf(scene, flow);
     scene.agents[owner]->up = false;
-    scene.startEntry(0);
-    scene.runFor(500ms);
-    scene.request(flow);
-    scene.runFor(1s);
+    requestThroughNewEntry(scene, flow, 1s);
     BOOST_TEST(!isReset(flow));
 }
 
