--- a/fuzz/FuzzDatagrams.cpp
+++ b/fuzz/FuzzDatagrams.cpp
@@ -140,6 +140,8 @@
         require(decoded.route.candidateCount <= maximumRelayCandidates);
         require(decoded.flowOwnerCount() <= maximumFlowOwners);
         require(decoded.searchedAgents().size() <= maximumSearchedAgents);
+        require(decoded.queriedFlows().size() <= maximumQueriedFlows);
+        require(decoded.possibleFlowBytes.size() <= maximumQueriedFlows);
     }
 }
 
--- a/include/plantaindrift/relay/AgentRelay.h
+++ b/include/plantaindrift/relay/AgentRelay.h
@@ -28,7 +28,7 @@
     ForwardedUnverified, ///< unknown flow, delivered to the local target, which returns the segment if it does not hold the flow
     ForwardedOpening, ///< opening segment, sent on to another agent
     ForwardedToOwner, ///< flow that another agent owns
-    SearchStarted, ///< unknown flow; all agents of the service are queried
+    SearchStarted, ///< unknown flow; forwarded to all agents that an entry named
     ForwardedAnswer, ///< answer of the local target, sent to the caller
     Refused, ///< the caller received a reset: no flow was opened
     RefusedOverLimit, ///< the expected time exceeds the latency limit; the caller received a reset: no flow was opened
@@ -60,6 +60,7 @@
     bool isAccepting { false }; ///< running, not draining, and of the agent's service
     bool isAnnounced { false }; ///< the target has announced itself since this process started; otherwise the state is assumed
     bool isGone { false }; ///< the target left, or its announcements stopped
+    bool hasLeft { false }; ///< the target announced its end
     bool isStartObserved { false }; ///< the target started after this process, so that this process knows all of its flows
     std::uint16_t slots { 1 };
     std::uint32_t maximumConnections { 2000 };
@@ -104,6 +105,15 @@
 
     [[nodiscard]] TargetLoad load() const noexcept;
 
+    /// \brief Whether the target has shown itself since this process started.
+    enum class TargetActivity : std::uint8_t {
+        Unknown, ///< no announcement and no segment yet
+        Running,
+        Unresponsive ///< no announcement, and segments delivered to it had no effect
+    };
+
+    [[nodiscard]] TargetActivity targetActivity(TimePoint now) const noexcept;
+
     /// \brief Number of segments for each outcome since start.
     [[nodiscard]] std::array<std::uint64_t, agentRelayOutcomeCount> const& outcomeCounts() const noexcept;
 
--- a/include/plantaindrift/relay/EntryRelay.h
+++ b/include/plantaindrift/relay/EntryRelay.h
@@ -98,6 +98,9 @@
 
     [[nodiscard]] std::size_t flowCount() const noexcept;
 
+    /// \brief Number of messages that searches sent to agents since start.
+    [[nodiscard]] std::uint64_t searchMessageCount() const noexcept;
+
     /// \brief Times from a search's first segment to the notice of the owner, since start.
     [[nodiscard]] LatencyHistogram const& successfulSearchTimes() const noexcept;
 
--- a/src/relay/AgentRelay.cpp
+++ b/src/relay/AgentRelay.cpp
@@ -43,6 +43,13 @@
     // Announcements of a target that still serves may be late; segments of its flows are more frequent.
     constexpr std::chrono::seconds targetSilenceTimeout { 3 };
 
+    // For this long after a start, entries take the restart of most machines of a service for a power loss.
+    constexpr std::chrono::seconds restartPeriod { 10 };
+
+    // A target returns a segment within milliseconds.
+    constexpr std::uint32_t unresponsiveDeliveries = 3;
+    constexpr std::chrono::milliseconds unresponsiveTimeout { 500 };
+
     constexpr std::size_t returnableDeliveryCount = 1024;
     constexpr std::size_t maximumOwnerRecords = 1U << 15U;
 
@@ -108,6 +115,8 @@
     TargetState target;
     bool isStopping { false };
     TimePoint lastTargetSegment; ///< time of the last segment that the target sent or returned
+    std::uint32_t unansweredDeliveries { 0 }; ///< deliveries since the target's last segment
+    TimePoint firstUnanswered; ///< time of the first of them
     bool hasReturnedOpening { false }; ///< the target returned an opening segment before its first announcement
     TimePoint admissionPausedUntil; ///< the target returned an opening segment: it is full or still starting
     TimePoint currentTime; ///< time of the last call
@@ -129,6 +138,13 @@
         return target.isAccepting && !isStopping && !isAdmissionPaused && flows.size() < target.maximumConnections;
     }
 
+    /// True if the target has not announced itself since this process started and does not react to segments. A
+    /// running target answers or returns each of them.
+    [[nodiscard]] bool isTargetUnresponsive(TimePoint now) const noexcept
+    {
+        return !target.isAnnounced && unansweredDeliveries >= unresponsiveDeliveries && now - firstUnanswered >= unresponsiveTimeout;
+    }
+
     [[nodiscard]] TargetLoad load() const noexcept
     {
         TargetLoad load;
@@ -138,6 +154,11 @@
         load.openFlows = static_cast<std::uint16_t>(std::min<std::size_t>(flows.openCount(), std::numeric_limits<std::uint16_t>::max()));
         load.serviceTimeTenthMs = flows.requests().serviceTimeTenthMs();
         load.failedPercent = flows.requests().failedPercent();
+        // Queries reach a running agent, so that only its last report has to say this.
+        load.hasEnded = isStopping && (target.hasLeft || isTargetUnresponsive(currentTime));
+        load.isMachineRestarted = target.isStartObserved && currentTime - started < restartPeriod;
+        load.isWithdrawn = target.isAnnounced && !target.isAccepting;
+        load.isAssumed = !target.isAnnounced;
         return load;
     }
 
@@ -180,6 +201,8 @@
     PacketVerdict deliver(SegmentContext const& context, AgentRelayOutcome outcome, bool isReturnable) noexcept
     {
         ++outcomes[static_cast<std::size_t>(outcome)];
+        if (unansweredDeliveries++ == 0)
+            firstUnanswered = context.now;
         if (outcome != AgentRelayOutcome::Delivered)
             notifyObserver(context, outcome, options.targetEndpoint);
         std::uint32_t token = 0;
@@ -369,26 +392,40 @@
             context.route.candidateCount = 0;
             return forward(context, ownerRecord->owner, AgentRelayOutcome::ForwardedToOwner);
         }
-        bool const mayHoldFlow = mayTargetHoldFlow(context);
-        if (context.route.searchMode == RelaySearchMode::Start || context.route.searchMode == RelaySearchMode::OwnerKnown)
-            queryAgents(context, peerAgents());
+        bool const isFlowSetKnown = target.isStartObserved && context.route.searchMode == RelaySearchMode::ReportOnly;
+        bool const mayHoldFlow = mayTargetHoldOldFlows(context.now) && !isFlowSetKnown;
         return mayHoldFlow ? deliver(context, AgentRelayOutcome::ForwardedUnverified, true) : reportNotFound(context);
     }
 
     /// After a restart of this process, only the target knows its older flows. After a power loss both are new, and
     /// every lost flow is searched for at all agents.
-    [[nodiscard]] bool mayTargetHoldFlow(SegmentContext const& context) const noexcept
+    [[nodiscard]] bool mayTargetHoldOldFlows(TimePoint now) const noexcept
     {
-        bool const isRecentlyStarted = context.now - started < platformFlowTimeout;
-        bool const isFlowSetKnown = target.isStartObserved && context.route.searchMode == RelaySearchMode::ReportOnly;
+        bool const isRecentlyStarted = now - started < platformFlowTimeout;
         // A target that is gone returns nothing, and the search would wait for it.
-        bool const isGone = target.isGone && context.now - lastTargetSegment >= targetSilenceTimeout;
-        return isRecentlyStarted && !isFlowSetKnown && !isGone;
+        bool const isGone = target.isGone && now - lastTargetSegment >= targetSilenceTimeout;
+        return isRecentlyStarted && !isGone && !isTargetUnresponsive(now);
+    }
+
+    /// Replies which of the flows the target may hold; their segments are to be sent here.
+    void replyToQuery(DecodedRelayMessage const& decoded, Endpoint entry, TimePoint now, std::uint32_t nowSeconds)
+    {
+        std::vector<std::uint64_t> const queried = decoded.queriedFlows();
+        bool const isAnyPossible = mayTargetHoldOldFlows(now) && !target.isStartObserved;
+        std::vector<std::uint8_t> possible;
+        for (std::size_t index = 0; index < queried.size(); ++index) {
+            TargetFlow const* const record = flows.find(queried[index]);
+            if (record != nullptr ? !record->isLost : isAnyPossible)
+                possible.push_back(static_cast<std::uint8_t>(index));
+        }
+        std::array<std::byte, maximumRelayMessageBytes> message;
+        std::size_t const bytes = writeRelayFlowQueryReply(service, decoded.queryNumber, possible, { options.keys, nowSeconds }, message);
+        sender.send(entry, std::span<std::byte const>(message).first(bytes));
     }
 
-    /// Queries the agents in parallel: any of them may own the flow, and some may not reply. Agents do this for
-    /// entries because they have faster links.
-    void queryAgents(SegmentContext& context, std::span<Endpoint const> agents) noexcept
+    /// Forwards the segment to agents whose targets may hold the flow. Agents do this for entries because they have
+    /// faster links.
+    void forwardToAgents(SegmentContext& context, std::span<Endpoint const> agents) noexcept
     {
         ++outcomes[static_cast<std::size_t>(AgentRelayOutcome::SearchStarted)];
         notifyObserver(context, AgentRelayOutcome::SearchStarted, {});
@@ -403,15 +440,6 @@
         }
     }
 
-    [[nodiscard]] std::vector<Endpoint> peerAgents() const
-    {
-        std::vector<Endpoint> agents;
-        agents.reserve(peers.size());
-        for (Peer const& peer : peers)
-            agents.push_back(peer.agent);
-        return agents;
-    }
-
     /// Reports to the entry that the flow is not found here; the entry resets the flow if no target holds it.
     PacketVerdict reportNotFound(SegmentContext const& context) noexcept
     {
@@ -576,6 +604,7 @@
 
 void AgentRelay::stopAccepting(TimePoint now, std::uint32_t nowSeconds)
 {
+    state_->currentTime = now;
     state_->isStopping = true;
     state_->sendLoadReportToAll(now, nowSeconds);
 }
@@ -590,6 +619,12 @@
         state_->renewSubscription(from, decoded.loadInterval, now, nowSeconds);
         return {};
     }
+    if (decoded.kind == RelayMessageKind::FlowQuery) {
+        if (decoded.serviceHash != state_->service)
+            return state_->countOutcome(AgentRelayOutcome::DroppedWrongService);
+        state_->replyToQuery(decoded, from, now, nowSeconds);
+        return {};
+    }
     if (decoded.kind == RelayMessageKind::FlowOwners) {
         state_->recordOwners(decoded, now);
         return {};
@@ -603,7 +638,7 @@
     RelayFlow const flow { segment->source, segment->destination };
     SegmentContext context { decoded.segment, *segment, flow, hashRelayFlow(flow), decoded.route, now, nowSeconds };
     if (isSearchRequest && state_->flows.find(context.hash) == nullptr)
-        state_->queryAgents(context, decoded.searchedAgents());
+        state_->forwardToAgents(context, decoded.searchedAgents());
     return segment->isOpenRequest() ? state_->processOpening(context) : state_->processLater(context);
 }
 
@@ -614,6 +649,7 @@
     if (!segment)
         return state_->countOutcome(AgentRelayOutcome::DroppedMalformed);
     state_->lastTargetSegment = now;
+    state_->unansweredDeliveries = 0;
     RelayFlow const flow = segment->isReturned ? RelayFlow { segment->source, segment->destination } : RelayFlow { segment->destination, segment->source };
     SegmentContext context { datagram, *segment, flow, hashRelayFlow(flow), {}, now, nowSeconds };
     return segment->isReturned ? state_->processReturned(context) : state_->processAnswer(context);
@@ -627,6 +663,14 @@
     state_->sweep(now);
 }
 
+AgentRelay::TargetActivity AgentRelay::targetActivity(TimePoint now) const noexcept
+{
+    if (state_->isTargetUnresponsive(now))
+        return TargetActivity::Unresponsive;
+    bool const isRunning = state_->target.isAnnounced || state_->lastTargetSegment != TimePoint {};
+    return isRunning ? TargetActivity::Running : TargetActivity::Unknown;
+}
+
 TargetLoad AgentRelay::load() const noexcept
 {
     return state_->load();
--- a/src/relay/EntryRelay.cpp
+++ b/src/relay/EntryRelay.cpp
@@ -3,7 +3,7 @@
 #include "plantaindrift/base/Hash.h"
 #include "relay/AddressRoutes.h"
 #include "relay/HashTable.h"
-#include "relay/OwnerSearch.h"
+#include "relay/OwnerSearches.h"
 #include "relay/TargetCost.h"
 #include "relay/TargetDirectory.h"
 
@@ -25,25 +25,6 @@
     // A caller keeps a flow open for at most 60 s without a packet.
     constexpr std::chrono::seconds flowIdleTimeout { 60 };
 
-    // Agents reply to a search within milliseconds.
-    constexpr std::chrono::milliseconds firstReplyTimeout { 30 };
-    constexpr std::chrono::milliseconds searchRoundTimeout { 150 };
-
-    // Maximum number of agents that an entry queries itself. Its link may be narrow: queries to all 43 agents of a
-    // service for each of its flows fill 10 Mbit/s.
-    constexpr std::size_t maximumDirectQueries = 4;
-
-    constexpr std::size_t maximumSearches = 1024;
-
-    // Gossip propagates a join to all entries within this time.
-    constexpr std::chrono::milliseconds viewSettleDelay { 300 };
-
-    // A running entry may lack a target whose record is delayed by the control budget, so it declares a flow lost only
-    // after the search has lasted this long. A newly started entry has read the members from the store, and after a
-    // power loss most searches are for lost flows.
-    constexpr std::chrono::seconds startupPeriod { 10 };
-    constexpr std::chrono::seconds minimumLostSearchTime { 3 };
-
     // For flows that end sooner, sending the owner to agents would cost more than a search.
     constexpr std::chrono::milliseconds minimumSharedFlowAge { 300 };
     constexpr std::chrono::seconds ownerShareInterval { 20 };
@@ -81,6 +62,7 @@
         , sender(messageSender)
         , observer(decisionObserver)
         , directory(given.dataCentre, given.randomSeed)
+        , searches(given.ownEndpoint, directory, messageSender, decisionObserver)
         , flows(given.maximumFlows)
     {
     }
@@ -99,18 +81,13 @@
     RelaySender& sender;
     RelayObserver& observer;
     TargetDirectory directory;
+    OwnerSearches searches;
     HashTable<FlowRecord> flows;
-    HashTable<OwnerSearch> searches { maximumSearches }; ///< searches in progress
-    LatencyHistogram foundTimes;
-    LatencyHistogram lostTimes;
     AddressRoutes routes;
     std::array<std::uint64_t, entryRelayOutcomeCount> outcomes {};
     std::array<std::byte, maximumRelayHeaderBytes> header {};
     std::array<std::byte, 64> resetBuffer {};
-    std::array<std::byte, maximumRelayMessageBytes + OwnerSearch::maximumKeptSegmentBytes> queryBuffer {};
-    TimePoint firstTick;
     TimePoint lastSweep;
-    bool viewsComplete { false };
 
     PacketVerdict countOutcome(EntryRelayOutcome outcome) noexcept
     {
@@ -178,6 +155,7 @@
         TargetGroup* const service = serviceOf(context);
         if (service == nullptr)
             return refuse(context, EntryRelayOutcome::RefusedNoRoute, EntryRelayOutcome::DroppedNoRoute);
+        searches.forget(context.hash);
         FlowRecord* record = flows.find(context.hash);
         RelayRoute route;
         route.serviceHash = service->hash;
@@ -231,107 +209,55 @@
         return forward(context, route, EntryRelayOutcome::ForwardedToOwner);
     }
 
-    /// Sends the segment to an agent that ranks high for the flow. Entries send the owners of flows to these agents;
-    /// an agent that does not know the owner queries the other agents.
+    /// Sends the segment to an agent that ranks high for the flow: entries send the owners of flows to these agents.
     PacketVerdict search(SegmentContext const& context)
     {
         TargetGroup* const service = serviceOf(context);
         if (service == nullptr)
             return drop(context, EntryRelayOutcome::DroppedNoRoute);
-        OwnerSearch* search = searches.find(context.hash);
-        bool const isNew = search == nullptr;
-        if (isNew)
-            search = searches.insert(context.hash);
-        if (search == nullptr)
-            return drop(context, EntryRelayOutcome::DroppedNoTarget);
-        search->segment = context.segment;
-        if (isNew)
-            search->started = context.now;
-        bool const isStart = isNew || context.now - search->asked >= searchRoundTimeout;
-        if (isStart && !isNew)
-            ++search->rank;
-        if (isStart)
-            search->begin(context.datagram, context.now);
-        DirectoryTarget const* const target = directory.findRanked(*service, context.hash, search->rank, context.now);
-        if (target == nullptr)
+        SearchStep const step = searches.advance(*service, context.segment, context.datagram, context.hash, context.now);
+        if (step.isLost) {
+            resetLostFlow(context);
+            return {};
+        }
+        if (!step.agent.isSet())
             return drop(context, EntryRelayOutcome::DroppedNoTarget);
         RelayRoute route;
         route.serviceHash = service->hash;
-        route.searchMode = isStart ? RelaySearchMode::Start : RelaySearchMode::FollowOnly;
-        route.candidates[route.candidateCount++] = { target->agent, 0 };
+        route.searchMode = step.isStart ? RelaySearchMode::Start : RelaySearchMode::FollowOnly;
+        route.candidates[route.candidateCount++] = { step.agent, 0 };
         return forward(context, route, EntryRelayOutcome::ForwardedForSearch);
     }
 
-    /// The agent queried first may be dead, or may not know all other agents.
-    void continueSearch(TargetGroup const& service, OwnerSearch& search, SegmentContext const& context)
-    {
-        search.isContinued = true;
-        std::vector<Endpoint> const missing = search.missing(service);
-        bool const isFirstAgentSilent = missing.size() > maximumDirectQueries;
-        if (isFirstAgentSilent) {
-            if (DirectoryTarget const* const next = directory.findRanked(service, context.hash, ++search.rank, context.now))
-                sendSearchRequest(service, next->agent, missing, search, context.nowSeconds);
-            return;
-        }
-        for (Endpoint const agent : missing)
-            sendQuery(service, agent, search, context.nowSeconds);
-    }
-
-    /// Agents learn of new targets later than entries, so the request names the agents to query.
-    void sendSearchRequest(TargetGroup const& service, Endpoint agent, std::span<Endpoint const> missing, OwnerSearch const& search, std::uint32_t nowSeconds) noexcept
-    {
-        std::span<std::byte const> const segment = search.keptSegment();
-        sendWithSegment(agent, segment, writeRelaySearchRequest(service.hash, options.ownEndpoint, missing, segment, { options.keys, nowSeconds }, queryBuffer));
-    }
-
-    void sendQuery(TargetGroup const& service, Endpoint agent, OwnerSearch const& search, std::uint32_t nowSeconds) noexcept
-    {
-        std::span<std::byte const> const segment = search.keptSegment();
-        RelayRoute route;
-        route.serviceHash = service.hash;
-        route.entry = options.ownEndpoint;
-        route.searchMode = RelaySearchMode::ReportOnly;
-        sendWithSegment(agent, segment, writeRelayPacket(route, segment, { options.keys, nowSeconds }, queryBuffer));
-    }
-
-    /// \param header  length of the header at the start of the probe buffer, before the segment
-    void sendWithSegment(Endpoint to, std::span<std::byte const> segment, std::size_t header) noexcept
-    {
-        std::copy(segment.begin(), segment.end(), queryBuffer.begin() + static_cast<std::ptrdiff_t>(header));
-        sender.send(to, std::span<std::byte const>(queryBuffer).first(header + segment.size()));
-    }
-
-    void processNotFound(Endpoint from, RelayFlow const& flow, TimePoint now, std::uint32_t nowSeconds)
+    void processNotFound(Endpoint from, RelayFlow const& flow, TimePoint now)
     {
         std::uint64_t const hash = hashRelayFlow(flow);
-        OwnerSearch* const search = searches.find(hash);
-        TargetGroup const* const group = directory.findServiceOf(from);
-        if (search == nullptr || group == nullptr)
+        searches.processNotFound(from, hash, now);
+        FlowRecord* const record = flows.find(hash);
+        if (record == nullptr || record->owner != from)
             return;
-        TargetGroup const& service = *group;
-        SegmentContext const context { {}, search->segment, hash, now, nowSeconds };
-        search->markNotFound(service, from);
-        if (!isLost(service, *search, now))
-            return;
-        bool const isReset = search->segment.isReset;
-        lostTimes.observe(now - search->started);
-        searches.erase(*search);
-        // A reset is sent even for a closing segment: without an answer, the caller retransmits it many times, and
-        // each one starts a search. A caller that reset the flow itself needs none.
-        if (!isReset)
-            resetLostFlow(context);
+        // The flow may be open at the target that was offered an earlier copy of the opening segment; otherwise the
+        // caller's next segment starts a search.
+        bool const mayBeAtPrevious = record->previousOwner.isSet() && record->previousOwner != from;
+        if (mayBeAtPrevious)
+            record->owner = std::exchange(record->previousOwner, {});
+        else
+            flows.erase(*record);
     }
 
-    /// True if no target of a complete view holds the flow.
-    [[nodiscard]] bool isLost(TargetGroup const& service, OwnerSearch const& search, TimePoint now) const noexcept
+    /// Resets the callers of flows that no target holds.
+    void resetLostFlows(TimePoint now, std::uint32_t nowSeconds)
     {
-        bool const isViewSettled = viewsComplete && now - service.viewChanged >= viewSettleDelay;
-        bool const isSearchLongEnough = now - firstTick < startupPeriod || now - search.started >= minimumLostSearchTime;
-        return isViewSettled && isSearchLongEnough && search.isNotFoundEverywhere(service, directory.goneTimeout(), now);
+        for (LostFlow const& lost : searches.takeLostFlows())
+            resetLostFlow({ {}, lost.segment, lost.hash, now, nowSeconds });
     }
 
+    /// A reset is sent even for a closing segment: without an answer, the caller retransmits it many times. A caller
+    /// that reset the flow itself needs none.
     void resetLostFlow(SegmentContext const& context) noexcept
     {
+        if (context.segment.isReset)
+            return;
         notifyObserver(context, EntryRelayOutcome::ResetLostFlow, {}, 0);
         ++outcomes[static_cast<std::size_t>(EntryRelayOutcome::ResetLostFlow)];
         codec.writeReset(context.segment, resetBuffer);
@@ -343,10 +269,7 @@
     void recordOwner(Endpoint from, RelayFlow const& flow, TimePoint now)
     {
         std::uint64_t const hash = hashRelayFlow(flow);
-        if (OwnerSearch* const search = searches.find(hash)) {
-            foundTimes.observe(now - search->started);
-            searches.erase(*search);
-        }
+        searches.recordFound(hash, now);
         FlowRecord* const record = insertFlow(hash, flow, now);
         if (record == nullptr)
             return;
@@ -357,6 +280,27 @@
         record->isConfirmed = true;
     }
 
+    /// \returns false if the message is not meant for an entry
+    bool processDecodedMessage(Endpoint from, DecodedRelayMessage const& decoded, TimePoint now, std::uint32_t nowSeconds)
+    {
+        switch (decoded.kind) {
+        case RelayMessageKind::FlowNotFound:
+            processNotFound(from, decoded.flow, now);
+            return true;
+        case RelayMessageKind::FlowQueryReply:
+            return searches.processQueryReply(from, decoded, now, { options.keys, nowSeconds });
+        case RelayMessageKind::OwnerNotice:
+            directory.recordLoad(from, decoded.load, now);
+            recordOwner(from, decoded.flow, now);
+            return true;
+        case RelayMessageKind::LoadReport:
+            directory.recordLoad(from, decoded.load, now);
+            return true;
+        default:
+            return false;
+        }
+    }
+
     // ---- periodic steps ----
 
     void subscribe(TimePoint now, std::uint32_t nowSeconds)
@@ -367,18 +311,6 @@
             sender.send(agent, std::span<std::byte const>(message).first(bytes));
     }
 
-    void continueSearches(TimePoint now, std::uint32_t nowSeconds)
-    {
-        searches.forEach([this, now, nowSeconds](OwnerSearch& search) {
-            bool const isDue = !search.isContinued && !search.keptSegment().empty() && now - search.asked >= firstReplyTimeout;
-            if (!isDue)
-                return;
-            SegmentContext const context { {}, search.segment, search.hash, now, nowSeconds };
-            if (TargetGroup const* const service = serviceOf(context))
-                continueSearch(*service, search, context);
-        });
-    }
-
     /// Sends owners of flows to agents, so that another entry finds an owner at once.
     void sendFlowOwners(TimePoint now, std::uint32_t nowSeconds)
     {
@@ -440,7 +372,6 @@
             return;
         lastSweep = now;
         flows.eraseIf([now](FlowRecord const& record) { return now - record.last > flowIdleTimeout; });
-        searches.eraseIf([now, sweepInterval](OwnerSearch const& search) { return now - search.asked > sweepInterval; });
     }
 };
 
@@ -458,14 +389,13 @@
 
 void EntryRelay::setView(ServiceView const& view, TimePoint now)
 {
-    state_->directory.setView(view, now);
-    // Searches in progress refer to targets by their old indices.
-    state_->searches.forEach([](OwnerSearch& search) { search.clearReplies(); });
+    std::vector<std::uint32_t> const newIndices = state_->directory.setView(view, now);
+    state_->searches.renumberTargets(state_->directory.findOrAddService(view.service), newIndices);
 }
 
 void EntryRelay::setViewsComplete(bool complete) noexcept
 {
-    state_->viewsComplete = complete;
+    state_->searches.setViewsComplete(complete);
 }
 
 void EntryRelay::setKeys(KeyRing const& keys)
@@ -485,25 +415,19 @@
 bool EntryRelay::processAgentMessage(Endpoint from, std::span<std::byte const> datagram, TimePoint now, std::uint32_t nowSeconds) noexcept
 {
     DecodedRelayMessage const decoded = decodeRelayMessage(datagram, state_->options.keys, nowSeconds);
-    if (decoded.error == DatagramError::None && decoded.kind == RelayMessageKind::FlowNotFound) {
-        state_->processNotFound(from, decoded.flow, now, nowSeconds);
-        return true;
-    }
-    bool const isKnown = decoded.kind == RelayMessageKind::OwnerNotice || decoded.kind == RelayMessageKind::LoadReport;
-    if (decoded.error != DatagramError::None || !isKnown)
+    if (decoded.error != DatagramError::None)
         return false;
-    state_->directory.recordLoad(from, decoded.load, now);
-    if (decoded.kind == RelayMessageKind::OwnerNotice)
-        state_->recordOwner(from, decoded.flow, now);
-    return true;
+    bool const isExpected = state_->processDecodedMessage(from, decoded, now, nowSeconds);
+    state_->searches.sendQueries(now, { state_->options.keys, nowSeconds });
+    state_->resetLostFlows(now, nowSeconds);
+    return isExpected;
 }
 
 void EntryRelay::tick(TimePoint now, std::uint32_t nowSeconds)
 {
-    if (state_->firstTick == TimePoint {})
-        state_->firstTick = now;
     state_->subscribe(now, nowSeconds);
-    state_->continueSearches(now, nowSeconds);
+    state_->searches.tick(now, { state_->options.keys, nowSeconds });
+    state_->resetLostFlows(now, nowSeconds);
     state_->sendFlowOwners(now, nowSeconds);
     state_->sweep(now);
 }
@@ -523,14 +447,19 @@
     return state_->flows.size();
 }
 
+std::uint64_t EntryRelay::searchMessageCount() const noexcept
+{
+    return state_->searches.messageCount();
+}
+
 LatencyHistogram const& EntryRelay::successfulSearchTimes() const noexcept
 {
-    return state_->foundTimes;
+    return state_->searches.successfulTimes();
 }
 
 LatencyHistogram const& EntryRelay::failedSearchTimes() const noexcept
 {
-    return state_->lostTimes;
+    return state_->searches.failedTimes();
 }
 
 } // namespace plantaindrift
--- a/src/relay/OwnerSearch.cpp
+++ b/src/relay/OwnerSearch.cpp
@@ -1,63 +1,53 @@
 #include "relay/OwnerSearch.h"
 
-#include <algorithm>
-#include <chrono>
-
 namespace plantaindrift {
 
-namespace {
-
-    // A running target refutes a false suspicion within this time.
-    constexpr std::chrono::seconds deadConfirmationTime { 10 };
-
-    // Every 100 ms an entry subscribes to an agent from which it has no load report yet, and a running agent replies
-    // at once. An agent that never replied within this time is gone, and searches do not wait for it.
-    constexpr std::chrono::milliseconds firstReportTimeout { 2500 };
+void OwnerSearch::begin(std::span<std::byte const> datagram, TimePoint now)
+{
+    forwarded = now;
+    kept_.clear();
+    if (datagram.size() <= maximumKeptSegmentBytes)
+        kept_.assign(datagram.begin(), datagram.end());
+}
 
-} // namespace
+void OwnerSearch::markNotFound(std::size_t target)
+{
+    notFound_.insert(target);
+    possible_.erase(target);
+}
 
-void OwnerSearch::begin(std::span<std::byte const> datagram, TimePoint now) noexcept
+bool OwnerSearch::markPossible(std::size_t target)
 {
-    asked = now;
-    isContinued = false;
-    notFound_ = {};
-    keptBytes_ = 0;
-    if (datagram.size() > kept_.size())
-        return;
-    std::copy(datagram.begin(), datagram.end(), kept_.begin());
-    keptBytes_ = static_cast<std::uint16_t>(datagram.size());
+    if (hasReplied(target))
+        return false;
+    possible_.insert(target);
+    return true;
 }
 
-void OwnerSearch::markNotFound(TargetGroup const& service, Endpoint agent) noexcept
+void OwnerSearch::renumber(std::span<std::uint32_t const> newIndices)
 {
-    for (std::size_t index = 0; index < std::min(service.targets.size(), maximumTrackedTargets); ++index) {
-        if (service.targets[index].agent == agent)
-            notFound_[index / 64] |= std::uint64_t { 1 } << (index % 64);
-    }
+    notFound_.renumber(newIndices);
+    possible_.renumber(newIndices);
 }
 
-std::vector<Endpoint> OwnerSearch::missing(TargetGroup const& service) const
+std::vector<Endpoint> OwnerSearch::possibleOwners() const
 {
     std::vector<Endpoint> agents;
-    for (std::size_t index = 0; index < std::min(service.targets.size(), maximumTrackedTargets); ++index) {
-        if (!isNotFound(index))
-            agents.push_back(service.targets[index].agent);
+    for (std::size_t index = 0; index < group->targets.size(); ++index) {
+        if (possible_.contains(index))
+            agents.push_back(group->targets[index].agent);
     }
     return agents;
 }
 
-bool OwnerSearch::isNotFoundEverywhere(TargetGroup const& service, Duration goneTimeout, TimePoint now) const noexcept
+DirectoryTarget const* OwnerSearch::findPossibleOwner(TargetDirectory const& directory, TimePoint now) const noexcept
 {
-    if (service.targets.size() > maximumTrackedTargets)
-        return false;
-    for (std::size_t index = 0; index < service.targets.size(); ++index) {
-        DirectoryTarget const& target = service.targets[index];
-        bool const isConfirmedDead = target.dead && now - target.deadSince > deadConfirmationTime;
-        bool const isGone = target.hasReported ? now - target.lastReport > goneTimeout : now - target.added > firstReportTimeout;
-        if (!isConfirmedDead && !isGone && !isNotFound(index))
-            return false;
+    for (std::size_t index = 0; index < group->targets.size(); ++index) {
+        DirectoryTarget const& target = group->targets[index];
+        if (!notFound_.contains(index) && directory.mayHoldFlows(*group, target, now))
+            return &target;
     }
-    return true;
+    return nullptr;
 }
 
 } // namespace plantaindrift
--- a/src/relay/OwnerSearch.h
+++ b/src/relay/OwnerSearch.h
@@ -2,8 +2,9 @@
 
 #include "plantaindrift/relay/Segment.h"
 #include "relay/TargetDirectory.h"
+#include "relay/TargetSet.h"
 
-#include <array>
+#include <chrono>
 #include <cstddef>
 #include <cstdint>
 #include <span>
@@ -11,48 +12,62 @@
 
 namespace plantaindrift {
 
-/// \brief Maximum number of targets that a search tracks; in services with more, lost flows are not reset.
-inline constexpr std::size_t maximumTrackedTargets = 256;
-
-/// \brief Search of an entry for the owner of a flow, with the agents that reported that they do not hold it.
+/// \brief Search of an entry for the owner of a flow, with what the agents of its service replied.
 struct OwnerSearch {
     std::uint64_t hash { 0 };
     bool used { false };
-    bool isContinued { false }; ///< further agents were queried because the first reply was late
-    std::uint8_t rank { 0 }; ///< rank of the queried agent for the flow
+    bool isLost { false }; ///< no target holds the flow
+    bool isQueued { false }; ///< the flow is in the next query
+    bool wasQueried { false };
+    bool needsForwarder { false }; ///< more agents have to receive the segment than the entry sends it to
+    std::uint8_t rank { 0 }; ///< rank of the agent that receives the caller's segments
+    TargetGroup const* group { nullptr }; ///< the flow's service
     TimePoint started; ///< time of the caller's first segment
-    TimePoint asked;
+    TimePoint forwarded; ///< time when a segment was last forwarded as the start of a round
+    TimePoint lastSegment; ///< time of the caller's last segment
+    TimePoint queried; ///< time of the last query
+    Duration queryInterval {}; ///< time until agents that have not replied are queried again
+    std::uint32_t directlySent { 0 }; ///< number of agents to which the entry sent the segment itself
     Segment segment; ///< last segment of the caller
 
-    /// \brief Starts a round of queries; keeps a copy of the segment unless it is too long.
-    void begin(std::span<std::byte const> datagram, TimePoint now) noexcept;
+    /// \brief Starts a round with a segment of the caller; keeps a copy of it unless it is too long.
+    void begin(std::span<std::byte const> datagram, TimePoint now);
 
     /// \brief The copy of the segment; empty if it was too long.
-    [[nodiscard]] std::span<std::byte const> keptSegment() const noexcept { return std::span<std::byte const>(kept_).first(keptBytes_); }
-
-    /// \brief Records that an agent's target does not hold the flow.
-    void markNotFound(TargetGroup const& service, Endpoint agent) noexcept;
+    [[nodiscard]] std::span<std::byte const> keptSegment() const noexcept { return kept_; }
 
-    /// \brief Discards the replies, because the indices of the targets change.
-    void clearReplies() noexcept { notFound_ = {}; }
+    /// \brief Records that a target does not hold the flow.
+    void markNotFound(std::size_t target);
 
-    /// \brief Agents that have not replied.
-    [[nodiscard]] std::vector<Endpoint> missing(TargetGroup const& service) const;
+    /// \brief Records that a target may hold the flow, so that its agent has to receive the segment.
+    ///
+    /// \returns false if that was known or if the target has reported that it does not hold the flow
+    bool markPossible(std::size_t target);
 
-    /// \brief True if every target that may be running has replied.
+    /// \brief Follows a change of the service's target list.
     ///
-    /// \param goneTimeout  time without a load report after which a target that sent reports before is considered gone
-    [[nodiscard]] bool isNotFoundEverywhere(TargetGroup const& service, Duration goneTimeout, TimePoint now) const noexcept;
+    /// \param newIndices  new index of each target of the old list, or removedTarget
+    void renumber(std::span<std::uint32_t const> newIndices);
+
+    /// \brief True if the target's agent has replied.
+    [[nodiscard]] bool hasReplied(std::size_t target) const noexcept { return notFound_.contains(target) || possible_.contains(target); }
+
+    /// \brief Agents whose targets may hold the flow.
+    [[nodiscard]] std::vector<Endpoint> possibleOwners() const;
+
+    /// \brief First target that may hold the flow and has not reported that it does not; null if there is none.
+    [[nodiscard]] DirectoryTarget const* findPossibleOwner(TargetDirectory const& directory, TimePoint now) const noexcept;
+
+    /// \brief True if every target that may be running has reported that it does not hold the flow.
+    [[nodiscard]] bool isNotFoundEverywhere(TargetDirectory const& directory, TimePoint now) const noexcept { return findPossibleOwner(directory, now) == nullptr; }
 
     /// \brief Maximum length of a segment that is kept: the maximum of the platforms' formats.
     static constexpr std::size_t maximumKeptSegmentBytes = 1280;
 
 private:
-    std::array<std::uint64_t, maximumTrackedTargets / 64> notFound_ {}; ///< bit per target index
-    std::uint16_t keptBytes_ { 0 };
-    std::array<std::byte, maximumKeptSegmentBytes> kept_ {}; ///< the segment that started the round
-
-    [[nodiscard]] bool isNotFound(std::size_t index) const noexcept { return (notFound_[index / 64] >> (index % 64) & 1U) != 0; }
+    TargetSet notFound_;
+    TargetSet possible_;
+    std::vector<std::byte> kept_; ///< the segment that started the round
 };
 
 } // namespace plantaindrift
--- /dev/null
+++ b/src/relay/OwnerSearches.h
@@ -0,0 +1,124 @@
+#pragma once
+
+#include "plantaindrift/base/LatencyHistogram.h"
+#include "plantaindrift/relay/RelayMessage.h"
+#include "plantaindrift/relay/RelayObserver.h"
+#include "plantaindrift/relay/RelaySender.h"
+#include "plantaindrift/relay/Segment.h"
+#include "relay/HashTable.h"
+#include "relay/OwnerSearch.h"
+#include "relay/TargetDirectory.h"
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <span>
+#include <vector>
+
+namespace plantaindrift {
+
+/// \brief Where an entry sends a segment of a flow whose owner is unknown.
+struct SearchStep {
+    bool isLost { false }; ///< no target holds the flow; the caller is to be reset
+    bool isStart { false }; ///< the segment starts a round, so that its receiver is to report an unknown flow
+    Endpoint agent; ///< unset if there is no agent to ask, or too many searches are in progress
+};
+
+/// \brief A flow that no target holds, and the caller's last segment.
+struct LostFlow {
+    std::uint64_t hash { 0 };
+    Segment segment;
+};
+
+/// \brief An entry's searches for the owners of flows that it does not know.
+///
+/// The agent that ranks first for a flow may have its owner recorded. If it reports that it does not, all agents of the
+/// service are queried for many flows at once, and receive the segment only if their target may hold the flow. The
+/// number of queries depends on the time that searches take and on the number of targets, not on the number of flows.
+class OwnerSearches {
+public:
+    /// \param ownEndpoint  receives the agents' replies
+    /// \param observer  receives searches that wait for an agent
+    OwnerSearches(Endpoint ownEndpoint, TargetDirectory const& directory, RelaySender& sender, RelayObserver& observer);
+
+    /// \brief Starts or continues the search for a flow with a segment of the caller.
+    [[nodiscard]] SearchStep advance(TargetGroup const& group, Segment const& segment, std::span<std::byte const> datagram, std::uint64_t hash, TimePoint now);
+
+    /// \brief Ends the search for a flow whose owner is known, if there is one.
+    void recordFound(std::uint64_t hash, TimePoint now);
+
+    /// \brief Discards what is known of a flow, because the caller opens a new one with the same endpoints.
+    void forget(std::uint64_t hash) noexcept;
+
+    /// \brief Processes the report that an agent's target does not hold a flow.
+    void processNotFound(Endpoint agent, std::uint64_t hash, TimePoint now);
+
+    /// \brief Processes the reply to a query. \returns false if it belongs to no query
+    bool processQueryReply(Endpoint agent, DecodedRelayMessage const& reply, TimePoint now, RelaySigningContext const& signing);
+
+    /// \brief Follows a change of a service's target list.
+    void renumberTargets(TargetGroup const& group, std::span<std::uint32_t const> newIndices);
+
+    /// \brief Sets whether the views contain every target that the store or a peer knows of.
+    void setViewsComplete(bool complete) noexcept { viewsComplete_ = complete; }
+
+    /// \brief Sends queued queries unless some were sent a moment ago.
+    void sendQueries(TimePoint now, RelaySigningContext const& signing);
+
+    /// \brief Periodic work, every 100 ms: repeats queries that were not replied to and discards old searches.
+    void tick(TimePoint now, RelaySigningContext const& signing);
+
+    /// \brief Returns the flows that were found lost since the last call.
+    [[nodiscard]] std::vector<LostFlow> takeLostFlows();
+
+    /// \brief Number of queries and segments sent to agents since start.
+    [[nodiscard]] std::uint64_t messageCount() const noexcept { return messageCount_; }
+
+    [[nodiscard]] LatencyHistogram const& successfulTimes() const noexcept { return foundTimes_; }
+    [[nodiscard]] LatencyHistogram const& failedTimes() const noexcept { return lostTimes_; }
+
+private:
+    /// \brief Flows of one service in one query.
+    struct Query {
+        std::uint32_t number { 0 };
+        TargetGroup const* group { nullptr };
+        std::vector<std::uint64_t> flows;
+    };
+
+    static constexpr std::size_t rememberedQueries = 256;
+    static constexpr std::size_t queryBufferBytes = maximumRelayMessageBytes + OwnerSearch::maximumKeptSegmentBytes;
+
+    Endpoint ownEndpoint_;
+    TargetDirectory const& directory_;
+    RelaySender& sender_;
+    RelayObserver& observer_;
+    HashTable<OwnerSearch> searches_;
+    std::map<TargetGroup const*, std::vector<std::uint64_t>> queued_; ///< flows for the next query of each service
+    std::array<Query, rememberedQueries> queries_; ///< latest queries, by number
+    std::uint32_t lastNumber_ { 0 };
+    std::vector<LostFlow> lost_;
+    LatencyHistogram foundTimes_;
+    LatencyHistogram lostTimes_;
+    std::array<std::byte, queryBufferBytes> buffer_ {};
+    TimePoint firstTick_;
+    TimePoint lastSweep_;
+    TimePoint queriesSent_;
+    std::uint64_t messageCount_ { 0 };
+    bool viewsComplete_ { false };
+
+    void send(Endpoint to, std::size_t bytes) noexcept;
+    void queue(OwnerSearch& search);
+    void sendQuery(TargetGroup const& group, std::span<std::uint64_t const> flows, TimePoint now, RelaySigningContext const& signing);
+    [[nodiscard]] bool isReplyMissing(std::span<std::uint64_t const> flows, std::size_t target) noexcept;
+    void continueSearch(OwnerSearch& search, TimePoint now, RelaySigningContext const& signing);
+    void addPossibleOwner(OwnerSearch& search, std::size_t target, RelaySigningContext const& signing);
+    [[nodiscard]] bool hasEveryoneReplied(OwnerSearch const& search, TimePoint now) const noexcept;
+    void sendToPossibleOwners(OwnerSearch& search, TimePoint now, RelaySigningContext const& signing);
+    void sendSegment(OwnerSearch const& search, Endpoint agent, RelaySigningContext const& signing);
+    void sendWithSegment(OwnerSearch const& search, Endpoint to, std::size_t headerBytes) noexcept;
+    void notifyObserver(OwnerSearch const& search, TimePoint now) noexcept;
+    void endIfLost(OwnerSearch& search, TimePoint now);
+};
+
+} // namespace plantaindrift
--- a/src/relay/RelayMessage.cpp
+++ b/src/relay/RelayMessage.cpp
@@ -40,7 +40,7 @@
     static_assert(sizeof(OwnedFlowField) == 18);
 
     struct LoadField {
-        wire::big_uint8_buf_t accepting;
+        wire::big_uint8_buf_t flags;
         wire::big_uint16_buf_t slots;
         wire::big_uint16_buf_t busy;
         wire::big_uint16_buf_t flows;
@@ -49,6 +49,13 @@
     };
     static_assert(sizeof(LoadField) == 10);
 
+    // Bits of LoadField::flags.
+    constexpr std::uint8_t acceptingFlag = 1;
+    constexpr std::uint8_t endedFlag = 2;
+    constexpr std::uint8_t machineRestartedFlag = 4;
+    constexpr std::uint8_t withdrawnFlag = 8;
+    constexpr std::uint8_t assumedFlag = 16;
+
     struct RouteFields {
         wire::big_uint64_buf_t service;
         EndpointField entry;
@@ -81,7 +88,13 @@
     LoadField toField(TargetLoad const& load) noexcept
     {
         LoadField field;
-        field.accepting = load.isAccepting ? 1 : 0;
+        unsigned flags = 0;
+        flags |= load.isAccepting ? acceptingFlag : 0U;
+        flags |= load.hasEnded ? endedFlag : 0U;
+        flags |= load.isMachineRestarted ? machineRestartedFlag : 0U;
+        flags |= load.isWithdrawn ? withdrawnFlag : 0U;
+        flags |= load.isAssumed ? assumedFlag : 0U;
+        field.flags = static_cast<std::uint8_t>(flags);
         field.slots = load.slots;
         field.busy = load.activeRequests;
         field.flows = load.openFlows;
@@ -92,7 +105,19 @@
 
     TargetLoad fromField(LoadField const& field) noexcept
     {
-        return { field.accepting.value() != 0, field.slots.value(), field.busy.value(), field.flows.value(), field.serviceTenths.value(), field.failedPercent.value() };
+        std::uint8_t const flags = field.flags.value();
+        TargetLoad load;
+        load.isAccepting = (flags & acceptingFlag) != 0;
+        load.hasEnded = (flags & endedFlag) != 0;
+        load.isMachineRestarted = (flags & machineRestartedFlag) != 0;
+        load.isWithdrawn = (flags & withdrawnFlag) != 0;
+        load.isAssumed = (flags & assumedFlag) != 0;
+        load.slots = field.slots.value();
+        load.activeRequests = field.busy.value();
+        load.openFlows = field.flows.value();
+        load.serviceTimeTenthMs = field.serviceTenths.value();
+        load.failedPercent = field.failedPercent.value();
+        return load;
     }
 
     /// A relayed segment, whose header may differ from the one in the received datagram.
@@ -281,8 +306,28 @@
         return reader.readBytes(count * sizeof(EndpointField), decoded.searchedAgentBytes) && !reader.rest().empty();
     }
 
+    bool readQueryHeader(Reader& reader, DecodedRelayMessage& decoded) noexcept
+    {
+        wire::big_uint32_buf_t number;
+        if (!readService(reader, decoded) || !reader.read(number))
+            return false;
+        decoded.queryNumber = number.value();
+        return true;
+    }
+
+    bool readFlowQuery(Reader& reader, std::size_t count, DecodedRelayMessage& decoded) noexcept
+    {
+        bool const isHeaderValid = count > 0 && count <= maximumQueriedFlows && readQueryHeader(reader, decoded);
+        return isHeaderValid && reader.readBytes(count * sizeof(wire::big_uint64_buf_t), decoded.queriedFlowBytes);
+    }
+
+    bool readFlowQueryReply(Reader& reader, std::size_t count, DecodedRelayMessage& decoded) noexcept
+    {
+        return count <= maximumQueriedFlows && readQueryHeader(reader, decoded) && reader.readBytes(count, decoded.possibleFlowBytes);
+    }
+
     using BodyReader = bool (*)(Reader&, std::size_t, DecodedRelayMessage&) noexcept;
-    constexpr std::array<BodyReader, 8> bodyReaders { nullptr, readPacket, readOwnerNotice, readLoadReport, readLoadSubscription, readFlowOwners, readFlowNotFound, readSearchRequest };
+    constexpr std::array<BodyReader, 10> bodyReaders { nullptr, readPacket, readOwnerNotice, readLoadReport, readLoadSubscription, readFlowOwners, readFlowNotFound, readSearchRequest, readFlowQuery, readFlowQueryReply };
 
     DecodedRelayMessage decodingError(DatagramError error) noexcept
     {
@@ -320,6 +365,14 @@
     return agents;
 }
 
+std::vector<std::uint64_t> DecodedRelayMessage::queriedFlows() const
+{
+    std::vector<std::uint64_t> flows(queriedFlowBytes.size() / sizeof(wire::big_uint64_buf_t));
+    for (std::size_t index = 0; index < flows.size(); ++index)
+        flows[index] = wire::read<wire::big_uint64_buf_t>(queriedFlowBytes.subspan(index * sizeof(wire::big_uint64_buf_t))).value();
+    return flows;
+}
+
 OwnedFlow DecodedRelayMessage::flowOwnerAt(std::size_t index) const noexcept
 {
     OwnedFlowField const field = wire::read<OwnedFlowField>(flowOwnerBytes.subspan(index * sizeof(OwnedFlowField)));
@@ -404,6 +457,28 @@
     return writer.finish({});
 }
 
+std::size_t writeRelayFlowQuery(ServiceHash service, std::uint32_t number, std::span<std::uint64_t const> flows, RelaySigningContext const& seal, std::span<std::byte> output) noexcept
+{
+    std::span<std::uint64_t const> const queried = flows.first(std::min(flows.size(), maximumQueriedFlows));
+    Writer writer(RelayMessageKind::FlowQuery, queried.size(), seal, output);
+    writer.add(toField(service));
+    writer.add(wire::big_uint32_buf_t(number));
+    for (std::uint64_t const flow : queried)
+        writer.add(wire::big_uint64_buf_t(flow));
+    return writer.finish({});
+}
+
+std::size_t writeRelayFlowQueryReply(ServiceHash service, std::uint32_t number, std::span<std::uint8_t const> possible, RelaySigningContext const& seal, std::span<std::byte> output) noexcept
+{
+    std::span<std::uint8_t const> const listed = possible.first(std::min(possible.size(), maximumQueriedFlows));
+    Writer writer(RelayMessageKind::FlowQueryReply, listed.size(), seal, output);
+    writer.add(toField(service));
+    writer.add(wire::big_uint32_buf_t(number));
+    for (std::uint8_t const index : listed)
+        writer.add(wire::big_uint8_buf_t(index));
+    return writer.finish({});
+}
+
 DecodedRelayMessage decodeRelayMessage(std::span<std::byte const> datagram, KeyRing const& keys, std::uint32_t nowSeconds) noexcept
 {
     Reader reader(datagram);
--- a/src/relay/TargetAnnouncementTracker.cpp
+++ b/src/relay/TargetAnnouncementTracker.cpp
@@ -70,7 +70,8 @@
     bool const isRecent = now - lastReceived_ <= lease;
     state.isAnnounced = newest_.has_value();
     state.isStartObserved = isSeenFromStart_;
-    state.isGone = !isRecent || (newest_ && newest_->isLeaving);
+    state.hasLeft = newest_ && newest_->isLeaving;
+    state.isGone = !isRecent || state.hasLeft;
     state.slots = newest_ ? newest_->slots : assumedSlots;
     state.isAccepting = !state.isGone && (!newest_ || !newest_->isDraining);
     if (newest_ && newest_->remainingWarmUp > now - lastReceived_)
--- a/src/relay/TargetDirectory.cpp
+++ b/src/relay/TargetDirectory.cpp
@@ -2,6 +2,7 @@
 
 #include "plantaindrift/base/Hash.h"
 #include "relay/TargetCost.h"
+#include "relay/TargetSet.h"
 
 #include <algorithm>
 #include <array>
@@ -22,6 +23,17 @@
     // Two lost load reports and a delayed one.
     constexpr int silentReportIntervals = 3;
 
+    // A running target refutes a false suspicion within this time.
+    constexpr std::chrono::seconds deadConfirmationTime { 10 };
+
+    // Machines are frozen or cut off for up to 6 s while their targets keep their flows. The entry subscribes to a
+    // silent agent every second, and a running agent replies at once.
+    constexpr std::chrono::milliseconds maximumOutage { 7000 };
+
+    // Every 100 ms an entry subscribes to an agent from which it has no load report yet, and a running agent replies at
+    // once. All machines start within 0.3 s after a power loss.
+    constexpr std::chrono::milliseconds restartedReportTimeout { 1000 };
+
     constexpr std::chrono::milliseconds minimumLoadInterval { 100 };
     constexpr std::chrono::milliseconds maximumLoadInterval { 2000 };
 
@@ -60,19 +72,27 @@
     return group;
 }
 
-void TargetDirectory::setView(ServiceView const& view, TimePoint now)
+std::vector<std::uint32_t> TargetDirectory::setView(ServiceView const& view, TimePoint now)
 {
     TargetGroup& group = findOrAddService(view.service);
-    for (DirectoryTarget const& target : group.targets)
-        agentGroups_.erase(endpointKey(target.agent));
+    std::vector<std::uint32_t> newIndices(group.targets.size(), removedTarget);
+    absl::flat_hash_map<std::string_view, std::uint32_t> oldIndices;
+    for (std::uint32_t index = 0; index < group.targets.size(); ++index) {
+        oldIndices[group.targets[index].name] = index;
+        agentGroups_.erase(endpointKey(group.targets[index].agent));
+    }
     std::vector<DirectoryTarget> targets;
+    bool wasTargetAdded = false;
     for (ViewTarget const& seen : view.targets) {
         DirectoryTarget target;
         target.added = now;
-        for (DirectoryTarget const& known : group.targets) {
-            if (known.name == seen.name && known.agent == seen.data)
-                target = known;
+        absl::flat_hash_map<std::string_view, std::uint32_t>::const_iterator const known = oldIndices.find(seen.name);
+        bool const isKnown = known != oldIndices.end() && group.targets[known->second].agent == seen.data;
+        if (isKnown) {
+            target = group.targets[known->second];
+            newIndices[known->second] = static_cast<std::uint32_t>(targets.size());
         }
+        wasTargetAdded = wasTargetAdded || !isKnown;
         target.name = seen.name;
         target.nameHash = hashText(seen.name);
         target.agent = seen.data;
@@ -86,7 +106,9 @@
     group.targets = std::move(targets);
     group.order.resize(group.targets.size());
     std::iota(group.order.begin(), group.order.end(), 0U);
-    group.viewChanged = now;
+    if (wasTargetAdded)
+        group.viewChanged = now;
+    return newIndices;
 }
 
 TargetGroup* TargetDirectory::findServiceOf(Endpoint agent) noexcept
@@ -100,8 +122,14 @@
     TargetGroup* const group = findServiceOf(agent);
     if (group == nullptr)
         return nullptr;
-    std::vector<DirectoryTarget>::iterator const found = std::find_if(group->targets.begin(), group->targets.end(), [agent](DirectoryTarget const& target) { return target.agent == agent; });
-    return found != group->targets.end() ? &*found : nullptr;
+    std::size_t const index = indexOf(*group, agent);
+    return index < group->targets.size() ? &group->targets[index] : nullptr;
+}
+
+std::size_t TargetDirectory::indexOf(TargetGroup const& group, Endpoint agent) noexcept
+{
+    std::vector<DirectoryTarget>::const_iterator const found = std::find_if(group.targets.begin(), group.targets.end(), [agent](DirectoryTarget const& target) { return target.agent == agent; });
+    return static_cast<std::size_t>(found - group.targets.begin());
 }
 
 void TargetDirectory::recordLoad(Endpoint agent, TargetLoad const& load, TimePoint now) noexcept
@@ -110,6 +138,9 @@
     if (target == nullptr)
         return;
     target->load = load;
+    // An agent that restarted beside a draining target takes it for accepting until the target's next announcement.
+    target->isWithdrawn = load.isWithdrawn || (load.isAssumed && target->isWithdrawn);
+    target->load.isAccepting = load.isAccepting && !target->isWithdrawn;
     target->lastReport = now;
     target->hasReported = true;
     target->openingsSinceReport = 0;
@@ -125,7 +156,28 @@
 // With 58 targets load reports arrive every 1.6 s, and a lost datagram leaves a gap of 3.2 s.
 Duration TargetDirectory::goneTimeout() const noexcept
 {
-    return silentReportIntervals * loadInterval() + subscriptionInterval;
+    return std::max<Duration>(silentReportIntervals * loadInterval() + subscriptionInterval, maximumOutage);
+}
+
+bool TargetDirectory::mayHoldFlows(TargetGroup const& group, DirectoryTarget const& target, TimePoint now) const noexcept
+{
+    if (target.hasReported)
+        return !target.load.hasEnded && now - target.lastReport <= goneTimeout() && (!target.dead || now - target.deadSince <= deadConfirmationTime);
+    if (target.dead && now - target.deadSince > deadConfirmationTime)
+        return false;
+    return now - target.added <= (wasPowerLost(group) ? restartedReportTimeout : maximumOutage);
+}
+
+// A power loss restarts nearly all machines of a service, so that a silent machine has lost its flows too.
+bool TargetDirectory::wasPowerLost(TargetGroup const& group) noexcept
+{
+    std::size_t reported = 0;
+    std::size_t restarted = 0;
+    for (DirectoryTarget const& target : group.targets) {
+        reported += target.hasReported ? 1 : 0;
+        restarted += target.hasReported && target.load.isMachineRestarted ? 1 : 0;
+    }
+    return reported > 1 && 2 * reported >= group.targets.size() && 4 * restarted >= 3 * reported;
 }
 
 bool TargetDirectory::isSilent(DirectoryTarget const& target, TimePoint now) const noexcept
--- a/src/relay/TargetDirectory.h
+++ b/src/relay/TargetDirectory.h
@@ -29,6 +29,7 @@
     TimePoint deadSince;
     TimePoint added; ///< when the target was added to this entry's view
     bool hasReported { false };
+    bool isWithdrawn { false }; ///< the target announced that it is draining or leaving, and has not announced itself anew
     TargetLoad load;
     TimePoint lastReport;
     std::uint32_t openingsSinceReport { 0 }; ///< opening segments sent since the last load report
@@ -41,7 +42,7 @@
     ServiceHash hash {};
     std::vector<DirectoryTarget> targets;
     std::vector<std::uint32_t> order; ///< indices into targets, shuffled when samples are drawn
-    TimePoint viewChanged;
+    TimePoint viewChanged; ///< when a target was last added
 };
 
 /// \brief Key of an endpoint in hash maps.
@@ -61,13 +62,18 @@
     TargetGroup& findOrAddService(std::string_view service);
 
     /// \brief Replaces the targets of a service; load reports received so far are kept.
-    void setView(ServiceView const& view, TimePoint now);
+    ///
+    /// \returns new index of each target of the old list, or removedTarget
+    std::vector<std::uint32_t> setView(ServiceView const& view, TimePoint now);
 
     /// \brief The service of an agent; null if the agent is unknown.
     [[nodiscard]] TargetGroup* findServiceOf(Endpoint agent) noexcept;
 
     [[nodiscard]] DirectoryTarget* findTarget(Endpoint agent) noexcept;
 
+    /// \brief Index of an agent's target in its service; the number of targets if it is not there.
+    [[nodiscard]] static std::size_t indexOf(TargetGroup const& group, Endpoint agent) noexcept;
+
     /// \brief Records the reported load of an agent's target.
     void recordLoad(Endpoint agent, TargetLoad const& load, TimePoint now) noexcept;
 
@@ -85,8 +91,8 @@
     /// budget.
     [[nodiscard]] std::chrono::milliseconds loadInterval() const noexcept;
 
-    /// \brief Time without a load report after which an agent that sent reports before is considered gone.
-    [[nodiscard]] Duration goneTimeout() const noexcept;
+    /// \brief True unless the target is known to have ended or has been silent for so long that it is considered gone.
+    [[nodiscard]] bool mayHoldFlows(TargetGroup const& group, DirectoryTarget const& target, TimePoint now) const noexcept;
 
     /// \brief Returns the agents whose subscription is due and marks them as subscribed.
     [[nodiscard]] std::vector<Endpoint> collectDueSubscriptions(TimePoint now);
@@ -100,6 +106,8 @@
     std::map<std::string, TargetGroup, std::less<>> groups_;
     absl::flat_hash_map<std::uint64_t, TargetGroup*> agentGroups_; ///< by agent endpoint
 
+    [[nodiscard]] Duration goneTimeout() const noexcept;
+    [[nodiscard]] static bool wasPowerLost(TargetGroup const& group) noexcept;
     [[nodiscard]] bool isSilent(DirectoryTarget const& target, TimePoint now) const noexcept;
     [[nodiscard]] double costOf(DirectoryTarget const& target, TimePoint now) noexcept;
     [[nodiscard]] std::size_t drawSample(TargetGroup& group) noexcept;
--- a/src/runtime/RelayAgentDaemon.cpp
+++ b/src/runtime/RelayAgentDaemon.cpp
@@ -209,7 +209,7 @@
             core_.sendControl(control_.takeMessages());
         }
 
-        // The target keeps running while this process is replaced, so the stop waits until no request is in progress.
+        // The target may keep running while this process is replaced, so the stop waits until no request is in progress.
         void beginStop()
         {
             TimePoint const now = std::chrono::steady_clock::now();
@@ -222,8 +222,11 @@
 
         void waitUntilIdle()
         {
-            bool const isIdle = relay_.load().activeRequests == 0;
-            if (isIdle || std::chrono::steady_clock::now() >= stopDeadline_) {
+            // If the target runs no more, entries have to learn it from this process.
+            TimePoint const now = std::chrono::steady_clock::now();
+            bool const isIdle = relay_.load().activeRequests == 0 && relay_.targetActivity(now) != AgentRelay::TargetActivity::Unknown;
+            if (isIdle || now >= stopDeadline_) {
+                relay_.stopAccepting(now, wallClockSeconds());
                 leaveIfTargetGone();
                 logEvent(LogLevel::Info, "left", { { "name", self_.name }, { "quiet", isIdle } });
                 core_.finish(absl::OkStatus());
@@ -239,9 +242,11 @@
         // Leaves the fleet if the target has ended. Otherwise the record stays for the process that replaces this one.
         void leaveIfTargetGone()
         {
-            if (!announcements_.targetState(std::chrono::steady_clock::now()).isGone)
+            TimePoint const now = std::chrono::steady_clock::now();
+            bool const isUnresponsive = relay_.targetActivity(now) == AgentRelay::TargetActivity::Unresponsive;
+            if (!announcements_.targetState(now).isGone && !isUnresponsive)
                 return;
-            control_.leave(std::chrono::steady_clock::now());
+            control_.leave(now);
             core_.sendControl(control_.takeMessages());
             // If all entries restarted, they would use the record as that of a running target.
             if (store_)
--- a/src/runtime/RelayEntryDaemon.cpp
+++ b/src/runtime/RelayEntryDaemon.cpp
@@ -243,6 +243,7 @@
             page.addGauge("plantaindrift_entry_flows", "Flows whose owner is remembered.", {}, static_cast<double>(relay_.flowCount()));
             page.addCounter("plantaindrift_flow_messages_refused_total", "Relay messages that are malformed, stale or not authenticated.", {}, static_cast<double>(refusedMessages_));
             page.addGauge("plantaindrift_configuration_position", "Applied version of the configuration.", {}, static_cast<double>(control_.changeLog().position()));
+            page.addCounter("plantaindrift_entry_search_queries_total", "Messages that searches for owners sent to agents.", {}, static_cast<double>(relay_.searchMessageCount()));
             std::string_view const searchHelp = "Times from the first segment of a flow without a known owner to the end of the search.";
             page.addHistogram("plantaindrift_entry_search_seconds", searchHelp, { { "outcome", "found" } }, relay_.successfulSearchTimes());
             page.addHistogram("plantaindrift_entry_search_seconds", searchHelp, { { "outcome", "lost" } }, relay_.failedSearchTimes());
--- a/tests/EntryRelayTests.cpp
+++ b/tests/EntryRelayTests.cpp
@@ -89,6 +89,28 @@
     BOOST_TEST(flow.requests.back().answered.has_value());
 }
 
+// An agent that restarts beside a draining target knows nothing of it and reports that it accepts flows.
+BOOST_AUTO_TEST_CASE(ADrainingTargetTakesNoNewFlowsAfterARestartOfItsAgent)
+{
+    Scene scene(1, 4);
+    Agent& agent = *scene.agents[1];
+    agent.state.isAccepting = false;
+    agent.relay->setTargetState(agent.state, scene.now());
+    scene.runFor(500ms);
+    scene.startAgent(1);
+    agent.state.isAnnounced = false;
+    agent.relay->setTargetState(agent.state, scene.now());
+    scene.runFor(500ms);
+    std::uint64_t const before = agent.target.openings;
+    runTraffic(scene, 300, 1s, 60ms, [](std::mt19937& /*random*/) { return std::size_t { 0 }; });
+    BOOST_TEST(agent.target.openings == before);
+    agent.state.isAnnounced = true;
+    agent.relay->setTargetState(agent.state, scene.now());
+    scene.runFor(500ms);
+    runTraffic(scene, 300, 1s, 60ms, [](std::mt19937& /*random*/) { return std::size_t { 0 }; });
+    BOOST_TEST(agent.target.openings > before);
+}
+
 // Steady load at 70 percent of the slots: new flows must not queue at one target while another is free.
 BOOST_AUTO_TEST_CASE(SteadyLoadIsAnsweredInTime)
 {
--- a/tests/RelayMessageTests.cpp
+++ b/tests/RelayMessageTests.cpp
@@ -64,6 +64,10 @@
     Bytes const segment(31);
     datagrams.emplace_back(buffer.begin(), buffer.begin() + static_cast<std::ptrdiff_t>(writeRelaySearchRequest(ServiceHash { 5 }, owned.owner, agents, segment, seal, buffer)));
     datagrams.back().insert(datagrams.back().end(), segment.begin(), segment.end());
+    std::vector<std::uint64_t> const hashes { 1, 0x1122334455667788ULL };
+    datagrams.emplace_back(buffer.begin(), buffer.begin() + static_cast<std::ptrdiff_t>(writeRelayFlowQuery(ServiceHash { 5 }, 77, hashes, seal, buffer)));
+    std::vector<std::uint8_t> const possible { 1 };
+    datagrams.emplace_back(buffer.begin(), buffer.begin() + static_cast<std::ptrdiff_t>(writeRelayFlowQueryReply(ServiceHash { 5 }, 77, possible, seal, buffer)));
     return datagrams;
 }
 
@@ -102,6 +106,27 @@
     DecodedRelayMessage const ask = decodeRelayMessage(datagrams[6], keys, wallSeconds);
     BOOST_TEST((ask.kind == RelayMessageKind::SearchRequest && ask.route.serviceHash == ServiceHash { 5 } && ask.route.entry == owned.owner));
     BOOST_TEST((ask.searchedAgents() == agents && ask.segment.size() == 31U));
+    DecodedRelayMessage const query = decodeRelayMessage(datagrams[7], keys, wallSeconds);
+    BOOST_TEST((query.kind == RelayMessageKind::FlowQuery && query.serviceHash == ServiceHash { 5 } && query.queryNumber == 77U));
+    BOOST_TEST((query.queriedFlows() == std::vector<std::uint64_t> { 1, 0x1122334455667788ULL }));
+    DecodedRelayMessage const reply = decodeRelayMessage(datagrams[8], keys, wallSeconds);
+    BOOST_TEST((reply.kind == RelayMessageKind::FlowQueryReply && reply.serviceHash == ServiceHash { 5 } && reply.queryNumber == 77U));
+    BOOST_TEST((reply.possibleFlowBytes.size() == 1U && reply.possibleFlowBytes[0] == std::byte { 1 }));
+}
+
+BOOST_AUTO_TEST_CASE(EveryStatementOfALoadReportIsKept)
+{
+    Bytes buffer(maximumRelayMessageBytes);
+    for (unsigned bits = 0; bits < 32; ++bits) {
+        TargetLoad stated = load;
+        stated.isAccepting = (bits & 1U) != 0;
+        stated.hasEnded = (bits & 2U) != 0;
+        stated.isMachineRestarted = (bits & 4U) != 0;
+        stated.isWithdrawn = (bits & 8U) != 0;
+        stated.isAssumed = (bits & 16U) != 0;
+        std::size_t const bytes = writeRelayLoadReport(ServiceHash { 5 }, stated, { keys, wallSeconds }, buffer);
+        BOOST_TEST((decodeRelayMessage(std::span(buffer).first(bytes), keys, wallSeconds).load == stated));
+    }
 }
 
 BOOST_AUTO_TEST_CASE(AnyCutDatagramIsRefused)
--- a/tests/RelayScene.h
+++ b/tests/RelayScene.h
@@ -176,6 +176,9 @@
     [[nodiscard]] TimePoint now() const { return now_; }
     [[nodiscard]] ServiceView const& view() const { return view_; }
 
+    /// \brief Number of datagrams that entries, agents and targets have sent.
+    [[nodiscard]] std::uint64_t deliveredCount() const { return deliveredCount_; }
+
     void addEntry()
     {
         std::unique_ptr<Entry> entry = std::make_unique<Entry>();
@@ -311,6 +314,7 @@
 
     void deliver(Endpoint from, Endpoint to, Bytes const& bytes)
     {
+        ++deliveredCount_;
         after(linkDelay, [this, from, to, bytes] { deliverToNode(from, to, bytes); });
     }
 
@@ -327,6 +331,7 @@
     TimePoint now_ { 1000s };
     TimePoint lastTick_ { 1000s };
     std::uint64_t order_ { 0 };
+    std::uint64_t deliveredCount_ { 0 };
     std::uint32_t lastTargetSequence_ { 5000 };
     std::priority_queue<Event> events_;
     std::map<std::uint64_t, CallerFlow*> byCaller_;
@@ -536,6 +541,18 @@
     scene_.deliver(from_, to, Bytes(datagram.begin(), datagram.end()));
 }
 
+/// \brief A power loss: all machines restart, and agents observe the start of their targets.
+inline void restartMachines(Scene& scene)
+{
+    for (std::size_t index = 0; index < scene.agents.size(); ++index) {
+        scene.agents[index]->target.flows.clear();
+        scene.agents[index]->state.isStartObserved = true;
+        scene.startAgent(index);
+    }
+    for (std::size_t index = 0; index < scene.entries.size(); ++index)
+        scene.startEntry(index);
+}
+
 /// \brief Response times of a set of requests.
 struct Answers {
     std::size_t inTime { 0 };
