--- a/include/plantaindrift/runtime/HttpClient.h
+++ b/include/plantaindrift/runtime/HttpClient.h
@@ -2,6 +2,7 @@
 
 #include "absl/status/statusor.h"
 
+#include <atomic>
 #include <chrono>
 #include <memory>
 #include <string>
@@ -14,7 +15,7 @@
     std::string body;
 };
 
-/// \brief Blocking HTTP client that reuses its connections. Not thread-safe.
+/// \brief Blocking HTTP client; every request has a connection of its own. Not thread-safe.
 class HttpClient {
 public:
     HttpClient();
@@ -23,7 +24,9 @@
     HttpClient& operator=(HttpClient const&) = delete;
 
     /// \brief Sends one request and waits for the response; parameters and results as for sendHttp.
-    [[nodiscard]] absl::StatusOr<HttpResult> send(std::string const& method, std::string const& url, std::string const& body, std::chrono::milliseconds timeout);
+    ///
+    /// \param cancelled  ends the wait within about a second once it is true; null if the request is not to be cancelled
+    [[nodiscard]] absl::StatusOr<HttpResult> send(std::string const& method, std::string const& url, std::string const& body, std::chrono::milliseconds timeout, std::atomic<bool> const* cancelled = nullptr);
 
 private:
     struct State;
--- a/src/runtime/DaemonCore.cpp
+++ b/src/runtime/DaemonCore.cpp
@@ -4,6 +4,7 @@
 
 #include <chrono>
 #include <csignal>
+#include <exception>
 
 namespace plantaindrift {
 
@@ -13,6 +14,9 @@
     // Limits how long timers and control messages are delayed by received packets.
     constexpr int batchesPerTurn = 8;
 
+    // Maximum number of batches that a stop processes for each port: callers keep sending while it does.
+    constexpr int batchesAtStop = 64;
+
 } // namespace
 
 DaemonCore::PacketPort::PacketPort(asio::io_context& loop, PacketLoop packetLoop, PacketFilter& packetFilter)
@@ -25,7 +29,7 @@
 DaemonCore::DaemonCore(CommonSettings const& settings, FleetKeys keys, Handlers handlers)
     : settings_(settings)
     , handlers_(std::move(handlers))
-    , control_(makeControlTransport(loop_, settings, std::move(keys), [this](Endpoint from, std::span<std::byte const> bytes) { handlers_.control(from, bytes); }))
+    , control_(makeControlTransport(loop_, settings, std::move(keys), [this](Endpoint from, std::span<std::byte const> bytes) { runGuarded("control", [&] { handlers_.control(from, bytes); }); }))
     , stopSignals_(loop_, SIGTERM, SIGINT)
     , keySignals_(loop_, SIGHUP)
     , tickTimer_(loop_)
@@ -44,11 +48,48 @@
     for (std::size_t port = packetsHeld_ ? 1 : 0; port < ports_.size(); ++port)
         waitForPackets(*ports_[port]);
     logEvent(LogLevel::Info, "started", { { "name", settings_.name }, { "data_centre", settings_.dataCentre }, { "data", formatEndpoint(settings_.data) }, { "control", formatEndpoint(settings_.control) }, { "http", formatEndpoint(settings_.http) }, { "insecure", settings_.insecure } });
-    loop_.run();
+    runLoop();
     logEvent(LogLevel::Info, "ended", { { "name", settings_.name }, { "status", result_.ok() ? "ok" : statusMessage(result_) } });
     return result_;
 }
 
+// One unexpected error must not end a process that carries flows.
+void DaemonCore::runLoop()
+{
+    for (bool isDone = false; !isDone;) {
+        try {
+            loop_.run();
+            isDone = true;
+        } catch (std::exception const& error) {
+            recordUnexpectedError("loop", error.what());
+        }
+    }
+}
+
+void DaemonCore::runGuarded(std::string_view where, std::function<void()> const& callback) noexcept
+{
+    try {
+        callback();
+    } catch (std::exception const& error) {
+        recordUnexpectedError(where, error.what());
+    }
+}
+
+HttpServer::Handler DaemonCore::guarded(HttpServer::Handler handler)
+{
+    return [this, handler = std::move(handler)](HttpRequest const& request) {
+        HttpAnswer answer { 500, "the request failed; see the log\n" };
+        runGuarded("http", [&] { answer = handler(request); });
+        return answer;
+    };
+}
+
+void DaemonCore::recordUnexpectedError(std::string_view where, std::string_view problem) noexcept
+{
+    ++unexpectedErrors_;
+    logEvent(LogLevel::Error, "unexpected_error", { { "name", settings_.name }, { "where", where }, { "problem", problem } });
+}
+
 absl::Status DaemonCore::bindAll()
 {
     absl::Status status = openPort(settings_.data, *handlers_.packets);
@@ -58,9 +99,9 @@
     }
     if (status.ok())
         status = control_->start();
-    http_.push_back(std::make_unique<HttpServer>(loop_, settings_.http, [this](HttpRequest const& request) { return handleRequest(request); }));
+    http_.push_back(std::make_unique<HttpServer>(loop_, settings_.http, guarded([this](HttpRequest const& request) { return handleRequest(request); })));
     for (std::pair<Endpoint, HttpServer::Handler> const& port : handlers_.httpPorts)
-        http_.push_back(std::make_unique<HttpServer>(loop_, port.first, port.second));
+        http_.push_back(std::make_unique<HttpServer>(loop_, port.first, guarded(port.second)));
     for (std::unique_ptr<HttpServer> const& server : http_) {
         if (status.ok())
             status = server->start();
@@ -85,6 +126,7 @@
         return;
     finished_ = true;
     result_ = status;
+    processArrivedPackets();
     tickTimer_.cancel();
     stopSignals_.cancel();
     keySignals_.cancel();
@@ -96,6 +138,17 @@
     loop_.stop();
 }
 
+// Callers send until the process is gone; what the kernel has received would be lost with the sockets.
+void DaemonCore::processArrivedPackets() noexcept
+{
+    for (std::unique_ptr<PacketPort> const& port : ports_) {
+        for (int batch = 0; batch < batchesAtStop; ++batch) {
+            if (port->packets.runOnce(port->filter) < PacketLoop::batchSize)
+                break;
+        }
+    }
+}
+
 void DaemonCore::releasePackets()
 {
     if (!packetsHeld_ || finished_)
@@ -142,7 +195,7 @@
             return;
         TimePoint const now = std::chrono::steady_clock::now();
         control_->tick(now);
-        handlers_.tick(now);
+        runGuarded("tick", [&] { handlers_.tick(now); });
         waitForTick();
     });
 }
@@ -204,6 +257,7 @@
     page.addCounter("plantaindrift_control_peers_refused_total", "Control connections refused because the peer has no accepted key.", {}, static_cast<double>(control.refusedPeers));
     addPacketMetrics(page);
     page.addGauge("plantaindrift_ready", "1 if /readyz answers ready.", {}, handlers_.ready() ? 1 : 0);
+    page.addCounter("plantaindrift_unexpected_errors_total", "Errors that no part of the process handled; each is logged.", {}, static_cast<double>(unexpectedErrors_));
     page.addProcess();
     handlers_.metrics(page);
     return page.text();
--- a/src/runtime/DaemonCore.h
+++ b/src/runtime/DaemonCore.h
@@ -42,7 +42,8 @@
     /// \brief Binds all addresses, runs the event loop and returns after finish is called.
     [[nodiscard]] absl::Status run();
 
-    /// \brief Sends queued control messages, closes all sockets and makes run return this status.
+    /// \brief Processes the datagrams that have arrived, sends queued control messages, closes all sockets and makes run
+    /// return this status.
     void finish(absl::Status const& status);
 
     /// \brief Starts receiving at the data endpoint, if Handlers::holdPackets deferred it.
@@ -79,7 +80,13 @@
     bool stopping_ { false };
     bool finished_ { false };
     bool packetsHeld_ { false };
+    std::uint64_t unexpectedErrors_ { 0 }; ///< exceptions of handlers
 
+    void runLoop();
+    void runGuarded(std::string_view where, std::function<void()> const& callback) noexcept;
+    [[nodiscard]] HttpServer::Handler guarded(HttpServer::Handler handler);
+    void recordUnexpectedError(std::string_view where, std::string_view problem) noexcept;
+    void processArrivedPackets() noexcept;
     [[nodiscard]] absl::Status bindAll();
     void waitForStop();
     void waitForKeys();
--- a/src/runtime/HttpClient.cpp
+++ b/src/runtime/HttpClient.cpp
@@ -15,6 +15,11 @@
         return size * count;
     }
 
+    int abortIfCancelled(void* cancelled, curl_off_t, curl_off_t, curl_off_t, curl_off_t)
+    {
+        return static_cast<std::atomic<bool> const*>(cancelled)->load() ? 1 : 0;
+    }
+
 } // namespace
 
 struct HttpClient::State {
@@ -37,14 +42,15 @@
 
 HttpClient::~HttpClient() = default;
 
-absl::StatusOr<HttpResult> HttpClient::send(std::string const& method, std::string const& url, std::string const& body, std::chrono::milliseconds timeout)
+absl::StatusOr<HttpResult> HttpClient::send(std::string const& method, std::string const& url, std::string const& body, std::chrono::milliseconds timeout, std::atomic<bool> const* cancelled)
 {
     CURL* const handle = state_->handle.get();
     if (handle == nullptr)
         return makeError(ErrorKind::Internal, "libcurl cannot be initialized; check the installation");
     HttpResult result;
-    // The reset clears the options and keeps the connections open.
     curl_easy_reset(handle);
+    // An answer that a server repeats late would be taken for that to the next request on the connection.
+    curl_easy_setopt(handle, CURLOPT_FORBID_REUSE, 1L);
     curl_easy_setopt(handle, CURLOPT_URL, url.c_str());
     curl_easy_setopt(handle, CURLOPT_CUSTOMREQUEST, method.c_str());
     // Timeouts by signals are unsafe in a multithreaded process.
@@ -53,6 +59,11 @@
     curl_easy_setopt(handle, CURLOPT_TIMEOUT_MS, static_cast<long>(timeout.count()));
     curl_easy_setopt(handle, CURLOPT_WRITEFUNCTION, &appendBody);
     curl_easy_setopt(handle, CURLOPT_WRITEDATA, &result.body);
+    if (cancelled != nullptr) {
+        curl_easy_setopt(handle, CURLOPT_NOPROGRESS, 0L);
+        curl_easy_setopt(handle, CURLOPT_XFERINFOFUNCTION, &abortIfCancelled);
+        curl_easy_setopt(handle, CURLOPT_XFERINFODATA, cancelled);
+    }
     if (method != "GET") {
         curl_easy_setopt(handle, CURLOPT_HTTPHEADER, state_->headers.get());
         curl_easy_setopt(handle, CURLOPT_POSTFIELDS, body.c_str());
--- a/src/store/HttpObjectStore.cpp
+++ b/src/store/HttpObjectStore.cpp
@@ -403,6 +403,8 @@
             std::string const url = options_.url + request.target;
             curl_easy_setopt(handle, CURLOPT_URL, url.c_str());
             curl_easy_setopt(handle, CURLOPT_NOSIGNAL, 1L);
+            // An answer that a server repeats late would be taken for that to the next request on the connection.
+            curl_easy_setopt(handle, CURLOPT_FORBID_REUSE, 1L);
             curl_easy_setopt(handle, CURLOPT_PROTOCOLS_STR, "http,https");
             // The platform is reached by its address; a proxy from the environment would only add a fault.
             curl_easy_setopt(handle, CURLOPT_PROXY, "");
--- /dev/null
+++ b/tests/HttpClientTests.cpp
@@ -0,0 +1,81 @@
+// Guards against an answer that a server sends a second time, late, and that is taken for the answer to the next
+// request.
+#include "plantaindrift/runtime/HttpClient.h"
+
+#include <asio/buffer.hpp>
+#include <asio/io_context.hpp>
+#include <asio/ip/tcp.hpp>
+#include <asio/read_until.hpp>
+#include <asio/write.hpp>
+#include <boost/test/unit_test.hpp>
+#include <string>
+#include <thread>
+
+namespace {
+
+using namespace plantaindrift;
+using namespace std::chrono_literals;
+
+constexpr int connectionCount = 3;
+
+// Answers each request with its path. The answer is sent again when the next request arrives on the connection.
+class RepeatingServer {
+public:
+    RepeatingServer()
+        : acceptor_(loop_, asio::ip::tcp::endpoint(asio::ip::address_v4::loopback(), 0))
+        , thread_([this] { run(); })
+    {
+    }
+
+    ~RepeatingServer() { thread_.join(); }
+    RepeatingServer(RepeatingServer const&) = delete;
+    RepeatingServer& operator=(RepeatingServer const&) = delete;
+
+    [[nodiscard]] std::string url() const { return "http://127.0.0.1:" + std::to_string(acceptor_.local_endpoint().port()); }
+
+private:
+    asio::io_context loop_;
+    asio::ip::tcp::acceptor acceptor_;
+    std::thread thread_;
+
+    void run()
+    {
+        int served = 0;
+        while (served < connectionCount) {
+            asio::ip::tcp::socket connection(loop_);
+            acceptor_.accept(connection);
+            served += serve(connection);
+        }
+    }
+
+    // Returns the number of requests.
+    static int serve(asio::ip::tcp::socket& connection)
+    {
+        std::string received;
+        std::string previous;
+        asio::error_code error;
+        for (int requests = 0;; ++requests) {
+            std::size_t const bytes = asio::read_until(connection, asio::dynamic_buffer(received), "\r\n\r\n", error);
+            if (error)
+                return requests;
+            std::string const path = received.substr(4, received.find(' ', 4) - 4);
+            received.erase(0, bytes);
+            std::string const answer = "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(path.size()) + "\r\n\r\n" + path;
+            asio::write(connection, asio::buffer(previous + answer), error);
+            previous = answer;
+        }
+    }
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(ARepeatedAnswerIsNotTakenForTheNext)
+{
+    RepeatingServer const server;
+    HttpClient client;
+    for (std::string const path : { "/first", "/second", "/third" }) {
+        absl::StatusOr<HttpResult> const result = client.send("GET", server.url() + path, "", 5s);
+        BOOST_TEST_REQUIRE(result.ok());
+        BOOST_TEST(result->body == path);
+    }
+}
