--- a/include/plantaindrift/store/FleetStore.h
+++ b/include/plantaindrift/store/FleetStore.h
@@ -35,6 +35,9 @@
     /// \returns the newest configuration; nothing if the time passed without a change
     [[nodiscard]] virtual absl::StatusOr<std::optional<VersionedConfiguration>> awaitConfiguration(std::chrono::milliseconds time) = 0;
 
+    /// \brief Makes awaitConfiguration fail soon, now and from then on. May be called on any thread.
+    virtual void cancelWait() noexcept { }
+
     /// \brief Members as they announced themselves.
     ///
     /// \param fresh  false: at a lower price, may lack the last seconds
--- a/src/runtime/FleetStoreThread.cpp
+++ b/src/runtime/FleetStoreThread.cpp
@@ -7,13 +7,17 @@
 #include <algorithm>
 #include <array>
 #include <asio/post.hpp>
+#include <exception>
 
 namespace plantaindrift {
 
 namespace {
 
-    // A change has to be in force within 3 s. With a longer timeout, a hung connection would be detected too late.
-    constexpr std::chrono::milliseconds watchTimeout { 2000 };
+    // A change has to be in force within 3 s. Connections of all entries may hang; the first entry whose watch ends
+    // reads the change and passes it on, so that the timeout may grow with the number of entries.
+    constexpr std::chrono::milliseconds minimumWatchTimeout { 2000 };
+    constexpr std::chrono::milliseconds maximumWatchTimeout { 20000 };
+    constexpr std::size_t entriesPerMinimumTimeout = 6;
 
     // Delay between reads while the store has no configuration yet.
     constexpr std::chrono::milliseconds absentConfigurationDelay { 300 };
@@ -28,6 +32,11 @@
     constexpr std::chrono::milliseconds initialBackoff { 100 };
     constexpr std::chrono::milliseconds maximumBackoff { 1500 };
 
+    // A record that is left behind would be used again once all entries restart. The platform ends a process some
+    // seconds after the request to stop.
+    constexpr std::chrono::milliseconds removalTimeout { 2500 };
+    constexpr std::chrono::milliseconds removalRetryDelay { 200 };
+
     constexpr std::array<std::string_view, storeCallCount> storeCallNames { "read_members", "read_configuration", "write_member" };
 
 } // namespace
@@ -54,8 +63,14 @@
     thread_ = std::thread([this] { run(); });
 }
 
+std::chrono::milliseconds watchTimeoutFor(std::size_t entries) noexcept
+{
+    return std::clamp<std::chrono::milliseconds>(minimumWatchTimeout * static_cast<std::int64_t>(entries) / entriesPerMinimumTimeout, minimumWatchTimeout, maximumWatchTimeout);
+}
+
 void FleetStoreThread::requestStop()
 {
+    store_->cancelWait();
     {
         std::lock_guard<std::mutex> const lock(mutex_);
         stopping_ = true;
@@ -68,7 +83,12 @@
     requestStop();
     if (thread_.joinable())
         thread_.join();
-    absl::Status const status = store_->removeMember(self_.name);
+    absl::Status status = store_->removeMember(self_.name);
+    TimePoint const end = std::chrono::steady_clock::now() + removalTimeout;
+    while (!status.ok() && std::chrono::steady_clock::now() < end) {
+        std::this_thread::sleep_for(removalRetryDelay);
+        status = store_->removeMember(self_.name);
+    }
     if (!status.ok())
         logEvent(LogLevel::Warning, "record_not_removed", { { "name", self_.name }, { "problem", std::string_view(status.message().data(), status.message().size()) } });
 }
@@ -81,7 +101,7 @@
 void FleetStoreThread::run()
 {
     while (!stopping_ && !isDone()) {
-        absl::Status const status = step();
+        absl::Status const status = guardedStep();
         recordResult(status);
         if (status.ok())
             continue;
@@ -91,6 +111,16 @@
     }
 }
 
+// An unexpected answer must not end the process; the call is repeated.
+absl::Status FleetStoreThread::guardedStep()
+{
+    try {
+        return step();
+    } catch (std::exception const& error) {
+        return makeError(ErrorKind::Internal, std::string("a call to the store failed: ") + error.what() + "; it is repeated");
+    }
+}
+
 absl::Status FleetStoreThread::step()
 {
     // The configuration comes first: without it no packet is served, while peers are known from the seeds.
@@ -114,6 +144,7 @@
         return members.status();
     hasMembers_ = true;
     scheduleMembersRead(members->size());
+    entryCount_ = static_cast<std::size_t>(std::count_if(members->begin(), members->end(), [](Member const& member) { return member.role == MemberRole::Entry; }));
     isRegistered_ = std::any_of(members->begin(), members->end(), [this](Member const& member) {
         bool const sameRole = member.role == self_.role && member.service == self_.service;
         return member.name == self_.name && sameRole && member.data == self_.data && member.control == self_.control && member.dataCentre == self_.dataCentre;
@@ -163,7 +194,7 @@
 absl::Status FleetStoreThread::awaitConfiguration()
 {
     ++calls_;
-    absl::StatusOr<std::optional<VersionedConfiguration>> configuration = store_->awaitConfiguration(watchTimeout);
+    absl::StatusOr<std::optional<VersionedConfiguration>> configuration = store_->awaitConfiguration(drawWatchTimeout());
     if (!configuration.ok()) {
         // The next read returns changes that the failed watch missed.
         hasConfiguration_ = false;
@@ -173,6 +204,15 @@
     return absl::OkStatus();
 }
 
+// Watches of entries that started together end at different times; a watch does not delay the next read of the members.
+std::chrono::milliseconds FleetStoreThread::drawWatchTimeout()
+{
+    std::chrono::milliseconds const longest = watchTimeoutFor(entryCount_);
+    std::uniform_int_distribution<std::int64_t> jitter(std::max(longest / 2, minimumWatchTimeout).count(), longest.count());
+    std::chrono::milliseconds const untilRead = std::chrono::duration_cast<std::chrono::milliseconds>(nextMembersRead_ - std::chrono::steady_clock::now());
+    return std::clamp(untilRead, minimumWatchTimeout, std::chrono::milliseconds { jitter(random_) });
+}
+
 void FleetStoreThread::post(std::optional<VersionedConfiguration> configuration)
 {
     if (!configuration)
--- a/src/runtime/FleetStoreThread.h
+++ b/src/runtime/FleetStoreThread.h
@@ -29,6 +29,9 @@
 
 inline constexpr std::size_t storeCallCount = 3;
 
+/// \brief Maximum duration of a watch, by the number of entries: all of them together renew about three watches a second.
+[[nodiscard]] std::chrono::milliseconds watchTimeoutFor(std::size_t entries) noexcept;
+
 /// \brief Reads a FleetStore on a separate thread and posts what it reads to the event loop.
 ///
 /// Reads the configuration and the members, writes this process's record if the store lacks it, then waits for
@@ -48,7 +51,7 @@
 
     void start();
 
-    /// \brief Tells the thread to end after its current call. Does not block.
+    /// \brief Tells the thread to end after its current call, and cancels a watch. Does not block.
     void requestStop();
 
     /// \brief Ends the thread and removes the record of this process; blocks for the current call and the removal.
@@ -74,16 +77,19 @@
     std::size_t memberReads_ { 0 };
     TimePoint nextMembersRead_;
     bool isRegistered_ { false };
+    std::size_t entryCount_ { 0 }; ///< entries in the list of members that was read last
     bool hasConfiguration_ { false };
     std::thread thread_;
 
     void run();
+    [[nodiscard]] absl::Status guardedStep();
     [[nodiscard]] absl::Status step();
     [[nodiscard]] absl::Status readMembers();
     void scheduleMembersRead(std::size_t members);
     [[nodiscard]] absl::Status writeSelf();
     [[nodiscard]] absl::Status readConfiguration();
     [[nodiscard]] absl::Status awaitConfiguration();
+    [[nodiscard]] std::chrono::milliseconds drawWatchTimeout();
     void post(std::optional<VersionedConfiguration> configuration);
     void recordCall(StoreCall call, TimePoint started);
     void recordResult(absl::Status const& status);
--- /dev/null
+++ b/tests/DaemonCoreTests.cpp
@@ -0,0 +1,165 @@
+// Guards against datagrams that are lost because they arrived just before a planned stop, and against single errors that
+// end a process.
+#include "runtime/DaemonCore.h"
+#include "runtime/FleetStoreThread.h"
+
+#include <asio/io_context.hpp>
+#include <asio/ip/udp.hpp>
+#include <asio/post.hpp>
+#include <boost/test/unit_test.hpp>
+#include <stdexcept>
+
+namespace {
+
+using namespace plantaindrift;
+using namespace std::chrono_literals;
+
+class CountingFilter final : public PacketFilter {
+public:
+    [[nodiscard]] PacketVerdict decide(std::span<std::byte const> /*datagram*/, Endpoint /*from*/, PacketTime const& /*time*/) noexcept override
+    {
+        ++count;
+        return {};
+    }
+    std::size_t count { 0 };
+};
+
+Endpoint freeEndpoint()
+{
+    asio::io_context loop;
+    asio::ip::udp::socket const socket(loop, asio::ip::udp::endpoint(asio::ip::address_v4::loopback(), 0));
+    return { 0x7F000001U, socket.local_endpoint().port() };
+}
+
+CommonSettings makeSettings()
+{
+    CommonSettings settings;
+    settings.name = "core";
+    settings.data = freeEndpoint();
+    settings.control = freeEndpoint();
+    settings.http = freeEndpoint();
+    settings.insecure = true;
+    settings.controlTransport = ControlTransportKind::Datagram;
+    return settings;
+}
+
+DaemonCore::Handlers makeHandlers(CountingFilter& filter)
+{
+    DaemonCore::Handlers handlers;
+    handlers.packets = &filter;
+    handlers.control = [](Endpoint, std::span<std::byte const>) {};
+    handlers.tick = [](TimePoint) {};
+    handlers.keys = [](KeyRing const&) {};
+    handlers.ready = [] { return true; };
+    handlers.metrics = [](MetricsPage&) {};
+    handlers.stop = [] {};
+    return handlers;
+}
+
+void sendDatagrams(Endpoint to, std::size_t count)
+{
+    asio::io_context loop;
+    asio::ip::udp::socket socket(loop, asio::ip::udp::v4());
+    std::array<std::byte, 40> const datagram {};
+    for (std::size_t index = 0; index < count; ++index)
+        socket.send_to(asio::buffer(datagram), asio::ip::udp::endpoint(asio::ip::address_v4(to.address), to.port));
+}
+
+// A store whose answers make the first calls throw.
+class ThrowingStore final : public FleetStore {
+public:
+    explicit ThrowingStore(int& calls)
+        : calls_(calls)
+    {
+    }
+    absl::StatusOr<std::optional<VersionedConfiguration>> readConfiguration() override { return std::nullopt; }
+    absl::StatusOr<std::optional<VersionedConfiguration>> awaitConfiguration(std::chrono::milliseconds /*time*/) override { return std::nullopt; }
+    absl::StatusOr<std::vector<Member>> readMembers(bool /*fresh*/) override
+    {
+        if (++calls_ < 3)
+            throw std::out_of_range("answer");
+        return std::vector<Member> {};
+    }
+    absl::Status writeMember(Member const& /*member*/) override { return absl::OkStatus(); }
+    absl::Status removeMember(std::string_view /*name*/) override
+    {
+        return ++calls_ < 3 ? absl::UnavailableError("down") : absl::OkStatus();
+    }
+
+private:
+    int& calls_;
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(DatagramsThatArrivedBeforeAStopAreProcessed)
+{
+    constexpr std::size_t count = 200;
+    CountingFilter filter;
+    CommonSettings const settings = makeSettings();
+    DaemonCore::Handlers handlers = makeHandlers(filter);
+    DaemonCore* running = nullptr;
+    handlers.tick = [&](TimePoint) {
+        sendDatagrams(settings.data, count);
+        running->finish(absl::OkStatus());
+    };
+    DaemonCore core(settings, {}, handlers);
+    running = &core;
+    BOOST_TEST(core.run().ok());
+    BOOST_TEST(filter.count == count);
+}
+
+BOOST_AUTO_TEST_CASE(AnErrorInAHandlerDoesNotEndTheProcess)
+{
+    CountingFilter filter;
+    DaemonCore::Handlers handlers = makeHandlers(filter);
+    DaemonCore* running = nullptr;
+    int ticks = 0;
+    handlers.tick = [&](TimePoint) {
+        if (++ticks == 3)
+            running->finish(absl::OkStatus());
+        throw std::length_error("handler");
+    };
+    DaemonCore core(makeSettings(), {}, handlers);
+    running = &core;
+    asio::post(core.loop(), [] { throw std::length_error("posted"); });
+    BOOST_TEST(core.run().ok());
+    BOOST_TEST(ticks == 3);
+}
+
+BOOST_AUTO_TEST_CASE(AnErrorOfTheStoreIsRetried)
+{
+    asio::io_context loop;
+    int calls = 0;
+    bool wasRead = false;
+    FleetStoreThread::Handlers handlers;
+    handlers.members = [&](std::vector<Member> const&, bool) { wasRead = true; };
+    FleetStoreThread store(loop, std::make_unique<ThrowingStore>(calls), {}, handlers);
+    store.start();
+    std::chrono::steady_clock::time_point const end = std::chrono::steady_clock::now() + 60s;
+    while (!wasRead && std::chrono::steady_clock::now() < end) {
+        loop.restart();
+        loop.run_for(20ms);
+    }
+    BOOST_TEST(wasRead);
+}
+
+// Calls to the store must not grow with the number of entries.
+BOOST_AUTO_TEST_CASE(AllEntriesTogetherRenewFewWatches)
+{
+    BOOST_TEST((watchTimeoutFor(0) == 2000ms));
+    BOOST_TEST((watchTimeoutFor(6) == 2000ms));
+    for (std::size_t const entries : { 6U, 20U, 59U })
+        BOOST_TEST(static_cast<double>(entries) / std::chrono::duration<double>(watchTimeoutFor(entries)).count() <= 3.1);
+    BOOST_TEST((watchTimeoutFor(1000) == 20s));
+}
+
+// A record that is left in the store would be used again after a restart of all entries.
+BOOST_AUTO_TEST_CASE(ARecordIsRemovedThoughTheStoreFailsAtFirst)
+{
+    asio::io_context loop;
+    int calls = 0;
+    FleetStoreThread store(loop, std::make_unique<ThrowingStore>(calls), {}, {});
+    store.removeSelf();
+    BOOST_TEST(calls == 3);
+}
--- a/tests/DivisionStoreTests.cpp
+++ b/tests/DivisionStoreTests.cpp
@@ -185,3 +185,15 @@
     BOOST_TEST(store.readMembers(false).value().size() == 1U);
     BOOST_TEST(standIn.calls()[1] == "GET /plantaindrift/objects/members?serializable=1&after=a");
 }
+
+// A record that was removed between the two calls is not written.
+BOOST_AUTO_TEST_CASE(ARecordThatIsNeitherCreatedNorReplacedIsNotWritten)
+{
+    StandInStore standIn;
+    division::DivisionStore client(url);
+    standIn.prepare(409, "{}");
+    standIn.prepare(404, "{}");
+    Member member;
+    member.name = "agent-1";
+    BOOST_TEST(!client.writeMember(member).ok());
+}
