After a power loss, searches do not wait for machines that admitted nothing and vanished

Ruled out: agents stopped by a signal (no `stopping` line), so that a last word alone cannot help.

Change: when most machines of a service restarted, a target whose last report says that it has not announced itself, takes no flows and has none is considered gone after 1 s. Targets that have not announced themselves no longer count against a power loss. OwnerSearchTests/ATargetThatAdmittedNothingAfterAPowerLossIsGoneSoon failed before.

--- a/src/relay/TargetDirectory.cpp
+++ b/src/relay/TargetDirectory.cpp
@@ -161,11 +161,15 @@
 
 bool TargetDirectory::mayHoldFlows(TargetGroup const& group, DirectoryTarget const& target, TimePoint now) const noexcept
 {
-    if (target.hasReported)
-        return !target.load.hasEnded && now - target.lastReport <= goneTimeout() && (!target.dead || now - target.deadSince <= deadConfirmationTime);
     if (target.dead && now - target.deadSince > deadConfirmationTime)
         return false;
-    return now - target.added <= (wasPowerLost(group) ? restartedReportTimeout : maximumOutage);
+    if (!target.hasReported)
+        return now - target.added <= (wasPowerLost(group) ? restartedReportTimeout : maximumOutage);
+    // An agent that restarted and has admitted nothing knows of no flow; older ones ended with the power.
+    TargetLoad const& load = target.load;
+    bool const hasAdmittedNothing = load.isAssumed && !load.isAccepting && load.openFlows == 0;
+    Duration const timeout = hasAdmittedNothing && wasPowerLost(group) ? Duration(restartedReportTimeout) : goneTimeout();
+    return !load.hasEnded && now - target.lastReport <= timeout;
 }
 
 // A power loss restarts nearly all machines of a service, so that a silent machine has lost its flows too.
@@ -174,8 +178,9 @@
     std::size_t reported = 0;
     std::size_t restarted = 0;
     for (DirectoryTarget const& target : group.targets) {
-        reported += target.hasReported ? 1 : 0;
-        restarted += target.hasReported && target.load.isMachineRestarted ? 1 : 0;
+        bool const isKnown = target.hasReported && !target.load.isAssumed;
+        reported += isKnown ? 1 : 0;
+        restarted += isKnown && target.load.isMachineRestarted ? 1 : 0;
     }
     return reported > 1 && 2 * reported >= group.targets.size() && 4 * restarted >= 3 * reported;
 }
--- a/tests/OwnerSearchTests.cpp
+++ b/tests/OwnerSearchTests.cpp
@@ -97,6 +97,26 @@
     BOOST_TEST(service.isLostWithoutTheFirst());
 }
 
+// Machines that were being removed at the power loss start once more: their agents report, their targets return all
+// segments and announce nothing, and both vanish a second later. Searches waited 7 s for them.
+BOOST_AUTO_TEST_CASE(ATargetThatAdmittedNothingAfterAPowerLossIsGoneSoon)
+{
+    Service service(58);
+    TargetLoad assumed;
+    assumed.isAssumed = true;
+    service.directory.recordLoad(Service::agent(0), assumed, now - 1100ms);
+    BOOST_TEST(!service.isLostWithoutTheFirst());
+    service.reportPowerLoss();
+    BOOST_TEST(service.isLostWithoutTheFirst());
+    assumed.openFlows = 1;
+    service.directory.recordLoad(Service::agent(0), assumed, now - 1100ms);
+    BOOST_TEST(!service.isLostWithoutTheFirst());
+    assumed.openFlows = 0;
+    assumed.isAccepting = true;
+    service.directory.recordLoad(Service::agent(0), assumed, now - 1100ms);
+    BOOST_TEST(!service.isLostWithoutTheFirst());
+}
+
 BOOST_AUTO_TEST_CASE(ATargetThatAnnouncedItsEndHoldsNoFlows)
 {
     Service service(4);
