Late replies to an entry's earlier process are not taken for replies to the new one

Cause: query numbers began at one in every process, and a restarted entry has the endpoint of its predecessor. An agent that had been frozen replied to old queries, and the replies marked other flows as not found there. OwnerSearchesTests/RepliesToAnEarlierProcessAreNotTaken on the code before: eight of eight open flows reset. Change: the first query number follows from the incarnation.

--- a/src/relay/EntryRelay.cpp
+++ b/src/relay/EntryRelay.cpp
@@ -25,6 +25,9 @@
     // A caller keeps a flow open for at most 60 s without a packet.
     constexpr std::chrono::seconds flowIdleTimeout { 60 };
 
+    // Separates the query numbers from other uses of the random seed.
+    constexpr std::uint64_t querySeed = 0x71756572;
+
     // For flows that end sooner, sending the owner to agents would cost more than a search.
     constexpr std::chrono::milliseconds minimumSharedFlowAge { 300 };
     constexpr std::chrono::seconds ownerShareInterval { 20 };
@@ -62,7 +65,7 @@
         , sender(messageSender)
         , observer(decisionObserver)
         , directory(given.dataCentre, given.randomSeed)
-        , searches(given.ownEndpoint, directory, messageSender, decisionObserver)
+        , searches(given.ownEndpoint, static_cast<std::uint32_t>(mixHash(given.randomSeed, querySeed)), directory, messageSender, decisionObserver)
         , flows(given.maximumFlows)
     {
     }
--- a/src/relay/OwnerSearches.cpp
+++ b/src/relay/OwnerSearches.cpp
@@ -37,12 +37,13 @@
 
 } // namespace
 
-OwnerSearches::OwnerSearches(Endpoint ownEndpoint, TargetDirectory const& directory, RelaySender& sender, RelayObserver& observer)
+OwnerSearches::OwnerSearches(Endpoint ownEndpoint, std::uint32_t firstQueryNumber, TargetDirectory const& directory, RelaySender& sender, RelayObserver& observer)
     : ownEndpoint_(ownEndpoint)
     , directory_(directory)
     , sender_(sender)
     , observer_(observer)
     , searches_(maximumSearches)
+    , lastNumber_(firstQueryNumber)
 {
 }
 
--- a/src/relay/OwnerSearches.h
+++ b/src/relay/OwnerSearches.h
@@ -39,8 +39,10 @@
 class OwnerSearches {
 public:
     /// \param ownEndpoint  receives the agents' replies
+    /// \param firstQueryNumber  differs between processes at the same endpoint, so that late replies to an earlier process
+    ///                          are not taken for replies to this one
     /// \param observer  receives searches that wait for an agent
-    OwnerSearches(Endpoint ownEndpoint, TargetDirectory const& directory, RelaySender& sender, RelayObserver& observer);
+    OwnerSearches(Endpoint ownEndpoint, std::uint32_t firstQueryNumber, TargetDirectory const& directory, RelaySender& sender, RelayObserver& observer);
 
     /// \brief Starts or continues the search for a flow with a segment of the caller.
     [[nodiscard]] SearchStep advance(TargetGroup const& group, Segment const& segment, std::span<std::byte const> datagram, std::uint64_t hash, TimePoint now);
--- a/tests/OwnerSearchesTests.cpp
+++ b/tests/OwnerSearchesTests.cpp
@@ -152,6 +152,33 @@
     BOOST_TEST(resetCount(flows) == flows.size());
 }
 
+// An agent that was frozen replies to the queries of an entry's earlier process. The numbers of its queries began at one,
+// and such replies were taken for those to the queries of the new process about other flows.
+BOOST_AUTO_TEST_CASE(RepliesToAnEarlierProcessAreNotTaken)
+{
+    Scene scene(1, 4);
+    std::vector<CallerFlow*> const flows = openFlows(scene, 8);
+    KeyRing keys;
+    keys.count = 1;
+    for (int restart = 0; restart < 3; ++restart) {
+        for (std::unique_ptr<Agent> const& agent : scene.agents)
+            agent->up = false;
+        scene.startEntry(0);
+        scene.runFor(100ms);
+        for (CallerFlow* const flow : flows)
+            scene.request(*flow);
+        scene.runFor(200ms);
+        BOOST_TEST(scene.entries[0]->relay->searchMessageCount() > 0U);
+        Bytes reply(maximumRelayMessageBytes);
+        for (std::uint32_t number = 1; number <= 64; ++number) {
+            std::size_t const bytes = writeRelayFlowQueryReply(hashService("desk"), number, {}, { keys, wallClockSeconds }, reply);
+            for (std::unique_ptr<Agent> const& agent : scene.agents)
+                BOOST_TEST(!scene.entries[0]->relay->processAgentMessage(agent->data, std::span<std::byte const>(reply).first(bytes), scene.now(), wallClockSeconds));
+        }
+    }
+    BOOST_TEST(resetCount(flows) == 0U);
+}
+
 // Views change at each replacement of a target.
 BOOST_AUTO_TEST_CASE(LostFlowsEndWhileTargetsAreReplacedOneByOne)
 {
--- a/tests/RelayScene.h
+++ b/tests/RelayScene.h
@@ -196,7 +196,7 @@
         options.ownEndpoint = entry.data;
         options.dataCentre = "north";
         options.keys = keys();
-        options.randomSeed = 7 + index;
+        options.randomSeed = 7 + index + 1000 * startedEntries_++;
         options.callerPort = callerPort;
         entry.relay = std::make_unique<EntryRelay>(options, codec_, *entry.sender, decisions);
         entry.relay->setConfiguration(configuration(), now_);
@@ -332,6 +332,7 @@
     TimePoint lastTick_ { 1000s };
     std::uint64_t order_ { 0 };
     std::uint64_t deliveredCount_ { 0 };
+    std::uint64_t startedEntries_ { 0 };
     std::uint32_t lastTargetSequence_ { 5000 };
     std::priority_queue<Event> events_;
     std::map<std::uint64_t, CallerFlow*> byCaller_;
