The removal of a record is repeated for 1.5 s, so that a stop ends within the platform's grace time

By the constants an agent could take 1.5 + 1 + 2.5 + 1 s, the grace time being 6 s; now 5 s at most.

--- a/src/runtime/FleetStoreThread.cpp
+++ b/src/runtime/FleetStoreThread.cpp
@@ -32,9 +32,9 @@
     constexpr std::chrono::milliseconds initialBackoff { 100 };
     constexpr std::chrono::milliseconds maximumBackoff { 1500 };
 
-    // A record that is left behind would be used again once all entries restart. The platform ends a process some
-    // seconds after the request to stop.
-    constexpr std::chrono::milliseconds removalTimeout { 2500 };
+    // A record that is left behind would be used again once all entries restart. With the wait for requests in progress
+    // and two calls of a second, a stop takes less than the 6 s after which the platform kills a process.
+    constexpr std::chrono::milliseconds removalTimeout { 1500 };
     constexpr std::chrono::milliseconds removalRetryDelay { 200 };
 
     constexpr std::array<std::string_view, storeCallCount> storeCallNames { "read_members", "read_configuration", "write_member" };
