--- a/tests/OwnerSearchesTests.cpp
+++ b/tests/OwnerSearchesTests.cpp
@@ -77,7 +77,7 @@
         // A flow costs its segment, the first agent's report, the target's return and the reset. The flows of 10 ms
         // share a query to each target and its reply.
         std::uint64_t const searches = scene.deliveredCount() - before - std::min(idle, scene.deliveredCount() - before);
-        BOOST_TEST(searches <= 10 * flows.size() + 8 * 2 * targets, targets << " targets");
+        BOOST_TEST(searches <= 10 * flows.size() + 16 * targets, targets << " targets");
     }
 }
 
