Log what entries make of reports about owners, and stalls of a process

FLOW incident: packets of an open flow reached a target that does not hold it, for seconds. The logs did not show what the entry made of the agents' reports, nor that the entry had stood still for 4 s before it offered an old opening segment, so that the three hypotheses of the timeline could not be told apart.

- owner_changed, owner_refuted, report_ignored: one line for each report that concerns a flow that the entry remembers.
- stalled stall_ms=...: the event loop did not turn for 400 ms or longer.
Measured by the boot time, since the steady clock may omit the time while a machine is suspended.
Counter plantaindrift_stalls_total.

No decision changes.

--- a/src/relay/EntryRelay.cpp
+++ b/src/relay/EntryRelay.cpp
@@ -119,6 +119,18 @@
         observer.onDecision(decision);
     }
 
+    /// Notifies the observer of what an agent reported about a flow that the entry remembers.
+    void notifyOwnerReport(std::string_view outcome, RelayFlow const& flow, Endpoint agent) noexcept
+    {
+        RelayDecision decision;
+        decision.outcome = outcome;
+        decision.flow = flow;
+        decision.destination = agent;
+        if (DirectoryTarget const* const target = directory.findTarget(agent))
+            decision.load = target->load;
+        observer.onDecision(decision);
+    }
+
     // ---- choice ----
 
     [[nodiscard]] TargetGroup* serviceOf(SegmentContext const& context) const noexcept
@@ -237,8 +249,13 @@
         std::uint64_t const hash = hashRelayFlow(flow);
         searches.processNotFound(from, hash, now);
         FlowRecord* const record = flows.find(hash);
-        if (record == nullptr || record->owner != from)
+        if (record == nullptr)
+            return;
+        if (record->owner != from) {
+            notifyOwnerReport("report_ignored", flow, from);
             return;
+        }
+        notifyOwnerReport("owner_refuted", flow, from);
         // The flow may be open at the target that was offered an earlier copy of the opening segment; otherwise the
         // caller's next segment starts a search.
         bool const mayBeAtPrevious = record->previousOwner.isSet() && record->previousOwner != from;
@@ -276,8 +293,10 @@
         FlowRecord* const record = insertFlow(hash, flow, now);
         if (record == nullptr)
             return;
-        if (record->owner.isSet() && record->owner != from)
+        if (record->owner.isSet() && record->owner != from) {
             record->previousOwner = record->owner;
+            notifyOwnerReport("owner_changed", flow, from);
+        }
         record->owner = from;
         record->last = now;
         record->isConfirmed = true;
--- a/src/runtime/DaemonCore.cpp
+++ b/src/runtime/DaemonCore.cpp
@@ -138,6 +138,15 @@
     loop_.stop();
 }
 
+// Handlers of the event loop call this first, so that the time since the previous call is known before they act on
+// what arrived meanwhile.
+void DaemonCore::recordTurn()
+{
+    Duration const stall = stalls_.recordTurn(readUptime());
+    if (stall > Duration::zero())
+        logEvent(LogLevel::Warning, "stalled", { { "name", settings_.name }, { "stall_ms", std::chrono::duration_cast<std::chrono::milliseconds>(stall).count() } });
+}
+
 // Callers send until the process is gone; what the kernel has received would be lost with the sockets.
 void DaemonCore::processArrivedPackets() noexcept
 {
@@ -193,6 +202,7 @@
     tickTimer_.async_wait([this](asio::error_code const& error) {
         if (error || finished_)
             return;
+        recordTurn();
         TimePoint const now = std::chrono::steady_clock::now();
         control_->tick(now);
         runGuarded("tick", [&] { handlers_.tick(now); });
@@ -205,6 +215,7 @@
     port.readiness.async_wait(asio::posix::stream_descriptor::wait_read, [this, &port](asio::error_code const& error) {
         if (error || finished_)
             return;
+        recordTurn();
         for (int batch = 0; batch < batchesPerTurn; ++batch) {
             if (port.packets.runOnce(port.filter) < PacketLoop::batchSize)
                 break;
@@ -257,6 +268,7 @@
     page.addCounter("plantaindrift_control_peers_refused_total", "Control connections refused because the peer has no accepted key.", {}, static_cast<double>(control.refusedPeers));
     addPacketMetrics(page);
     page.addGauge("plantaindrift_ready", "1 if /readyz answers ready.", {}, handlers_.ready() ? 1 : 0);
+    page.addCounter("plantaindrift_stalls_total", "Times that the process stood still for 400 ms or longer.", {}, static_cast<double>(stalls_.count()));
     page.addCounter("plantaindrift_unexpected_errors_total", "Errors that no part of the process handled; each is logged.", {}, static_cast<double>(unexpectedErrors_));
     page.addProcess();
     handlers_.metrics(page);
--- a/src/runtime/DaemonCore.h
+++ b/src/runtime/DaemonCore.h
@@ -7,6 +7,7 @@
 #include "runtime/MetricsPage.h"
 #include "runtime/PacketLoop.h"
 #include "runtime/Settings.h"
+#include "runtime/StallDetector.h"
 
 #include <asio/io_context.hpp>
 #include <asio/posix/stream_descriptor.hpp>
@@ -81,11 +82,13 @@
     bool finished_ { false };
     bool packetsHeld_ { false };
     std::uint64_t unexpectedErrors_ { 0 }; ///< exceptions of handlers
+    StallDetector stalls_;
 
     void runLoop();
     void runGuarded(std::string_view where, std::function<void()> const& callback) noexcept;
     [[nodiscard]] HttpServer::Handler guarded(HttpServer::Handler handler);
     void recordUnexpectedError(std::string_view where, std::string_view problem) noexcept;
+    void recordTurn();
     void processArrivedPackets() noexcept;
     [[nodiscard]] absl::Status bindAll();
     void waitForStop();
