A flow that two targets answered goes to the acknowledged one at once

Callers lost the first request segment of a flow whose opening segment two targets had answered, and 200 ms with it; that segment went to a target that does not hold the flow.

Cause: an agent's notice when it admits a flow was taken for a proof of ownership. The later of two admissions replaced the earlier one, and the entry no longer named the other target as a candidate.

Ruled out: the agent. It recognises that the acknowledged answer is not its own, but was given no other agent to forward to.

Change: a notice confirms an owner only if no other target was offered the flow or a later segment has found its owner. Until then the entry names both; an agent that is one of several candidates confirms with the first later segment.

Evidence: the simulated target accepted later segments without a look at the acknowledged number, and gave neighbouring numbers to two targets.

--- a/src/relay/AgentRelay.cpp
+++ b/src/relay/AgentRelay.cpp
@@ -367,8 +367,9 @@
             return processOtherOwner(context);
         record->isEstablished = true;
         flows.trackRequest(*record, context.segment, context.now);
-        // An entry that restarted searches from the same address as before.
-        bool const isOwnerKnownToEntry = context.route.searchMode == RelaySearchMode::OwnerKnown && context.route.hops == 0 && record->entry == context.route.entry;
+        // An entry that names another candidate is not certain of the owner; one that restarted has no record of it.
+        bool const isEntryCertain = context.route.searchMode == RelaySearchMode::OwnerKnown && context.route.hops == 0 && context.route.candidateCount == 0;
+        bool const isOwnerKnownToEntry = isEntryCertain && record->entry == context.route.entry;
         if (!isOwnerKnownToEntry)
             notifyEntry(context);
         record->entry = context.route.entry;
--- a/src/relay/EntryRelay.cpp
+++ b/src/relay/EntryRelay.cpp
@@ -41,7 +41,8 @@
     struct FlowRecord {
         std::uint64_t hash { 0 };
         bool used { false };
-        bool isConfirmed { false }; ///< the owner sent a notice
+        bool isConfirmed { false }; ///< the owner sent a notice, and no other target may have answered the opening segment
+        bool isInUse { false }; ///< the caller has sent later segments, so that one of the answers is acknowledged
         Endpoint owner;
         Endpoint previousOwner; ///< previous target, which was offered an earlier copy of the opening segment
         RelayFlow flow;
@@ -188,6 +189,7 @@
                 record->previousOwner = record->owner;
             record->owner = chosen;
             record->isConfirmed = false;
+            record->isInUse = false;
             record->last = context.now;
         }
         return forward(context, route, isCopy ? EntryRelayOutcome::ForwardedRetransmission : EntryRelayOutcome::ForwardedOpening);
@@ -210,6 +212,7 @@
         if (record == nullptr)
             return search(context);
         record->last = context.now;
+        record->isInUse = true;
         RelayRoute route;
         TargetGroup const* const service = directory.findServiceOf(record->owner);
         if (service == nullptr) {
@@ -299,7 +302,8 @@
         }
         record->owner = from;
         record->last = now;
-        record->isConfirmed = true;
+        // Until a later segment has found its owner, a notice says only that the target was offered the flow.
+        record->isConfirmed = record->isInUse || !record->previousOwner.isSet();
     }
 
     /// \returns false if the message is not meant for an entry
--- a/tests/RelayScene.h
+++ b/tests/RelayScene.h
@@ -15,6 +15,7 @@
 #include <queue>
 #include <random>
 #include <string>
+#include <utility>
 #include <vector>
 
 /// \brief Simulates entries, agents, targets and callers of one service in simulated time, without a network.
@@ -82,7 +83,7 @@
     std::uint64_t failEvery { 0 }; ///< resets every request with a multiple of this number; 0 for none
     bool up { true };
     std::map<std::uint64_t, RelayFlow> flows; ///< open flows
-    std::map<std::uint64_t, RelayFlow> halfOpen;
+    std::map<std::uint64_t, std::uint32_t> halfOpen; ///< sequence numbers of answers that the caller has not acknowledged
     std::size_t busy { 0 };
     std::vector<std::function<void()>> waiting;
     std::uint64_t requests { 0 };
@@ -118,6 +119,13 @@
     std::vector<RelayDecision> decisions;
 };
 
+/// \brief A process that stands still; what arrives waits in its sockets.
+struct Pause {
+    bool isActive { false };
+    TimePoint since;
+    std::vector<std::function<void(Duration waited)>> arrived;
+};
+
 struct Agent {
     std::string name;
     Endpoint data;
@@ -127,6 +135,7 @@
     FakeTarget target;
     TargetState state;
     bool up { true };
+    Pause pause;
 };
 
 struct Entry {
@@ -134,6 +143,7 @@
     std::unique_ptr<SceneSender> sender;
     std::unique_ptr<EntryRelay> relay;
     bool up { true };
+    Pause pause;
 };
 
 /// \brief What a caller observed of one request.
@@ -281,6 +291,19 @@
         sendRequest(flow);
     }
 
+    /// \brief Retransmits the last request of an open flow.
+    void repeatRequest(CallerFlow const& flow)
+    {
+        Header const header { 1 + flow.nextSequence, flow.targetSequence + 1, 0, flow.caller, serviceAddress, acknowledgementFlag, 100 };
+        sendThroughEntry(flow, makePacket(header));
+    }
+
+    /// \brief Repeats an opening segment of a flow through an entry, as the network may do.
+    void repeatOpening(CallerFlow const& flow, std::size_t entry, std::uint32_t copy)
+    {
+        sendThroughEntry(entry, makeOpening(flow, copy));
+    }
+
     /// \brief Closes an open flow from the caller's side.
     void close(CallerFlow& flow)
     {
@@ -289,6 +312,22 @@
         sendThroughEntry(flow, makePacket(header));
     }
 
+    // ---- stalls ----
+
+    void pause(Pause& process)
+    {
+        process.isActive = true;
+        process.since = now_;
+    }
+
+    /// \brief Lets a process run again, which then processes what arrived meanwhile.
+    void resume(Pause& process)
+    {
+        process.isActive = false;
+        for (std::function<void(Duration)> const& action : std::exchange(process.arrived, {}))
+            action(now_ - process.since);
+    }
+
     // ---- time ----
 
     void at(TimePoint when, std::function<void()> action) { events_.push({ when, ++order_, std::move(action) }); }
@@ -337,6 +376,9 @@
     std::priority_queue<Event> events_;
     std::map<std::uint64_t, CallerFlow*> byCaller_;
 
+    // The sequence numbers of real targets are random, so that those of two targets are not adjacent.
+    static constexpr std::uint32_t targetSequenceStep = 1000;
+
     static KeyRing keys()
     {
         KeyRing ring;
@@ -365,11 +407,11 @@
     {
         lastTick_ += 100ms;
         for (std::unique_ptr<Agent> const& agent : agents) {
-            if (agent->up)
+            if (agent->up && !agent->pause.isActive)
                 agent->relay->tick(now_, wallClockSeconds);
         }
         for (std::unique_ptr<Entry> const& entry : entries) {
-            if (entry->up)
+            if (entry->up && !entry->pause.isActive)
                 entry->relay->tick(now_, wallClockSeconds);
         }
     }
@@ -378,16 +420,24 @@
     {
         for (std::unique_ptr<Entry> const& entry : entries) {
             if (entry->up && entry->data == to)
-                (void)entry->relay->processAgentMessage(from, bytes, now_, wallClockSeconds);
+                receive(entry->pause, [this, &entry = *entry, from, bytes](Duration) { (void)entry.relay->processAgentMessage(from, bytes, now_, wallClockSeconds); });
         }
         for (std::unique_ptr<Agent> const& agent : agents) {
             if (agent->up && agent->data == to)
-                applyVerdict(*agent, agent->relay->processRelayDatagram(bytes, from, now_, wallClockSeconds));
+                receive(agent->pause, [this, &agent = *agent, from, bytes](Duration /*waited*/) { applyVerdict(agent, agent.relay->processRelayDatagram(bytes, from, now_, wallClockSeconds)); });
         }
         if (to.port == callerPort)
             deliverToCaller(bytes);
     }
 
+    static void receive(Pause& process, std::function<void(Duration waited)> action)
+    {
+        if (process.isActive)
+            process.arrived.push_back(std::move(action));
+        else
+            action(Duration::zero());
+    }
+
     void applyVerdict(Agent& agent, PacketVerdict const& verdict)
     {
         if (!verdict.to.isSet())
@@ -418,13 +468,18 @@
         FakeTarget& target = agent.target;
         if (segment.isOpenRequest()) {
             ++target.openings;
-            target.halfOpen[hash] = flow;
-            Header answer { ++lastTargetSequence_, segment.sequence + 1, 0, flow.serviceEndpoint, flow.caller, openingFlag | acknowledgementFlag, 0 };
+            // A retransmission gets the same answer.
+            lastTargetSequence_ += targetSequenceStep;
+            std::uint32_t const sequence = target.halfOpen.try_emplace(hash, lastTargetSequence_).first->second;
+            Header answer { sequence, segment.sequence + 1, 0, flow.serviceEndpoint, flow.caller, openingFlag | acknowledgementFlag, 0 };
             processTargetSegment(agent, makePacket(answer));
             return;
         }
-        if (target.halfOpen.erase(hash) > 0)
+        std::map<std::uint64_t, std::uint32_t>::iterator const half = target.halfOpen.find(hash);
+        if (half != target.halfOpen.end() && segment.acknowledgement == half->second + 1) {
+            target.halfOpen.erase(half);
             target.flows[hash] = flow;
+        }
         if (!target.flows.contains(hash)) {
             ++target.unknownSegments;
             bytes[30] |= std::byte { returnedFlag };
@@ -475,24 +530,34 @@
 
     // ---- caller ----
 
-    void sendThroughEntry(CallerFlow const& flow, Bytes const& bytes)
-    {
-        after(linkDelay, [this, entry = flow.entry, bytes] {
-            Entry& at = *entries[entry];
-            if (!at.up)
-                return;
-            PacketVerdict const verdict = at.relay->processCallerDatagram(bytes, now_, wallClockSeconds);
-            if (!verdict.to.isSet())
-                return;
-            Bytes sent(verdict.header.begin(), verdict.header.end());
-            sent.insert(sent.end(), verdict.payload.begin(), verdict.payload.end());
-            deliver(at.data, verdict.to, sent);
+    void sendThroughEntry(CallerFlow const& flow, Bytes const& bytes) { sendThroughEntry(flow.entry, bytes); }
+
+    void sendThroughEntry(std::size_t entry, Bytes const& bytes)
+    {
+        after(linkDelay, [this, &at = *entries[entry], bytes] {
+            if (at.up)
+                receive(at.pause, [this, &at, bytes](Duration /*waited*/) { processCallerSegment(at, bytes); });
         });
     }
 
+    void processCallerSegment(Entry& entry, Bytes const& bytes)
+    {
+        PacketVerdict const verdict = entry.relay->processCallerDatagram(bytes, now_, wallClockSeconds);
+        if (!verdict.to.isSet())
+            return;
+        Bytes sent(verdict.header.begin(), verdict.header.end());
+        sent.insert(sent.end(), verdict.payload.begin(), verdict.payload.end());
+        deliver(entry.data, verdict.to, sent);
+    }
+
+    static Bytes makeOpening(CallerFlow const& flow, std::uint32_t copy)
+    {
+        return makePacket({ 100, copy, 0, flow.caller, serviceAddress, openingFlag, 0 });
+    }
+
     void sendOpening(CallerFlow& flow)
     {
-        sendThroughEntry(flow, makePacket({ 100, flow.retransmissions, 0, flow.caller, serviceAddress, openingFlag, 0 }));
+        sendThroughEntry(flow, makeOpening(flow, flow.retransmissions));
         ++flow.retransmissions;
         Duration const wait = flow.retransmissions == 1 ? 200ms : 400ms;
         after(wait, [this, &flow] {
