An agent that an entry wrongly takes for a flow's owner reports it

Cause: an entry corrects its record of an owner only by a report of that agent. When a late copy of the opening segment had given the flow a second owner B, and B refuted it, the entry fell back to agent Z, to which it had offered another copy. Z had B recorded as the owner, from the entry's own notice of owners, and relayed the segments to B. B reported each of them as not found, but B was no longer the agent that the entry took for the owner: the reports were ignored, no search started, and the record of Z lasts for 50 s and is renewed.

The search itself: once started, it asks all agents and finds the owner.

Change: an agent that receives a segment as the known owner and forwards it, because it does not hold the flow, reports that to the entry as well. The entry then falls back or searches, whatever became of the forwarded segment.

Evidence: OpeningDelayTests/LateOpeningsDoNotKeepSegmentsFromTheirOwner failed before (3 of 60 flows without an answer after three retransmissions) and passes now.

--- a/src/relay/AgentRelay.cpp
+++ b/src/relay/AgentRelay.cpp
@@ -381,6 +381,7 @@
         if (context.route.candidateCount == 0)
             return processUnknownFlow(context);
         Endpoint const other = context.route.candidates.front().agent;
+        correctEntry(context);
         context.route.candidateCount = 0;
         return forward(context, other, AgentRelayOutcome::ForwardedToOwner);
     }
@@ -390,6 +391,7 @@
         OwnerRecord* const ownerRecord = ownerRecords.find(context.hash);
         bool const isOwnerRecorded = ownerRecord != nullptr && ownerRecord->expires > context.now && ownerRecord->owner != options.ownEndpoint;
         if (isOwnerRecorded && context.route.searchMode != RelaySearchMode::ReportOnly) {
+            correctEntry(context);
             context.route.candidateCount = 0;
             return forward(context, ownerRecord->owner, AgentRelayOutcome::ForwardedToOwner);
         }
@@ -444,15 +446,28 @@
     /// Reports to the entry that the flow is not found here; the entry resets the flow if no target holds it.
     PacketVerdict reportNotFound(SegmentContext const& context) noexcept
     {
-        bool const isReportRequested = context.route.searchMode != RelaySearchMode::FollowOnly && context.route.entry.isSet();
-        if (isReportRequested) {
-            std::array<std::byte, maximumRelayHeaderBytes> message;
-            std::size_t const bytes = writeRelayFlowNotFound(service, context.flow, { options.keys, context.nowSeconds }, message);
-            sender.send(context.route.entry, std::span<std::byte const>(message).first(bytes));
-        }
+        if (context.route.searchMode != RelaySearchMode::FollowOnly)
+            sendNotFound(context);
         return drop(context, AgentRelayOutcome::DroppedUnknownFlow);
     }
 
+    /// Reports to an entry that takes this agent for the owner that it is not. A report of the agent to which the segment
+    /// is forwarded would not correct the entry, because it takes no notice of agents that it did not choose.
+    void correctEntry(SegmentContext const& context) noexcept
+    {
+        if (context.route.searchMode == RelaySearchMode::OwnerKnown && context.route.hops == 0)
+            sendNotFound(context);
+    }
+
+    void sendNotFound(SegmentContext const& context) noexcept
+    {
+        if (!context.route.entry.isSet())
+            return;
+        std::array<std::byte, maximumRelayHeaderBytes> message;
+        std::size_t const bytes = writeRelayFlowNotFound(service, context.flow, { options.keys, context.nowSeconds }, message);
+        sender.send(context.route.entry, std::span<std::byte const>(message).first(bytes));
+    }
+
     // ---- segments of the target ----
 
     PacketVerdict processAnswer(SegmentContext const& context) noexcept
