Opening segments that waited while a process stood still are dropped

FLOW: packets of an open flow went to a target that does not hold it.

Cause: an entry or an agent that stands still, because its machine is suspended or the process is stopped, processes what waited in its sockets as if it had just arrived. A caller retransmits an opening segment after 200 and 600 ms; the retransmissions pass other entries or are offered to other targets, and open the flow there. The old copy then gave the flow a second owner, whose notice and records lead later segments astray; or it was refused, as an original copy may be, and the caller was reset. Class of fault: acting on a message after the time in which it is valid.

Ruled out: kernel receive timestamps. They follow the time of day, which may jump, and not every platform delivers them. Dropping by the length of the queue: a process that runs, but is busy, must not drop what callers still wait for.

Change: DaemonCore notices a stall by the uptime and marks what is in the sockets until they have been emptied once. Relays drop an opening segment whose possible wait is longer than the time until the caller sends the next copy or gives up: 400 ms, and 800 ms for the last copy. Other segments are processed as before.

Evidence: with a lifetime that never ends, OpeningDelayTests/AnOpeningThatWaitedInAStalledEntryIsNotOffered failed (2 openings instead of 1), and AnOpeningThatWaitedInAStalledAgentIsNeitherAdmittedNorRefused failed (10 openings, 2 resets of open flows instead of none). Both pass now, as does DaemonCoreTests/DatagramsThatArrivedDuringAStallAreMarked.

--- a/include/plantaindrift/relay/AgentRelay.h
+++ b/include/plantaindrift/relay/AgentRelay.h
@@ -36,10 +36,11 @@
     DroppedWrongService, ///< segment of another service
     DroppedUnknownFlow, ///< the local target does not hold the flow
     DroppedOverLimit, ///< the expected time exceeds the latency limit; the caller retransmits the segment or opens another flow
-    DroppedMalformed
+    DroppedMalformed,
+    DroppedStaleOpening ///< request to open a flow that waited while this process stood still
 };
 
-inline constexpr std::size_t agentRelayOutcomeCount = 14;
+inline constexpr std::size_t agentRelayOutcomeCount = 15;
 
 /// \brief Lower-case name of an outcome, as in logs and metrics.
 [[nodiscard]] std::string_view agentRelayOutcomeName(AgentRelayOutcome outcome) noexcept;
@@ -94,7 +95,9 @@
     void stopAccepting(TimePoint now, std::uint32_t nowSeconds);
 
     /// \brief Processes one datagram of an entry or another agent.
-    [[nodiscard]] PacketVerdict processRelayDatagram(std::span<std::byte const> datagram, Endpoint from, TimePoint now, std::uint32_t nowSeconds) noexcept;
+    ///
+    /// \param maximumWait  time that the datagram may have waited because this process stood still
+    [[nodiscard]] PacketVerdict processRelayDatagram(std::span<std::byte const> datagram, Endpoint from, TimePoint now, std::uint32_t nowSeconds, Duration maximumWait = {}) noexcept;
 
     /// \brief Processes one datagram of the local target.
     [[nodiscard]] PacketVerdict processTargetDatagram(std::span<std::byte const> datagram, TimePoint now, std::uint32_t nowSeconds) noexcept;
--- a/include/plantaindrift/relay/EntryRelay.h
+++ b/include/plantaindrift/relay/EntryRelay.h
@@ -32,10 +32,11 @@
     ResetLostFlow, ///< no target holds the flow
     DroppedMalformed,
     DroppedNoRoute,
-    DroppedNoTarget
+    DroppedNoTarget,
+    DroppedStaleOpening ///< request to open a flow that waited while this process stood still
 };
 
-inline constexpr std::size_t entryRelayOutcomeCount = 10;
+inline constexpr std::size_t entryRelayOutcomeCount = 11;
 
 /// \brief Lower-case name of an outcome, as in logs and metrics.
 [[nodiscard]] std::string_view entryRelayOutcomeName(EntryRelayOutcome outcome) noexcept;
@@ -81,7 +82,9 @@
     void setKeys(KeyRing const& keys);
 
     /// \brief Processes one datagram of a caller.
-    [[nodiscard]] PacketVerdict processCallerDatagram(std::span<std::byte const> datagram, TimePoint now, std::uint32_t nowSeconds) noexcept;
+    ///
+    /// \param maximumWait  time that the datagram may have waited because this process stood still
+    [[nodiscard]] PacketVerdict processCallerDatagram(std::span<std::byte const> datagram, TimePoint now, std::uint32_t nowSeconds, Duration maximumWait = {}) noexcept;
 
     /// \brief Processes a message of an agent. \returns false if it is malformed or not authenticated
     bool processAgentMessage(Endpoint from, std::span<std::byte const> datagram, TimePoint now, std::uint32_t nowSeconds) noexcept;
--- a/src/relay/AgentRelay.cpp
+++ b/src/relay/AgentRelay.cpp
@@ -20,7 +20,7 @@
 
     constexpr std::array<std::string_view, agentRelayOutcomeCount> outcomeNames {
         "admitted", "delivered", "tried", "passed_first", "passed_known", "searched",
-        "answered", "refused", "refused_late", "reset", "dropped_service", "dropped_unknown", "dropped_late", "dropped_malformed"
+        "answered", "refused", "refused_late", "reset", "dropped_service", "dropped_unknown", "dropped_late", "dropped_malformed", "dropped_stale"
     };
 
     // Entries renew owner records every 20 s.
@@ -625,7 +625,7 @@
     state_->sendLoadReportToAll(now, nowSeconds);
 }
 
-PacketVerdict AgentRelay::processRelayDatagram(std::span<std::byte const> datagram, Endpoint from, TimePoint now, std::uint32_t nowSeconds) noexcept
+PacketVerdict AgentRelay::processRelayDatagram(std::span<std::byte const> datagram, Endpoint from, TimePoint now, std::uint32_t nowSeconds, Duration maximumWait) noexcept
 {
     state_->currentTime = now;
     DecodedRelayMessage const decoded = decodeRelayMessage(datagram, state_->options.keys, nowSeconds);
@@ -655,7 +655,11 @@
     SegmentContext context { decoded.segment, *segment, flow, hashRelayFlow(flow), decoded.route, now, nowSeconds };
     if (isSearchRequest && state_->flows.find(context.hash) == nullptr)
         state_->forwardToAgents(context, decoded.searchedAgents());
-    return segment->isOpenRequest() ? state_->processOpening(context) : state_->processLater(context);
+    if (!segment->isOpenRequest())
+        return state_->processLater(context);
+    if (maximumWait >= openingLifetime(segment->acknowledgement))
+        return state_->drop(context, AgentRelayOutcome::DroppedStaleOpening);
+    return state_->processOpening(context);
 }
 
 PacketVerdict AgentRelay::processTargetDatagram(std::span<std::byte const> datagram, TimePoint now, std::uint32_t nowSeconds) noexcept
--- a/src/relay/EntryRelay.cpp
+++ b/src/relay/EntryRelay.cpp
@@ -4,6 +4,7 @@
 #include "relay/AddressRoutes.h"
 #include "relay/HashTable.h"
 #include "relay/OwnerSearches.h"
+#include "relay/RelayTimes.h"
 #include "relay/TargetCost.h"
 #include "relay/TargetDirectory.h"
 
@@ -19,7 +20,7 @@
 
     constexpr std::array<std::string_view, entryRelayOutcomeCount> outcomeNames {
         "first_forwarded", "copy_forwarded", "owner_forwarded", "search_forwarded", "refused_no_route",
-        "refused_no_target", "reset_lost", "dropped_malformed", "dropped_no_route", "dropped_no_target"
+        "refused_no_target", "reset_lost", "dropped_malformed", "dropped_no_route", "dropped_no_target", "dropped_stale"
     };
 
     // A caller keeps a flow open for at most 60 s without a packet.
@@ -429,13 +430,17 @@
     state_->options.keys = keys;
 }
 
-PacketVerdict EntryRelay::processCallerDatagram(std::span<std::byte const> datagram, TimePoint now, std::uint32_t nowSeconds) noexcept
+PacketVerdict EntryRelay::processCallerDatagram(std::span<std::byte const> datagram, TimePoint now, std::uint32_t nowSeconds, Duration maximumWait) noexcept
 {
     std::optional<Segment> const segment = state_->codec.decode(datagram);
     if (!segment || segment->isReturned)
         return state_->countOutcome(EntryRelayOutcome::DroppedMalformed);
     State::SegmentContext const context { datagram, *segment, hashRelayFlow({ segment->source, segment->destination }), now, nowSeconds };
-    return segment->isOpenRequest() ? state_->processOpening(context) : state_->processLater(context);
+    if (!segment->isOpenRequest())
+        return state_->processLater(context);
+    if (maximumWait >= openingLifetime(segment->acknowledgement))
+        return state_->drop(context, EntryRelayOutcome::DroppedStaleOpening);
+    return state_->processOpening(context);
 }
 
 bool EntryRelay::processAgentMessage(Endpoint from, std::span<std::byte const> datagram, TimePoint now, std::uint32_t nowSeconds) noexcept
--- a/src/runtime/DaemonCore.cpp
+++ b/src/runtime/DaemonCore.cpp
@@ -26,6 +26,15 @@
 {
 }
 
+bool DaemonCore::PacketPort::processBatch(Duration uptime) noexcept
+{
+    Duration const maximumWait = stalledSince ? uptime - *stalledSince : Duration::zero();
+    if (packets.runOnce(filter, maximumWait) == PacketLoop::batchSize)
+        return true;
+    stalledSince.reset();
+    return false;
+}
+
 DaemonCore::DaemonCore(CommonSettings const& settings, FleetKeys keys, Handlers handlers)
     : settings_(settings)
     , handlers_(std::move(handlers))
@@ -139,22 +148,26 @@
 }
 
 // Handlers of the event loop call this first, so that the time since the previous call is known before they act on
-// what arrived meanwhile.
-void DaemonCore::recordTurn()
+// what arrived meanwhile. Returns the uptime.
+Duration DaemonCore::recordTurn()
 {
-    Duration const stall = stalls_.recordTurn(readUptime());
-    if (stall > Duration::zero())
-        logEvent(LogLevel::Warning, "stalled", { { "name", settings_.name }, { "stall_ms", std::chrono::duration_cast<std::chrono::milliseconds>(stall).count() } });
+    Duration const uptime = readUptime();
+    Duration const stall = stalls_.recordTurn(uptime);
+    if (stall == Duration::zero())
+        return uptime;
+    for (std::unique_ptr<PacketPort> const& port : ports_)
+        port->stalledSince = port->stalledSince.value_or(uptime - stall);
+    logEvent(LogLevel::Warning, "stalled", { { "name", settings_.name }, { "stall_ms", std::chrono::duration_cast<std::chrono::milliseconds>(stall).count() } });
+    return uptime;
 }
 
 // Callers send until the process is gone; what the kernel has received would be lost with the sockets.
 void DaemonCore::processArrivedPackets() noexcept
 {
+    Duration const uptime = recordTurn();
     for (std::unique_ptr<PacketPort> const& port : ports_) {
-        for (int batch = 0; batch < batchesAtStop; ++batch) {
-            if (port->packets.runOnce(port->filter) < PacketLoop::batchSize)
-                break;
-        }
+        for (int batch = 0; batch < batchesAtStop && port->processBatch(uptime);)
+            ++batch;
     }
 }
 
@@ -215,11 +228,9 @@
     port.readiness.async_wait(asio::posix::stream_descriptor::wait_read, [this, &port](asio::error_code const& error) {
         if (error || finished_)
             return;
-        recordTurn();
-        for (int batch = 0; batch < batchesPerTurn; ++batch) {
-            if (port.packets.runOnce(port.filter) < PacketLoop::batchSize)
-                break;
-        }
+        Duration const uptime = recordTurn();
+        for (int batch = 0; batch < batchesPerTurn && port.processBatch(uptime);)
+            ++batch;
         waitForPackets(port);
     });
 }
--- a/src/runtime/DaemonCore.h
+++ b/src/runtime/DaemonCore.h
@@ -66,6 +66,13 @@
         PacketLoop packets;
         PacketFilter& filter;
         asio::posix::stream_descriptor readiness;
+        std::optional<Duration> stalledSince; ///< uptime at the start of a stall, until the socket has been emptied after it
+
+        /// \brief Processes one batch.
+        ///
+        /// \param uptime  as readUptime
+        /// \returns false if the socket is empty
+        bool processBatch(Duration uptime) noexcept;
     };
 
     CommonSettings settings_;
@@ -88,7 +95,7 @@
     void runGuarded(std::string_view where, std::function<void()> const& callback) noexcept;
     [[nodiscard]] HttpServer::Handler guarded(HttpServer::Handler handler);
     void recordUnexpectedError(std::string_view where, std::string_view problem) noexcept;
-    void recordTurn();
+    Duration recordTurn();
     void processArrivedPackets() noexcept;
     [[nodiscard]] absl::Status bindAll();
     void waitForStop();
--- a/src/runtime/PacketLoop.cpp
+++ b/src/runtime/PacketLoop.cpp
@@ -40,7 +40,7 @@
     {
         auto const wall = std::chrono::system_clock::now().time_since_epoch();
         auto const seconds = std::chrono::duration_cast<std::chrono::seconds>(wall).count();
-        return { std::chrono::steady_clock::now(), static_cast<std::uint32_t>(seconds) };
+        return { std::chrono::steady_clock::now(), static_cast<std::uint32_t>(seconds), {} };
     }
 
     absl::Status socketError(char const* what, Endpoint endpoint)
@@ -199,12 +199,13 @@
     return state_->local;
 }
 
-std::size_t PacketLoop::runOnce(PacketFilter& filter) noexcept
+std::size_t PacketLoop::runOnce(PacketFilter& filter, Duration maximumWait) noexcept
 {
     std::size_t const received = state_->receive();
     if (received == 0)
         return 0;
-    PacketTime const time = readClocks();
+    PacketTime time = readClocks();
+    time.maximumWait = maximumWait;
     for (std::size_t slot = 0; slot < received; ++slot)
         state_->decide(slot, filter, time);
     state_->flush();
--- a/src/runtime/PacketLoop.h
+++ b/src/runtime/PacketLoop.h
@@ -16,6 +16,7 @@
 struct PacketTime {
     TimePoint now;
     std::uint32_t nowSeconds { 0 }; ///< wall clock, seconds since 1970
+    Duration maximumWait {}; ///< the datagrams may have waited this long in the socket because the process stood still; zero if it ran
 };
 
 /// \brief Decides what a PacketLoop sends for each received datagram.
@@ -74,8 +75,9 @@
 
     /// \brief Receives at most one batch without blocking, filters each datagram and sends what the verdicts say.
     ///
+    /// \param maximumWait  passed to the filter with the time of the batch
     /// \returns number of datagrams received; less than batchSize means that the socket is empty
-    std::size_t runOnce(PacketFilter& filter) noexcept;
+    std::size_t runOnce(PacketFilter& filter, Duration maximumWait = {}) noexcept;
 
     /// \brief Waits until the socket is readable.
     ///
--- a/src/runtime/RelayAgentDaemon.cpp
+++ b/src/runtime/RelayAgentDaemon.cpp
@@ -87,7 +87,7 @@
 
         [[nodiscard]] PacketVerdict decide(std::span<std::byte const> datagram, Endpoint from, PacketTime const& time) noexcept override
         {
-            return relay_.processRelayDatagram(datagram, from, time.now, time.nowSeconds);
+            return relay_.processRelayDatagram(datagram, from, time.now, time.nowSeconds, time.maximumWait);
         }
 
     private:
--- a/src/runtime/RelayEntryDaemon.cpp
+++ b/src/runtime/RelayEntryDaemon.cpp
@@ -83,7 +83,7 @@
 
         [[nodiscard]] PacketVerdict decide(std::span<std::byte const> datagram, Endpoint /*from*/, PacketTime const& time) noexcept override
         {
-            return relay_.processCallerDatagram(datagram, time.now, time.nowSeconds);
+            return relay_.processCallerDatagram(datagram, time.now, time.nowSeconds, time.maximumWait);
         }
 
     private:
--- a/tests/DaemonCoreTests.cpp
+++ b/tests/DaemonCoreTests.cpp
@@ -3,11 +3,14 @@
 #include "runtime/DaemonCore.h"
 #include "runtime/FleetStoreThread.h"
 
+#include <algorithm>
 #include <asio/io_context.hpp>
 #include <asio/ip/udp.hpp>
 #include <asio/post.hpp>
 #include <boost/test/unit_test.hpp>
 #include <stdexcept>
+#include <thread>
+#include <utility>
 
 namespace {
 
@@ -16,12 +19,14 @@
 
 class CountingFilter final : public PacketFilter {
 public:
-    [[nodiscard]] PacketVerdict decide(std::span<std::byte const> /*datagram*/, Endpoint /*from*/, PacketTime const& /*time*/) noexcept override
+    [[nodiscard]] PacketVerdict decide(std::span<std::byte const> /*datagram*/, Endpoint /*from*/, PacketTime const& time) noexcept override
     {
         ++count;
+        longestWait = std::max(longestWait, time.maximumWait);
         return {};
     }
     std::size_t count { 0 };
+    Duration longestWait {};
 };
 
 Endpoint freeEndpoint()
@@ -109,6 +114,30 @@
     BOOST_TEST(filter.count == count);
 }
 
+// Guards against datagrams that waited while the process stood still and are processed as if they had just arrived.
+BOOST_AUTO_TEST_CASE(DatagramsThatArrivedDuringAStallAreMarked)
+{
+    constexpr std::chrono::milliseconds stall = StallDetector::minimumStall + 50ms;
+    CountingFilter filter;
+    CommonSettings const settings = makeSettings();
+    DaemonCore::Handlers handlers = makeHandlers(filter);
+    DaemonCore* running = nullptr;
+    bool wasStalled = false;
+    handlers.tick = [&](TimePoint) {
+        if (filter.count > 0)
+            running->finish(absl::OkStatus());
+        if (std::exchange(wasStalled, true))
+            return;
+        sendDatagrams(settings.data, 1);
+        std::this_thread::sleep_for(stall);
+    };
+    DaemonCore core(settings, {}, handlers);
+    running = &core;
+    BOOST_TEST(core.run().ok());
+    BOOST_TEST(filter.count == 1U);
+    BOOST_TEST((filter.longestWait >= stall));
+}
+
 BOOST_AUTO_TEST_CASE(AnErrorInAHandlerDoesNotEndTheProcess)
 {
     CountingFilter filter;
--- a/tests/OpeningDelayTests.cpp
+++ b/tests/OpeningDelayTests.cpp
@@ -6,6 +6,22 @@
 
 namespace {
 
+std::size_t openingsAtTargets(Scene const& scene)
+{
+    std::size_t openings = 0;
+    for (std::unique_ptr<Agent> const& agent : scene.agents)
+        openings += agent->target.openings;
+    return openings;
+}
+
+std::size_t resetRequests(Scene const& scene)
+{
+    std::size_t resets = 0;
+    for (std::unique_ptr<CallerFlow> const& flow : scene.flows)
+        resets += static_cast<std::size_t>(std::count_if(flow->requests.begin(), flow->requests.end(), [](Request const& request) { return request.reset; }));
+    return resets;
+}
+
 std::size_t unansweredRequests(Scene const& scene)
 {
     std::size_t unanswered = 0;
@@ -46,3 +62,57 @@
     scene.runFor(500ms);
     BOOST_TEST(unansweredRequests(scene) == 0U);
 }
+
+// Guards against a second owner of an open flow: an opening segment waited while its entry stood still, and was offered to
+// a target although a retransmission had opened the flow through another entry.
+BOOST_AUTO_TEST_CASE(AnOpeningThatWaitedInAStalledEntryIsNotOffered)
+{
+    Scene scene(2, 4);
+    scene.pause(scene.entries[0]->pause);
+    CallerFlow& flow = scene.open(0);
+    scene.runFor(100ms);
+    flow.entry = 1;
+    scene.runFor(1s);
+    BOOST_TEST(flow.requests.back().answered.has_value());
+    scene.runFor(2s);
+    scene.resume(scene.entries[0]->pause);
+    scene.runFor(1s);
+    BOOST_TEST(openingsAtTargets(scene) == 1U);
+    BOOST_TEST(scene.decisions.count("dropped_stale") == 1U);
+}
+
+// Guards against a second owner, and against a reset of an open flow: the original opening segment waited while an agent
+// stood still, and was admitted or refused there although a retransmission had opened the flow at another target.
+BOOST_AUTO_TEST_CASE(AnOpeningThatWaitedInAStalledAgentIsNeitherAdmittedNorRefused)
+{
+    for (bool const isAccepting : { true, false }) {
+        Scene scene(1, 6);
+        Agent& stalled = *scene.agents[0];
+        scene.pause(stalled.pause);
+        constexpr std::size_t flowCount = 60;
+        for (std::size_t index = 0; index < flowCount; ++index)
+            scene.open(0);
+        scene.runFor(3s);
+        BOOST_TEST(unansweredRequests(scene) == 0U);
+        for (std::unique_ptr<Agent> const& agent : scene.agents) {
+            agent->state.isAccepting = isAccepting;
+            agent->relay->setTargetState(agent->state, scene.now());
+        }
+        scene.resume(stalled.pause);
+        scene.runFor(1s);
+        BOOST_TEST(stalled.target.openings == 0U);
+        BOOST_TEST(resetRequests(scene) == 0U);
+    }
+}
+
+// A short stall does not cost the callers whose openings are still answered in time.
+BOOST_AUTO_TEST_CASE(AnOpeningThatWaitedLessThanItsLifetimeIsOffered)
+{
+    Scene scene(1, 2);
+    scene.pause(scene.entries[0]->pause);
+    CallerFlow& flow = scene.open(0);
+    scene.runFor(150ms);
+    scene.resume(scene.entries[0]->pause);
+    scene.runFor(100ms);
+    BOOST_TEST(flow.requests.back().answered.has_value());
+}
--- a/tests/RelayScene.h
+++ b/tests/RelayScene.h
@@ -314,6 +314,7 @@
 
     // ---- stalls ----
 
+    /// \brief Lets a process stand still.
     void pause(Pause& process)
     {
         process.isActive = true;
@@ -424,7 +425,7 @@
         }
         for (std::unique_ptr<Agent> const& agent : agents) {
             if (agent->up && agent->data == to)
-                receive(agent->pause, [this, &agent = *agent, from, bytes](Duration /*waited*/) { applyVerdict(agent, agent.relay->processRelayDatagram(bytes, from, now_, wallClockSeconds)); });
+                receive(agent->pause, [this, &agent = *agent, from, bytes](Duration waited) { applyVerdict(agent, agent.relay->processRelayDatagram(bytes, from, now_, wallClockSeconds, waited)); });
         }
         if (to.port == callerPort)
             deliverToCaller(bytes);
@@ -536,13 +537,13 @@
     {
         after(linkDelay, [this, &at = *entries[entry], bytes] {
             if (at.up)
-                receive(at.pause, [this, &at, bytes](Duration /*waited*/) { processCallerSegment(at, bytes); });
+                receive(at.pause, [this, &at, bytes](Duration waited) { processCallerSegment(at, bytes, waited); });
         });
     }
 
-    void processCallerSegment(Entry& entry, Bytes const& bytes)
+    void processCallerSegment(Entry& entry, Bytes const& bytes, Duration waited)
     {
-        PacketVerdict const verdict = entry.relay->processCallerDatagram(bytes, now_, wallClockSeconds);
+        PacketVerdict const verdict = entry.relay->processCallerDatagram(bytes, now_, wallClockSeconds, waited);
         if (!verdict.to.isSet())
             return;
         Bytes sent(verdict.header.begin(), verdict.header.end());
