Entries log which targets their views gain and lose

The entry had asked all targets that it knew, and the target was not among them. `view_changed` counts targets only, so that the logs could not tell a target that was never known from one that was removed.

--- a/src/runtime/RelayEntryDaemon.cpp
+++ b/src/runtime/RelayEntryDaemon.cpp
@@ -6,6 +6,7 @@
 #include "runtime/DaemonCore.h"
 #include "runtime/DecisionLog.h"
 #include "runtime/FleetStoreThread.h"
+#include "runtime/ViewLog.h"
 
 #include <asio/steady_timer.hpp>
 #include <optional>
@@ -112,6 +113,7 @@
         RelayPlatform const& platform_;
         Member self_;
         DecisionLog decisions_;
+        ViewLog viewLog_;
         EntryRelay relay_;
         EntryControl control_;
         MessageFilter messages_;
@@ -211,7 +213,7 @@
         void applyView(ServiceView const& view)
         {
             relay_.setView(view, std::chrono::steady_clock::now());
-            logEvent(LogLevel::Info, "view_changed", { { "service", view.service }, { "targets", view.targets.size() }, { "fingerprint", view.fingerprint } });
+            viewLog_.recordView(view);
         }
 
         void beginStop()
