An owner that an entry's view lacks keeps its flows

Cause: an entry believes its view more than the agent that tells it that it holds the flow.

Change: a notice from an agent outside of the view is kept. Segments go to that agent in the mode of a search, so that it confirms each; after 500 ms without a confirmation the entry searches again. An owner that leaves the view is discarded as before.

Evidence: EntryRelayTests/AnOwnerThatTheViewLacksKeepsItsFlows failed before (6 open flows reset) and passes now.

--- a/src/relay/EntryRelay.cpp
+++ b/src/relay/EntryRelay.cpp
@@ -36,6 +36,9 @@
     // Number of highest-ranked agents for a flow that receive its owner.
     constexpr std::size_t ownerHolderCount = 2;
 
+    // An owner that the view lacks confirms each segment; after this time without an answer it is taken for gone.
+    constexpr std::chrono::milliseconds unlistedOwnerTimeout { 500 };
+
     // Number of ticks in which all flows are checked once.
     constexpr std::size_t ownerShareTicks = 5;
 
@@ -43,6 +46,7 @@
         std::uint64_t hash { 0 };
         bool used { false };
         bool isConfirmed { false }; ///< the owner sent a notice, and no other target may have answered the opening segment
+        bool isUnlisted { false }; ///< the owner sent its last notice while the view of the service lacked it
         bool isInUse { false }; ///< the caller has sent later segments, so that one of the answers is acknowledged
         Endpoint owner;
         Endpoint previousOwner; ///< previous target, which was offered an earlier copy of the opening segment
@@ -50,6 +54,7 @@
         TimePoint opened;
         TimePoint last;
         TimePoint ownerSent; ///< time when the owner was last sent to agents
+        TimePoint unanswered; ///< time of the first segment since the last notice of an unlisted owner; unset if there was none
         std::uint32_t holders { 0 }; ///< hash of the agents that received the owner, and of the owner
     };
 
@@ -215,19 +220,33 @@
         record->last = context.now;
         record->isInUse = true;
         RelayRoute route;
-        TargetGroup const* const service = directory.findServiceOf(record->owner);
+        TargetGroup const* service = directory.findServiceOf(record->owner);
+        bool const isListed = service != nullptr;
+        if (!isListed && mayUseUnlistedOwner(*record, context.now))
+            service = serviceOf(context);
         if (service == nullptr) {
             flows.erase(*record);
             return search(context);
         }
         route.serviceHash = service->hash;
-        route.searchMode = RelaySearchMode::OwnerKnown;
+        // In the mode of a search, the owner sends a notice for each segment.
+        route.searchMode = isListed ? RelaySearchMode::OwnerKnown : RelaySearchMode::Start;
         route.candidates[route.candidateCount++] = { record->owner, 0 };
         if (!record->isConfirmed && record->previousOwner.isSet())
             route.candidates[route.candidateCount++] = { record->previousOwner, 0 };
         return forward(context, route, EntryRelayOutcome::ForwardedToOwner);
     }
 
+    /// A view may lack a target that has joined, so that the notice of an agent counts for more than the view.
+    [[nodiscard]] static bool mayUseUnlistedOwner(FlowRecord& record, TimePoint now) noexcept
+    {
+        if (!record.isUnlisted)
+            return false;
+        if (record.unanswered == TimePoint {})
+            record.unanswered = now;
+        return now - record.unanswered <= unlistedOwnerTimeout;
+    }
+
     /// Sends the segment to an agent that ranks high for the flow: entries send the owners of flows to these agents.
     PacketVerdict search(SegmentContext const& context)
     {
@@ -302,6 +321,8 @@
             notifyOwnerReport("owner_changed", flow, from);
         }
         record->owner = from;
+        record->isUnlisted = directory.findServiceOf(from) == nullptr;
+        record->unanswered = {};
         record->last = now;
         // Until a later segment has found its owner, a notice says only that the target was offered the flow.
         record->isConfirmed = record->isInUse || !record->previousOwner.isSet();
--- a/tests/EntryRelayTests.cpp
+++ b/tests/EntryRelayTests.cpp
@@ -17,6 +17,26 @@
     return scene.entries[entry]->relay->processCallerDatagram(packet, scene.now(), wallClockSeconds);
 }
 
+// The platform's callers retransmit after 200 ms, and then with doubled intervals.
+void retransmitRequests(Scene& scene)
+{
+    for (Duration const wait : { 200ms, 400ms, 800ms }) {
+        scene.runFor(wait);
+        for (std::unique_ptr<CallerFlow> const& flow : scene.flows) {
+            if (!flow->requests.back().answered)
+                scene.repeatRequest(*flow);
+        }
+    }
+}
+
+void requestOnAllFlows(Scene& scene)
+{
+    for (std::unique_ptr<CallerFlow> const& flow : scene.flows)
+        scene.request(*flow);
+    retransmitRequests(scene);
+    scene.runFor(600ms);
+}
+
 } // namespace
 
 BOOST_AUTO_TEST_CASE(AnAddressWithoutARouteIsRefusedAtOnce)
@@ -193,3 +213,40 @@
     scene.runFor(31s);
     BOOST_TEST(limitOf(2002, added) > 0U);
 }
+
+// Guards against a reset of an open flow whose target the entry does not know: a member record that was late, or lost while
+// machines were cut off. The owner's notice tells more than the entry's view.
+BOOST_AUTO_TEST_CASE(AnOwnerThatTheViewLacksKeepsItsFlows)
+{
+    Scene scene(2, 6);
+    // Each entry lacks other targets, so that the agents that hold owner records differ.
+    ServiceView first = scene.view();
+    first.targets.erase(first.targets.begin(), first.targets.begin() + 2);
+    ServiceView second = scene.view();
+    second.targets.pop_back();
+    scene.entries[0]->relay->setView(first, scene.now());
+    scene.entries[1]->relay->setView(second, scene.now());
+    scene.runFor(10s);
+    constexpr std::size_t flowCount = 60;
+    for (std::size_t index = 0; index < flowCount; ++index)
+        scene.open(0);
+    scene.runFor(1s);
+    for (std::unique_ptr<CallerFlow> const& flow : scene.flows)
+        flow->entry = 1;
+    requestOnAllFlows(scene);
+    // The retransmissions of the last request pass the other entry again.
+    for (std::unique_ptr<CallerFlow> const& flow : scene.flows) {
+        scene.request(*flow);
+        flow->entry = 0;
+    }
+    retransmitRequests(scene);
+    scene.runFor(5s);
+    std::size_t unanswered = 0;
+    for (std::unique_ptr<CallerFlow> const& flow : scene.flows) {
+        for (Request const& request : flow->requests) {
+            BOOST_TEST(!request.reset);
+            unanswered += request.answered ? 0 : 1;
+        }
+    }
+    BOOST_TEST(unanswered == 0U);
+}
