A flow is declared lost only by a member list that is newer than its search

Cause: a running entry took its view for complete after 3 s of search. Joins wait behind everything else in the control budget, and comparisons with peers wait too. Class of fault: a verdict that needs complete knowledge is given by knowledge that is only usually complete.

Ruled out: a longer minimum search: no fixed time bounds the delay, and callers of lost flows would wait longer. Asking other entries: their views lack others of the same targets.

Without an answer of the store no flow is declared lost. After a power loss the list of the start suffices.

Evidence: with the condition disabled, AgentRelayTests/AFlowIsNotResetBeforeTheMembersAreReadAnew failed (open flows reset), and ALostFlowIsResetOnceTheMembersAreReadAnew failed at its first check. Both pass now.

Open: the slow spread of joins itself. It costs balance, since entries offer no flows to targets that they do not know.

--- a/include/plantaindrift/relay/EntryRelay.h
+++ b/include/plantaindrift/relay/EntryRelay.h
@@ -79,6 +79,17 @@
     /// A caller is told that its flow is lost only after all targets of a complete view have been queried.
     void setViewsComplete(bool complete) noexcept;
 
+    /// \brief Makes resets of lost flows wait for a member list that was read after the search for the flow began.
+    void requireMemberRead() noexcept;
+
+    /// \brief True if the end of a search waits for a new member list.
+    [[nodiscard]] bool needsMemberRead() const noexcept;
+
+    /// \brief Records that the views include all members of a list.
+    ///
+    /// \param started  time when the read of the list started
+    void recordMemberRead(TimePoint started) noexcept;
+
     void setKeys(KeyRing const& keys);
 
     /// \brief Processes one datagram of a caller.
--- a/src/relay/EntryRelay.cpp
+++ b/src/relay/EntryRelay.cpp
@@ -446,6 +446,21 @@
     state_->searches.setViewsComplete(complete);
 }
 
+void EntryRelay::requireMemberRead() noexcept
+{
+    state_->searches.requireMemberRead();
+}
+
+bool EntryRelay::needsMemberRead() const noexcept
+{
+    return state_->searches.needsMemberRead();
+}
+
+void EntryRelay::recordMemberRead(TimePoint started) noexcept
+{
+    state_->searches.recordMemberRead(started);
+}
+
 void EntryRelay::setKeys(KeyRing const& keys)
 {
     state_->options.keys = keys;
--- a/src/relay/OwnerSearches.cpp
+++ b/src/relay/OwnerSearches.cpp
@@ -310,14 +310,36 @@
 void OwnerSearches::endIfLost(OwnerSearch& search, TimePoint now)
 {
     bool const isViewSettled = viewsComplete_ && now - search.group->viewChanged >= viewSettleDelay;
-    bool const isLongEnough = now - firstTick_ < startupPeriod || now - search.started >= minimumLostSearchTime;
-    if (!isViewSettled || !isLongEnough || !search.isNotFoundEverywhere(directory_, now))
+    bool const isLongEnough = isStarting(now) || now - search.started >= minimumLostSearchTime;
+    if (!isViewSettled || !search.isNotFoundEverywhere(directory_, now) || !isViewCurrent(search, now) || !isLongEnough)
         return;
     search.isLost = true;
     lostTimes_.observe(now - search.started);
     lost_.push_back({ search.hash, search.segment });
 }
 
+bool OwnerSearches::isStarting(TimePoint now) const noexcept
+{
+    return now - firstTick_ < startupPeriod;
+}
+
+// The records of targets that joined may be delayed by the control budget or by a cut for longer than any fixed time.
+// After a power loss no flow is open that a later list could tell of.
+bool OwnerSearches::isViewCurrent(OwnerSearch const& search, TimePoint now) noexcept
+{
+    bool const isLostWithPower = isStarting(now) && TargetDirectory::wasPowerLost(*search.group);
+    bool const isCurrent = !isMemberReadRequired_ || isLostWithPower || membersRead_ >= search.started;
+    needsMemberRead_ = needsMemberRead_ || !isCurrent;
+    return isCurrent;
+}
+
+void OwnerSearches::recordMemberRead(TimePoint started) noexcept
+{
+    membersRead_ = std::max(membersRead_, started);
+    // Searches that began later ask again.
+    needsMemberRead_ = false;
+}
+
 std::vector<LostFlow> OwnerSearches::takeLostFlows()
 {
     return std::exchange(lost_, {});
--- a/src/relay/OwnerSearches.h
+++ b/src/relay/OwnerSearches.h
@@ -44,6 +44,15 @@
     /// \param observer  receives searches that wait for an agent
     OwnerSearches(Endpoint ownEndpoint, std::uint32_t firstQueryNumber, TargetDirectory const& directory, RelaySender& sender, RelayObserver& observer);
 
+    /// \brief Makes verdicts wait for a member list that was read after the search began. Without a store there is no such list.
+    void requireMemberRead() noexcept { isMemberReadRequired_ = true; }
+
+    /// \brief True if a search can only be ended by a new member list.
+    [[nodiscard]] bool needsMemberRead() const noexcept { return needsMemberRead_; }
+
+    /// \brief Records that the view includes all members that were registered when a read of the member list started.
+    void recordMemberRead(TimePoint started) noexcept;
+
     /// \brief Starts or continues the search for a flow with a segment of the caller.
     [[nodiscard]] SearchStep advance(TargetGroup const& group, Segment const& segment, std::span<std::byte const> datagram, std::uint64_t hash, TimePoint now);
 
@@ -108,6 +117,9 @@
     TimePoint queriesSent_;
     std::uint64_t messageCount_ { 0 };
     bool viewsComplete_ { false };
+    bool isMemberReadRequired_ { false };
+    bool needsMemberRead_ { false };
+    TimePoint membersRead_; ///< start of the last read of the member list
 
     void send(Endpoint to, std::size_t bytes) noexcept;
     void queue(OwnerSearch& search);
@@ -121,6 +133,8 @@
     void sendWithSegment(OwnerSearch const& search, Endpoint to, std::size_t headerBytes) noexcept;
     void notifyObserver(OwnerSearch const& search, TimePoint now) noexcept;
     void endIfLost(OwnerSearch& search, TimePoint now);
+    [[nodiscard]] bool isStarting(TimePoint now) const noexcept;
+    [[nodiscard]] bool isViewCurrent(OwnerSearch const& search, TimePoint now) noexcept;
 };
 
 } // namespace plantaindrift
--- a/src/relay/TargetDirectory.h
+++ b/src/relay/TargetDirectory.h
@@ -94,6 +94,9 @@
     /// \brief True unless the target is known to have ended or has been silent for so long that it is considered gone.
     [[nodiscard]] bool mayHoldFlows(TargetGroup const& group, DirectoryTarget const& target, TimePoint now) const noexcept;
 
+    /// \brief True if most targets of the service restarted with their machines a short time ago.
+    [[nodiscard]] static bool wasPowerLost(TargetGroup const& group) noexcept;
+
     /// \brief Returns the agents whose subscription is due and marks them as subscribed.
     [[nodiscard]] std::vector<Endpoint> collectDueSubscriptions(TimePoint now);
 
@@ -107,7 +110,6 @@
     absl::flat_hash_map<std::uint64_t, TargetGroup*> agentGroups_; ///< by agent endpoint
 
     [[nodiscard]] Duration goneTimeout() const noexcept;
-    [[nodiscard]] static bool wasPowerLost(TargetGroup const& group) noexcept;
     [[nodiscard]] bool isSilent(DirectoryTarget const& target, TimePoint now) const noexcept;
     [[nodiscard]] double costOf(DirectoryTarget const& target, TimePoint now) noexcept;
     [[nodiscard]] std::size_t drawSample(TargetGroup& group) noexcept;
--- a/src/runtime/RelayEntryDaemon.cpp
+++ b/src/runtime/RelayEntryDaemon.cpp
@@ -6,6 +6,7 @@
 #include "runtime/DaemonCore.h"
 #include "runtime/DecisionLog.h"
 #include "runtime/FleetStoreThread.h"
+#include "runtime/MemberReader.h"
 #include "runtime/ViewLog.h"
 
 #include <asio/steady_timer.hpp>
@@ -78,6 +79,11 @@
                 handlers.members = [this](std::vector<Member> const& members, bool /*known*/) { addMembers(members); };
                 store_.emplace(core_.loop(), platform_.openStore(settings_.common.platformUrl), self_, std::move(handlers));
                 store_->start();
+                relay_.requireMemberRead();
+                memberReader_.emplace(core_.loop(), platform_.openStore(settings_.common.platformUrl), [this](std::vector<Member> const& members, TimePoint started) {
+                    addMembers(members);
+                    relay_.recordMemberRead(started);
+                });
             }
             return core_.run();
         }
@@ -120,6 +126,7 @@
         DaemonCore core_;
         asio::steady_timer stopTimer_;
         std::optional<FleetStoreThread> store_;
+        std::optional<MemberReader> memberReader_;
         TimePoint started_ { std::chrono::steady_clock::now() };
         std::uint64_t configurationVersion_ { 0 };
         std::uint64_t refusedMessages_ { 0 };
@@ -159,9 +166,16 @@
             applyControl();
             relay_.setViewsComplete(hasMembers_ || control_.isCaughtUp(now));
             relay_.tick(now, wallClockSeconds());
+            requestMembers();
             logReadinessChange();
         }
 
+        void requestMembers()
+        {
+            if (memberReader_ && relay_.needsMemberRead())
+                memberReader_->request();
+        }
+
         void logReadinessChange()
         {
             bool const ready = isReady();
@@ -251,6 +265,8 @@
             page.addHistogram("plantaindrift_entry_search_seconds", searchHelp, { { "outcome", "lost" } }, relay_.failedSearchTimes());
             if (store_)
                 store_->addMetrics(page);
+            if (memberReader_)
+                memberReader_->addMetrics(page);
         }
     };
 
--- a/tests/AgentRelayTests.cpp
+++ b/tests/AgentRelayTests.cpp
@@ -427,6 +427,59 @@
         BOOST_TEST(!isReset(*flow));
 }
 
+// Guards against a reset of an open flow whose target joined long ago, but whose record has not reached this entry: the verdict
+// waits for a member list that was read after the search began.
+BOOST_AUTO_TEST_CASE(AFlowIsNotResetBeforeTheMembersAreReadAnew)
+{
+    Scene scene(2, 4);
+    EntryRelay& entry = *scene.entries[1]->relay;
+    entry.requireMemberRead();
+    scene.runFor(11s);
+    std::vector<CallerFlow*> const flows = openFlows(scene, 20);
+    // No agent has the owners recorded yet.
+    scene.runFor(100ms);
+    ServiceView part = scene.view();
+    part.targets.pop_back();
+    entry.setView(part, scene.now());
+    entry.recordMemberRead(scene.now());
+    scene.runFor(400ms);
+    for (CallerFlow* const flow : flows) {
+        flow->entry = 1;
+        scene.request(*flow);
+    }
+    scene.runFor(5s);
+    BOOST_TEST(entry.needsMemberRead());
+    for (CallerFlow const* const flow : flows)
+        BOOST_TEST(!isReset(*flow));
+    entry.setView(scene.view(), scene.now());
+    entry.recordMemberRead(scene.now());
+    scene.runFor(1s);
+    BOOST_TEST(!entry.needsMemberRead());
+    for (CallerFlow const* const flow : flows)
+        BOOST_TEST(!isReset(*flow));
+}
+
+BOOST_AUTO_TEST_CASE(ALostFlowIsResetOnceTheMembersAreReadAnew)
+{
+    Scene scene(2, 4);
+    EntryRelay& entry = *scene.entries[1]->relay;
+    entry.requireMemberRead();
+    scene.runFor(11s);
+    CallerFlow& flow = *openFlows(scene, 1).front();
+    scene.runFor(100ms);
+    std::size_t const owner = findOwner(scene, flow);
+    scene.agents[owner]->target.flows.clear();
+    scene.startAgent(owner);
+    flow.entry = 1;
+    scene.request(flow);
+    scene.runFor(4s);
+    BOOST_TEST(!isReset(flow));
+    BOOST_TEST(entry.needsMemberRead());
+    entry.recordMemberRead(scene.now());
+    scene.runFor(200ms);
+    BOOST_TEST(isReset(flow));
+}
+
 // An agent that does not reply may own the flow.
 BOOST_AUTO_TEST_CASE(AFlowIsNotResetWhileAnAgentIsSilent)
 {
