An address stays with the service that uses it last

When a target's address is used again by a target of another service, an entry lost the assignment of the address to the new service as soon as the old target left its view, and gave it back to the old service at each change of that view until then. The new target's load reports were ignored, and its flows were searched for anew with each segment.

Cause: TargetDirectory::setView removed all addresses of the old target list without a look at who uses them.

Change: an address is removed only by the service that it is assigned to, and a dead target takes it from no other service.

--- a/src/relay/TargetDirectory.cpp
+++ b/src/relay/TargetDirectory.cpp
@@ -79,7 +79,7 @@
     absl::flat_hash_map<std::string_view, std::uint32_t> oldIndices;
     for (std::uint32_t index = 0; index < group.targets.size(); ++index) {
         oldIndices[group.targets[index].name] = index;
-        agentGroups_.erase(endpointKey(group.targets[index].agent));
+        releaseAddress(group, group.targets[index].agent);
     }
     std::vector<DirectoryTarget> targets;
     bool wasTargetAdded = false;
@@ -100,7 +100,10 @@
         target.draining = seen.draining;
         target.deadSince = seen.dead && !target.dead ? now : target.deadSince;
         target.dead = seen.dead;
-        agentGroups_[endpointKey(seen.data)] = &group;
+        // A dead target's address may be in use by a target of another service.
+        TargetGroup*& owner = agentGroups_[endpointKey(seen.data)];
+        if (owner == nullptr || !seen.dead)
+            owner = &group;
         targets.push_back(std::move(target));
     }
     group.targets = std::move(targets);
@@ -111,6 +114,13 @@
     return newIndices;
 }
 
+void TargetDirectory::releaseAddress(TargetGroup const& group, Endpoint agent)
+{
+    absl::flat_hash_map<std::uint64_t, TargetGroup*>::iterator const owner = agentGroups_.find(endpointKey(agent));
+    if (owner != agentGroups_.end() && owner->second == &group)
+        agentGroups_.erase(owner);
+}
+
 TargetGroup* TargetDirectory::findServiceOf(Endpoint agent) noexcept
 {
     absl::flat_hash_map<std::uint64_t, TargetGroup*>::iterator const group = agentGroups_.find(endpointKey(agent));
--- a/src/relay/TargetDirectory.h
+++ b/src/relay/TargetDirectory.h
@@ -109,6 +109,7 @@
     std::map<std::string, TargetGroup, std::less<>> groups_;
     absl::flat_hash_map<std::uint64_t, TargetGroup*> agentGroups_; ///< by agent endpoint
 
+    void releaseAddress(TargetGroup const& group, Endpoint agent);
     [[nodiscard]] Duration goneTimeout() const noexcept;
     [[nodiscard]] bool isSilent(DirectoryTarget const& target, TimePoint now) const noexcept;
     [[nodiscard]] double costOf(DirectoryTarget const& target, TimePoint now) noexcept;
