Agent's owner records and returnable deliveries in files of their own

OwnerRecords and ReturnableDeliveries hold what two tables and a counter in its state held; behaviour is unchanged, and the tests of the relay pass as before.

--- a/src/relay/AgentRelay.cpp
+++ b/src/relay/AgentRelay.cpp
@@ -2,9 +2,10 @@
 
 #include "plantaindrift/base/Hash.h"
 #include "relay/AdmissionLimit.h"
-#include "relay/HashTable.h"
 #include "relay/LoadSubscribers.h"
+#include "relay/OwnerRecords.h"
 #include "relay/RelayTimes.h"
+#include "relay/ReturnableDeliveries.h"
 #include "relay/TargetCost.h"
 #include "relay/TargetFlows.h"
 
@@ -50,23 +51,6 @@
     constexpr std::uint32_t unresponsiveDeliveries = 3;
     constexpr std::chrono::milliseconds unresponsiveTimeout { 500 };
 
-    constexpr std::size_t returnableDeliveryCount = 1024;
-    constexpr std::size_t maximumOwnerRecords = 1U << 15U;
-
-    struct OwnerRecord {
-        std::uint64_t hash { 0 };
-        bool used { false };
-        Endpoint owner;
-        TimePoint expires;
-    };
-
-    /// Route of a segment delivered to the target, in case the target returns it.
-    struct ReturnableDelivery {
-        std::uint32_t token { 0 };
-        std::uint64_t hash { 0 };
-        RelayRoute route;
-    };
-
     struct Peer {
         std::uint64_t nameHash { 0 };
         Endpoint agent;
@@ -101,8 +85,6 @@
         , service(hashService(given.serviceName))
         , started(now)
         , flows(given.maximumFlows)
-        , ownerRecords(maximumOwnerRecords)
-        , returnableDeliveries(returnableDeliveryCount)
     {
     }
 
@@ -122,9 +104,8 @@
     TimePoint currentTime; ///< time of the last call
     LateShare lateShare;
     TargetFlows flows;
-    HashTable<OwnerRecord> ownerRecords;
-    std::vector<ReturnableDelivery> returnableDeliveries;
-    std::uint32_t lastToken { 0 };
+    OwnerRecords ownerRecords;
+    ReturnableDeliveries returnableDeliveries;
     LoadSubscribers subscribers;
     std::vector<Peer> peers; ///< all other targets of the service
     TimePoint lastSweep;
@@ -205,11 +186,7 @@
             firstUnanswered = context.now;
         if (outcome != AgentRelayOutcome::Delivered)
             notifyObserver(context, outcome, options.targetEndpoint);
-        std::uint32_t token = 0;
-        if (isReturnable) {
-            token = ++lastToken;
-            returnableDeliveries[token % returnableDeliveryCount] = { token, context.hash, context.route };
-        }
+        std::uint32_t const token = isReturnable ? returnableDeliveries.add(context.hash, context.route) : 0;
         codec.copyHeader(context.datagram, token, header);
         return { options.targetEndpoint, headerSpan(codec.headerBytes()), context.datagram.subspan(codec.headerBytes()) };
     }
@@ -295,7 +272,7 @@
         Endpoint const to = candidate.agent;
         std::swap(candidate, context.route.candidates[context.route.candidateCount - 1]);
         --context.route.candidateCount;
-        recordOwner(context.hash, to, context.now + openingOwnerLifetime);
+        ownerRecords.record(context.hash, to, context.now + openingOwnerLifetime);
         return forward(context, to, AgentRelayOutcome::ForwardedOpening);
     }
 
@@ -314,19 +291,10 @@
         }
         if (chosen == nullptr)
             return refuse(context);
-        recordOwner(context.hash, chosen->agent, context.now + openingOwnerLifetime);
+        ownerRecords.record(context.hash, chosen->agent, context.now + openingOwnerLifetime);
         return forward(context, chosen->agent, AgentRelayOutcome::ForwardedOpening);
     }
 
-    void recordOwner(std::uint64_t hash, Endpoint owner, TimePoint expires) noexcept
-    {
-        OwnerRecord* const ownerRecord = ownerRecords.insert(hash);
-        if (ownerRecord == nullptr)
-            return;
-        ownerRecord->owner = owner;
-        ownerRecord->expires = expires;
-    }
-
     PacketVerdict refuse(SegmentContext const& context) noexcept
     {
         // An earlier copy may have opened the flow at another target, and a reset would break it. A target that is
@@ -388,12 +356,12 @@
 
     PacketVerdict processUnknownFlow(SegmentContext& context) noexcept
     {
-        OwnerRecord* const ownerRecord = ownerRecords.find(context.hash);
-        bool const isOwnerRecorded = ownerRecord != nullptr && ownerRecord->expires > context.now && ownerRecord->owner != options.ownEndpoint;
-        if (isOwnerRecorded && context.route.searchMode != RelaySearchMode::ReportOnly) {
+        std::optional<Endpoint> const recordedOwner = ownerRecords.find(context.hash, context.now);
+        bool const isElsewhere = recordedOwner && *recordedOwner != options.ownEndpoint;
+        if (isElsewhere && context.route.searchMode != RelaySearchMode::ReportOnly) {
             correctEntry(context);
             context.route.candidateCount = 0;
-            return forward(context, ownerRecord->owner, AgentRelayOutcome::ForwardedToOwner);
+            return forward(context, *recordedOwner, AgentRelayOutcome::ForwardedToOwner);
         }
         bool const isFlowSetKnown = target.isStartObserved && context.route.searchMode == RelaySearchMode::ReportOnly;
         bool const mayHoldFlow = mayTargetHoldOldFlows(context.now) && !isFlowSetKnown;
@@ -492,10 +460,8 @@
     PacketVerdict processReturned(SegmentContext& context) noexcept
     {
         TargetFlow* const record = flows.find(context.hash);
-        ReturnableDelivery const& delivery = returnableDeliveries[context.segment.returnToken % returnableDeliveryCount];
-        bool const isDeliveryKnown = context.segment.returnToken != 0 && delivery.token == context.segment.returnToken && delivery.hash == context.hash;
-        if (isDeliveryKnown)
-            context.route = delivery.route;
+        if (RelayRoute const* const route = returnableDeliveries.find(context.segment.returnToken, context.hash))
+            context.route = *route;
         else
             context.route.serviceHash = service;
         if (context.segment.isOpenRequest()) {
@@ -560,7 +526,7 @@
             return;
         for (std::size_t index = 0; index < decoded.flowOwnerCount(); ++index) {
             OwnedFlow const owned = decoded.flowOwnerAt(index);
-            recordOwner(hashRelayFlow(owned.flow), owned.owner, now + ownerRecordLifetime);
+            ownerRecords.record(hashRelayFlow(owned.flow), owned.owner, now + ownerRecordLifetime);
         }
     }
 
@@ -579,7 +545,7 @@
             return;
         lastSweep = now;
         flows.sweep(now);
-        ownerRecords.eraseIf([now](OwnerRecord const& ownerRecord) { return ownerRecord.expires <= now; });
+        ownerRecords.sweep(now);
     }
 };
 
