An entry does not crash when it sends owners to an agent with a reused address

What callers saw: nothing was reported. The entry's process would end by itself, with all flows that pass it.

Cause: EntryRelay::sendBatch looked up the service of an agent by its address, without a check. TargetDirectory forgets the address of a listed target when the view of the service that had the address before drops its old target.

Change: the service of the flow's owner goes with the batch, so that nothing is looked up.

Evidence: EntryRelayTests/OwnersAreSentToAnAgentWhoseAddressWasReused ended with a memory access violation at address 0 before; it passes with this branch.

--- a/src/relay/EntryRelay.cpp
+++ b/src/relay/EntryRelay.cpp
@@ -372,7 +372,9 @@
             sendBatch(batch.first, batch.second, nowSeconds);
     }
 
-    using Batches = std::map<Endpoint, std::vector<OwnedFlow>>; ///< by receiving agent
+    /// An agent, and the service for which it holds owner records. The directory may know its address by another service.
+    using OwnerHolder = std::pair<Endpoint, ServiceHash>;
+    using Batches = std::map<OwnerHolder, std::vector<OwnedFlow>>; ///< by receiving agent
 
     void addFlowOwners(FlowRecord& record, TimePoint now, Batches& batches)
     {
@@ -397,18 +399,17 @@
         record.ownerSent = now;
         for (std::pair<std::uint64_t, Endpoint> const& holder : holders) {
             if (holder.second.isSet())
-                batches[holder.second].push_back({ record.flow, record.owner });
+                batches[{ holder.second, group->hash }].push_back({ record.flow, record.owner });
         }
     }
 
-    void sendBatch(Endpoint to, std::span<OwnedFlow const> owned, std::uint32_t nowSeconds)
+    void sendBatch(OwnerHolder const& to, std::span<OwnedFlow const> owned, std::uint32_t nowSeconds)
     {
-        ServiceHash const service = directory.findServiceOf(to)->hash;
         std::array<std::byte, maximumRelayMessageBytes> message;
         while (!owned.empty()) {
             std::size_t const named = std::min(owned.size(), maximumFlowOwners);
-            std::size_t const bytes = writeRelayFlowOwners(service, owned.first(named), { options.keys, nowSeconds }, message);
-            sender.send(to, std::span<std::byte const>(message).first(bytes));
+            std::size_t const bytes = writeRelayFlowOwners(to.second, owned.first(named), { options.keys, nowSeconds }, message);
+            sender.send(to.first, std::span<std::byte const>(message).first(bytes));
             owned = owned.subspan(named);
         }
     }
--- a/tests/EntryRelayTests.cpp
+++ b/tests/EntryRelayTests.cpp
@@ -250,3 +250,23 @@
     }
     BOOST_TEST(unanswered == 0U);
 }
+
+// Guards against a crash: an agent whose address another service had used before was chosen to hold owner records, and
+// the entry did not find its service.
+BOOST_AUTO_TEST_CASE(OwnersAreSentToAnAgentWhoseAddressWasReused)
+{
+    Scene scene(1, 3);
+    ServiceView other;
+    other.service = "mail";
+    other.targets.push_back({ "old", "north", scene.agents[0]->data });
+    EntryRelay& entry = *scene.entries[0]->relay;
+    entry.setView(other, scene.now());
+    entry.setView(scene.view(), scene.now());
+    other.targets.clear();
+    entry.setView(other, scene.now());
+    for (std::size_t index = 0; index < 20; ++index)
+        scene.open(0);
+    scene.runFor(2s);
+    for (std::unique_ptr<CallerFlow> const& flow : scene.flows)
+        BOOST_TEST(flow->requests.back().answered.has_value());
+}
