Opening segments that waited while an entry was starting are dropped too

Cause: a starting entry leaves callers' segments in the kernel's buffer until it is ready, for 500 ms or the next tick after that. They were passed on as if they had just arrived, while an original is valid for 400 ms.

Change: the hold counts as a stall of the data port. Segments that arrived late in a long hold are dropped with the others; the caller's next copy follows.

Not shown: that the hold gave a flow a second owner in a run.

--- a/src/runtime/DaemonCore.cpp
+++ b/src/runtime/DaemonCore.cpp
@@ -54,6 +54,8 @@
     waitForKeys();
     waitForTick();
     packetsHeld_ = handlers_.holdPackets;
+    if (packetsHeld_)
+        ports_.front()->stalledSince = readUptime();
     for (std::size_t port = packetsHeld_ ? 1 : 0; port < ports_.size(); ++port)
         waitForPackets(*ports_[port]);
     logEvent(LogLevel::Info, "started", { { "name", settings_.name }, { "data_centre", settings_.dataCentre }, { "data", formatEndpoint(settings_.data) }, { "control", formatEndpoint(settings_.control) }, { "http", formatEndpoint(settings_.http) }, { "insecure", settings_.insecure } });
--- a/src/runtime/DaemonCore.h
+++ b/src/runtime/DaemonCore.h
@@ -66,7 +66,7 @@
         PacketLoop packets;
         PacketFilter& filter;
         asio::posix::stream_descriptor readiness;
-        std::optional<Duration> stalledSince; ///< uptime at the start of a stall, until the socket has been emptied after it
+        std::optional<Duration> stalledSince; ///< uptime at the start of a stall or hold, until the socket has been emptied after it
 
         /// \brief Processes one batch.
         ///
--- a/tests/DaemonCoreTests.cpp
+++ b/tests/DaemonCoreTests.cpp
@@ -8,6 +8,7 @@
 #include <asio/ip/udp.hpp>
 #include <asio/post.hpp>
 #include <boost/test/unit_test.hpp>
+#include <optional>
 #include <stdexcept>
 #include <thread>
 #include <utility>
@@ -138,6 +139,34 @@
     BOOST_TEST((filter.longestWait >= stall));
 }
 
+// Guards against a second owner of an open flow: opening segments that waited while an entry was starting were offered as
+// if they had just arrived.
+BOOST_AUTO_TEST_CASE(DatagramsThatWereHeldAreMarked)
+{
+    constexpr std::chrono::milliseconds hold = StallDetector::minimumStall;
+    CountingFilter filter;
+    CommonSettings const settings = makeSettings();
+    DaemonCore::Handlers handlers = makeHandlers(filter);
+    handlers.holdPackets = true;
+    DaemonCore* running = nullptr;
+    std::optional<TimePoint> sent;
+    handlers.tick = [&](TimePoint now) {
+        if (!sent) {
+            sendDatagrams(settings.data, 1);
+            sent = now;
+        }
+        if (now - *sent >= hold)
+            running->releasePackets();
+        if (filter.count > 0)
+            running->finish(absl::OkStatus());
+    };
+    DaemonCore core(settings, {}, handlers);
+    running = &core;
+    BOOST_TEST(core.run().ok());
+    BOOST_TEST(filter.count == 1U);
+    BOOST_TEST((filter.longestWait >= hold));
+}
+
 BOOST_AUTO_TEST_CASE(AnErrorInAHandlerDoesNotEndTheProcess)
 {
     CountingFilter filter;
