An opening segment that a target returns late is not offered to another one

FLOW, the class of the second owner: a message is acted upon after the time in which it is valid.

Cause: a segment that was delivered just before a machine stood still waits in the target's or the agent's socket. A target that returns it afterwards made its agent offer it to a peer, though a later copy may have opened the flow elsewhere. The check of stalls covers only the datagrams of entries and other agents.

Change: an agent remembers when it delivered a segment, and drops an opening segment that comes back after its lifetime.

Open: a delivery that is no longer remembered has no time, and its return is still offered.

--- a/src/relay/AgentRelay.cpp
+++ b/src/relay/AgentRelay.cpp
@@ -186,7 +186,7 @@
             firstUnanswered = context.now;
         if (outcome != AgentRelayOutcome::Delivered)
             notifyObserver(context, outcome, options.targetEndpoint);
-        std::uint32_t const token = isReturnable ? returnableDeliveries.add(context.hash, context.route) : 0;
+        std::uint32_t const token = isReturnable ? returnableDeliveries.add(context.hash, context.route, context.now) : 0;
         codec.copyHeader(context.datagram, token, header);
         return { options.targetEndpoint, headerSpan(codec.headerBytes()), context.datagram.subspan(codec.headerBytes()) };
     }
@@ -460,14 +460,17 @@
     PacketVerdict processReturned(SegmentContext& context) noexcept
     {
         TargetFlow* const record = flows.find(context.hash);
-        if (RelayRoute const* const route = returnableDeliveries.find(context.segment.returnToken, context.hash))
-            context.route = *route;
+        ReturnableDelivery const* const delivery = returnableDeliveries.find(context.segment.returnToken, context.hash);
+        if (delivery != nullptr)
+            context.route = delivery->route;
         else
             context.route.serviceHash = service;
         if (context.segment.isOpenRequest()) {
             if (record != nullptr && !record->isEstablished)
                 flows.erase(*record);
             pauseAdmission(context);
+            if (delivery != nullptr && context.now - delivery->delivered >= openingLifetime(context.segment.acknowledgement))
+                return drop(context, AgentRelayOutcome::DroppedStaleOpening);
             if (context.route.candidateCount > 0 && context.route.hops < maximumOpeningForwards)
                 return forwardOpening(context, context.route.candidates.front());
             return forwardToAnyPeer(context);
--- a/src/relay/ReturnableDeliveries.h
+++ b/src/relay/ReturnableDeliveries.h
@@ -8,37 +8,39 @@
 
 namespace plantaindrift {
 
+/// \brief A segment that was delivered to the target.
+struct ReturnableDelivery {
+    std::uint32_t token { 0 };
+    std::uint64_t flowHash { 0 };
+    RelayRoute route;
+    TimePoint delivered;
+};
+
 /// \brief Routes of the latest segments that were delivered to the target, in case the target returns them.
 class ReturnableDeliveries {
 public:
     /// \brief Remembers a delivery. \returns the token to write into the segment
-    std::uint32_t add(std::uint64_t flowHash, RelayRoute const& route) noexcept
+    std::uint32_t add(std::uint64_t flowHash, RelayRoute const& route, TimePoint now) noexcept
     {
         ++lastToken_;
-        deliveries_[lastToken_ % capacity] = { lastToken_, flowHash, route };
+        deliveries_[lastToken_ % capacity] = { lastToken_, flowHash, route, now };
         return lastToken_;
     }
 
-    /// \brief The route of a returned segment; null if it is not remembered.
+    /// \brief The delivery of a returned segment; null if it is not remembered.
     ///
     /// \param token  as written into the segment; 0 if it had none
-    [[nodiscard]] RelayRoute const* find(std::uint32_t token, std::uint64_t flowHash) const noexcept
+    [[nodiscard]] ReturnableDelivery const* find(std::uint32_t token, std::uint64_t flowHash) const noexcept
     {
-        Delivery const& delivery = deliveries_[token % capacity];
+        ReturnableDelivery const& delivery = deliveries_[token % capacity];
         bool const isKnown = token != 0 && delivery.token == token && delivery.flowHash == flowHash;
-        return isKnown ? &delivery.route : nullptr;
+        return isKnown ? &delivery : nullptr;
     }
 
 private:
-    struct Delivery {
-        std::uint32_t token { 0 };
-        std::uint64_t flowHash { 0 };
-        RelayRoute route;
-    };
-
     static constexpr std::size_t capacity = 1024;
 
-    std::array<Delivery, capacity> deliveries_;
+    std::array<ReturnableDelivery, capacity> deliveries_;
     std::uint32_t lastToken_ { 0 };
 };
 
--- a/tests/OpeningDelayTests.cpp
+++ b/tests/OpeningDelayTests.cpp
@@ -116,3 +116,24 @@
     scene.runFor(100ms);
     BOOST_TEST(flow.requests.back().answered.has_value());
 }
+
+// Guards against a second owner: a target returned an opening segment that had waited while its machine stood still, and
+// the agent offered it to another target although a retransmission had opened the flow elsewhere.
+BOOST_AUTO_TEST_CASE(AnOpeningThatATargetReturnsLateIsNotOffered)
+{
+    for (Duration const wait : { Duration(100ms), Duration(4s) }) {
+        Scene scene(1, 2);
+        for (std::unique_ptr<Agent> const& agent : scene.agents)
+            agent->target.up = false;
+        CallerFlow& flow = scene.open(0);
+        scene.runFor(50ms);
+        // The caller sends no retransmissions.
+        flow.requests.front().refused = true;
+        std::size_t const first = scene.agents[0]->relay->load().openFlows > 0 ? 0 : 1;
+        scene.runFor(wait);
+        Bytes const returned = makePacket({ 100, 0, 1, flow.caller, serviceAddress, openingFlag | returnedFlag, 0 });
+        PacketVerdict const verdict = scene.agents[first]->relay->processTargetDatagram(returned, scene.now(), wallClockSeconds);
+        bool const isOffered = verdict.to == scene.agents[1 - first]->data;
+        BOOST_TEST(isOffered == (wait < 400ms));
+    }
+}
