A dead target does not hide the one that took over its address in the same service

Beside a dead predecessor the new target never counted as reporting, and a search took it for gone 7 s after it had joined.

Change: among targets with the same address, the first one that is not dead has it.

Open: until the old target is known to be dead, the first by name still has the address.

--- a/src/relay/TargetDirectory.cpp
+++ b/src/relay/TargetDirectory.cpp
@@ -138,8 +138,17 @@
 
 std::size_t TargetDirectory::indexOf(TargetGroup const& group, Endpoint agent) noexcept
 {
-    std::vector<DirectoryTarget>::const_iterator const found = std::find_if(group.targets.begin(), group.targets.end(), [agent](DirectoryTarget const& target) { return target.agent == agent; });
-    return static_cast<std::size_t>(found - group.targets.begin());
+    // A dead target may still be listed with an address that is used again.
+    std::size_t found = group.targets.size();
+    for (std::size_t index = 0; index < group.targets.size(); ++index) {
+        DirectoryTarget const& target = group.targets[index];
+        if (target.agent != agent)
+            continue;
+        found = index;
+        if (!target.dead)
+            break;
+    }
+    return found;
 }
 
 void TargetDirectory::recordLoad(Endpoint agent, TargetLoad const& load, TimePoint now) noexcept
