A target keeps its address though another service's view lists a former user of it

The directory knows one service for each agent's address, and every change of a view took the addresses of all its targets, dead ones included, and deleted those that it listed before. After a reuse by another service, later segments to the owner carried the old service and were dropped by its agent without a report, load reports went to the dead target, and a search took the new target for gone 7 s after it had joined.

Change: a view deletes only the addresses that it holds. Of the services that list an address, the one whose target is not dead and joined last has it. Only addresses that several services have listed are searched for in all of them.

The logs do not show segments that an agent drops for their service.

--- a/src/relay/TargetDirectory.cpp
+++ b/src/relay/TargetDirectory.cpp
@@ -79,7 +79,6 @@
     absl::flat_hash_map<std::string_view, std::uint32_t> oldIndices;
     for (std::uint32_t index = 0; index < group.targets.size(); ++index) {
         oldIndices[group.targets[index].name] = index;
-        releaseAddress(group, group.targets[index].agent);
     }
     std::vector<DirectoryTarget> targets;
     bool wasTargetAdded = false;
@@ -100,13 +99,10 @@
         target.draining = seen.draining;
         target.deadSince = seen.dead && !target.dead ? now : target.deadSince;
         target.dead = seen.dead;
-        // A dead target's address may be in use by a target of another service.
-        TargetGroup*& owner = agentGroups_[endpointKey(seen.data)];
-        if (owner == nullptr || !seen.dead)
-            owner = &group;
         targets.push_back(std::move(target));
     }
-    group.targets = std::move(targets);
+    group.targets.swap(targets);
+    assignAgents(group, targets);
     group.order.resize(group.targets.size());
     std::iota(group.order.begin(), group.order.end(), 0U);
     if (wasTargetAdded)
@@ -114,11 +110,42 @@
     return newIndices;
 }
 
-void TargetDirectory::releaseAddress(TargetGroup const& group, Endpoint agent)
+void TargetDirectory::assignAgents(TargetGroup& group, std::span<DirectoryTarget const> former)
 {
-    absl::flat_hash_map<std::uint64_t, TargetGroup*>::iterator const owner = agentGroups_.find(endpointKey(agent));
-    if (owner != agentGroups_.end() && owner->second == &group)
-        agentGroups_.erase(owner);
+    for (DirectoryTarget const& target : former) {
+        absl::flat_hash_map<std::uint64_t, TargetGroup*>::iterator const holder = agentGroups_.find(endpointKey(target.agent));
+        if (holder != agentGroups_.end() && holder->second == &group)
+            agentGroups_.erase(holder);
+    }
+    for (DirectoryTarget const& target : group.targets) {
+        if (agentGroups_.try_emplace(endpointKey(target.agent), &group).first->second != &group)
+            sharedAgents_.insert(endpointKey(target.agent));
+    }
+    for (DirectoryTarget const& target : former)
+        assignSharedAgent(target.agent);
+    for (DirectoryTarget const& target : group.targets)
+        assignSharedAgent(target.agent);
+}
+
+// Addresses are used again by other services, whose views still list the former target for some time. The target that
+// is not dead and joined last has the address.
+void TargetDirectory::assignSharedAgent(Endpoint agent)
+{
+    if (!sharedAgents_.contains(endpointKey(agent)))
+        return;
+    DirectoryTarget const* latest = nullptr;
+    for (std::pair<std::string const, TargetGroup>& group : groups_) {
+        std::size_t const index = indexOf(group.second, agent);
+        if (index == group.second.targets.size())
+            continue;
+        DirectoryTarget const& target = group.second.targets[index];
+        if (latest != nullptr && std::pair(!target.dead, target.added) < std::pair(!latest->dead, latest->added))
+            continue;
+        latest = &target;
+        agentGroups_[endpointKey(agent)] = &group.second;
+    }
+    if (latest == nullptr)
+        sharedAgents_.erase(endpointKey(agent));
 }
 
 TargetGroup* TargetDirectory::findServiceOf(Endpoint agent) noexcept
--- a/src/relay/TargetDirectory.h
+++ b/src/relay/TargetDirectory.h
@@ -5,6 +5,7 @@
 #include "plantaindrift/relay/RelayMessage.h"
 
 #include "absl/container/flat_hash_map.h"
+#include "absl/container/flat_hash_set.h"
 
 #include <chrono>
 #include <cstddef>
@@ -108,8 +109,10 @@
     RandomSource random_;
     std::map<std::string, TargetGroup, std::less<>> groups_;
     absl::flat_hash_map<std::uint64_t, TargetGroup*> agentGroups_; ///< by agent endpoint
+    absl::flat_hash_set<std::uint64_t> sharedAgents_; ///< endpoints that several services have listed at the same time
 
-    void releaseAddress(TargetGroup const& group, Endpoint agent);
+    void assignAgents(TargetGroup& group, std::span<DirectoryTarget const> former);
+    void assignSharedAgent(Endpoint agent);
     [[nodiscard]] Duration goneTimeout() const noexcept;
     [[nodiscard]] bool isSilent(DirectoryTarget const& target, TimePoint now) const noexcept;
     [[nodiscard]] double costOf(DirectoryTarget const& target, TimePoint now) noexcept;
--- a/tests/TargetDirectoryTests.cpp
+++ b/tests/TargetDirectoryTests.cpp
@@ -21,8 +21,60 @@
     return view;
 }
 
+ServiceView emptyView(std::string_view service)
+{
+    ServiceView view;
+    view.service = service;
+    return view;
+}
+
 } // namespace
 
+// The record of the old target expired after the new one had joined: load reports of the new target were ignored, and
+// it was taken for gone after 7 s.
+BOOST_AUTO_TEST_CASE(ATargetStaysKnownWhenTheFormerUserOfItsAddressIsRemoved)
+{
+    TargetDirectory directory("north", 1);
+    directory.setView(makeView("desk", "old"), now);
+    directory.setView(makeView("mail", "new"), now);
+    directory.setView(emptyView("desk"), now);
+    TargetGroup* const group = &directory.findOrAddService("mail");
+    BOOST_TEST((directory.findServiceOf(reused) == group));
+    directory.recordLoad(reused, {}, now + 10s);
+    BOOST_TEST(directory.mayHoldFlows(*group, group->targets.front(), now + 10s));
+}
+
+// Any change of the old service's view took the address back for its dead target.
+BOOST_AUTO_TEST_CASE(ADeadTargetDoesNotTakeOverItsFormerAddress)
+{
+    TargetDirectory directory("north", 1);
+    directory.setView(makeView("desk", "old"), now);
+    directory.setView(makeView("mail", "new"), now);
+    directory.setView(makeView("desk", "old", true), now);
+    BOOST_TEST((directory.findServiceOf(reused) == &directory.findOrAddService("mail")));
+}
+
+BOOST_AUTO_TEST_CASE(AnAddressLeavesATargetThatDies)
+{
+    TargetDirectory directory("north", 1);
+    directory.setView(makeView("mail", "one"), now);
+    directory.setView(makeView("desk", "other"), now + 1s);
+    BOOST_TEST((directory.findServiceOf(reused) == &directory.findOrAddService("desk")));
+    directory.setView(makeView("desk", "other", true), now + 2s);
+    BOOST_TEST((directory.findServiceOf(reused) == &directory.findOrAddService("mail")));
+}
+
+BOOST_AUTO_TEST_CASE(AnAddressReturnsToTheServiceThatStillListsIt)
+{
+    TargetDirectory directory("north", 1);
+    directory.setView(makeView("desk", "old"), now);
+    directory.setView(makeView("mail", "new"), now);
+    directory.setView(emptyView("mail"), now);
+    BOOST_TEST((directory.findServiceOf(reused) == &directory.findOrAddService("desk")));
+    directory.setView(emptyView("desk"), now);
+    BOOST_TEST((directory.findServiceOf(reused) == nullptr));
+}
+
 // A new target of the same service took over the address of a dead one, which was found in its place: reports of the new
 // target were lost.
 BOOST_AUTO_TEST_CASE(ADeadTargetOfTheSameServiceDoesNotHideItsSuccessor)
