After a power loss, too, a flow is lost only by a member list newer than its search

In its first 10 s, an entry that took most targets of a service for restarted reset callers by the list of its start, at once. A flow may be open at a target that joined after that list, and a service that grows to four times its size within 10 s looks the same as a power loss.

--- a/src/relay/OwnerSearches.cpp
+++ b/src/relay/OwnerSearches.cpp
@@ -311,7 +311,7 @@
 {
     bool const isViewSettled = viewsComplete_ && now - search.group->viewChanged >= viewSettleDelay;
     bool const isLongEnough = isStarting(now) || now - search.started >= minimumLostSearchTime;
-    if (!isViewSettled || !search.isNotFoundEverywhere(directory_, now) || !isViewCurrent(search, now) || !isLongEnough)
+    if (!isViewSettled || !search.isNotFoundEverywhere(directory_, now) || !isViewCurrent(search) || !isLongEnough)
         return;
     search.isLost = true;
     lostTimes_.observe(now - search.started);
@@ -323,12 +323,11 @@
     return now - firstTick_ < startupPeriod;
 }
 
-// The records of targets that joined may be delayed by the control budget or by a cut for longer than any fixed time.
-// After a power loss no flow is open that a later list could tell of.
-bool OwnerSearches::isViewCurrent(OwnerSearch const& search, TimePoint now) noexcept
+// The records of targets that joined may be delayed by the control budget or by a cut for longer than any fixed time. A
+// flow may also have been opened at such a target after a power loss.
+bool OwnerSearches::isViewCurrent(OwnerSearch const& search) noexcept
 {
-    bool const isLostWithPower = isStarting(now) && TargetDirectory::wasPowerLost(*search.group);
-    bool const isCurrent = !isMemberReadRequired_ || isLostWithPower || membersRead_ >= search.started;
+    bool const isCurrent = !isMemberReadRequired_ || membersRead_ >= search.started;
     needsMemberRead_ = needsMemberRead_ || !isCurrent;
     return isCurrent;
 }
--- a/src/relay/OwnerSearches.h
+++ b/src/relay/OwnerSearches.h
@@ -134,7 +134,7 @@
     void notifyObserver(OwnerSearch const& search, TimePoint now) noexcept;
     void endIfLost(OwnerSearch& search, TimePoint now);
     [[nodiscard]] bool isStarting(TimePoint now) const noexcept;
-    [[nodiscard]] bool isViewCurrent(OwnerSearch const& search, TimePoint now) noexcept;
+    [[nodiscard]] bool isViewCurrent(OwnerSearch const& search) noexcept;
 };
 
 } // namespace plantaindrift
--- a/tests/AgentRelayTests.cpp
+++ b/tests/AgentRelayTests.cpp
@@ -459,6 +459,35 @@
         BOOST_TEST(!isReset(*flow));
 }
 
+// Guards against a reset of a flow that was opened after a power loss, at a target that joined after this entry had read
+// the members.
+BOOST_AUTO_TEST_CASE(AFlowOpenedAfterAPowerLossIsNotResetBeforeTheMembersAreReadAnew)
+{
+    Scene scene(2, 6);
+    restartMachines(scene);
+    EntryRelay& entry = *scene.entries[1]->relay;
+    entry.requireMemberRead();
+    ServiceView part = scene.view();
+    part.targets.pop_back();
+    entry.setView(part, scene.now());
+    entry.recordMemberRead(scene.now());
+    scene.runFor(1s);
+    std::vector<CallerFlow*> const flows = openFlows(scene, 20);
+    scene.runFor(100ms);
+    for (CallerFlow* const flow : flows) {
+        flow->entry = 1;
+        scene.request(*flow);
+    }
+    scene.runFor(1s);
+    for (CallerFlow const* const flow : flows)
+        BOOST_TEST(!isReset(*flow));
+    entry.setView(scene.view(), scene.now());
+    entry.recordMemberRead(scene.now());
+    scene.runFor(1s);
+    for (CallerFlow const* const flow : flows)
+        BOOST_TEST(!isReset(*flow));
+}
+
 BOOST_AUTO_TEST_CASE(ALostFlowIsResetOnceTheMembersAreReadAnew)
 {
     Scene scene(2, 4);
