DaemonCoreTests choose ports that are free for UDP and for TCP

The tests failed now and then, 2 of 10 runs on one machine, with "address in use": they looked for a free port with UDP, and the HTTP endpoint of the daemon binds it with TCP (seen with strace: EADDRINUSE of a SOCK_STREAM bind).

TargetDirectoryTests also check that the address of a removed target is unknown.

--- a/tests/DaemonCoreTests.cpp
+++ b/tests/DaemonCoreTests.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <asio/io_context.hpp>
+#include <asio/ip/tcp.hpp>
 #include <asio/ip/udp.hpp>
 #include <asio/post.hpp>
 #include <boost/test/unit_test.hpp>
@@ -30,11 +31,20 @@
     Duration longestWait {};
 };
 
+// A port that is free for UDP and for TCP: the HTTP endpoint binds it with TCP.
 Endpoint freeEndpoint()
 {
     asio::io_context loop;
-    asio::ip::udp::socket const socket(loop, asio::ip::udp::endpoint(asio::ip::address_v4::loopback(), 0));
-    return { 0x7F000001U, socket.local_endpoint().port() };
+    while (true) {
+        asio::ip::udp::socket const socket(loop, asio::ip::udp::endpoint(asio::ip::address_v4::loopback(), 0));
+        std::uint16_t const port = socket.local_endpoint().port();
+        asio::ip::tcp::acceptor acceptor(loop);
+        acceptor.open(asio::ip::tcp::v4());
+        asio::error_code isInUse;
+        acceptor.bind(asio::ip::tcp::endpoint(asio::ip::address_v4::loopback(), port), isInUse);
+        if (!isInUse)
+            return { 0x7F000001U, port };
+    }
 }
 
 CommonSettings makeSettings()
--- a/tests/TargetDirectoryTests.cpp
+++ b/tests/TargetDirectoryTests.cpp
@@ -88,3 +88,13 @@
     BOOST_TEST(group.targets.back().hasReported);
     BOOST_TEST(directory.mayHoldFlows(group, group.targets.back(), now + 10s));
 }
+
+BOOST_AUTO_TEST_CASE(TheAddressOfARemovedTargetIsUnknown)
+{
+    TargetDirectory directory("north", 1);
+    directory.setView(makeView("desk", "target-1"), now);
+    ServiceView empty;
+    empty.service = "desk";
+    directory.setView(empty, now);
+    BOOST_TEST((directory.findServiceOf(reused) == nullptr));
+}
