Each object in a list of the store is read on its own

Entries and agents found no member any more, from their start on, while one odd object lay among the records of members: an object without a readable name, a number such as 1e999 or deep nesting in the place of the name. Every read failed as a whole and was repeated.

Cause: the answer was parsed in one piece, and the parser refuses all of it for one number out of range. The name was read outside of the part that skips unusable records. Nesting was parsed to any depth, and takes many times the memory of its text.

Ruled out: the end of the process by the stack. The parser and its destructor are iterative, and an object of 1 MB nested 500,000 levels deep was read.

--- a/include/plantaindrift/store/FleetStore.h
+++ b/include/plantaindrift/store/FleetStore.h
@@ -48,6 +48,9 @@
 
     /// \brief Removes a member's record; no error if there is none.
     [[nodiscard]] virtual absl::Status removeMember(std::string_view name) = 0;
+
+    /// \brief Number of objects read so far that were skipped as unusable. May be called on any thread.
+    [[nodiscard]] virtual std::uint64_t skippedObjects() const noexcept { return 0; }
 };
 
 } // namespace plantaindrift
--- a/src/runtime/FleetStoreThread.cpp
+++ b/src/runtime/FleetStoreThread.cpp
@@ -231,6 +231,7 @@
 {
     page.addGauge("plantaindrift_store_reachable", "1 if the last call to the store was answered.", {}, reachable_ ? 1 : 0);
     page.addCounter("plantaindrift_store_calls_total", "Calls to the store.", {}, static_cast<double>(calls_));
+    page.addCounter("plantaindrift_store_skipped_objects_total", "Unusable objects in answers of the store, counted at each read.", {}, static_cast<double>(store_->skippedObjects()));
     for (std::size_t call = 0; call < storeCallCount; ++call)
         page.addHistogram("plantaindrift_store_call_seconds", "Times of calls to the store, answered or not, without watches.", { { "call", std::string(storeCallNames[call]) } }, callTimes_[call]);
 }
--- a/tests/DivisionStoreTests.cpp
+++ b/tests/DivisionStoreTests.cpp
@@ -85,6 +85,33 @@
     return "{\"items\":[" + items + "],\"more\":false,\"store-revision\":" + std::to_string(revision) + '}';
 }
 
+std::string const goodRecord = R"({"meta":{"name":"front-1"},"spec":{"role":"entry","service":"","data_centre":"north","incarnation":42,"data":"10.1.0.1:7735","control":"10.1.0.1:7720"}})";
+
+// Nests empty lists, or objects, as deeply as the largest value in the store allows.
+std::string nested(std::string_view open, std::string_view innermost, std::string_view close)
+{
+    constexpr std::size_t largestValueBytes = 1000000;
+    std::size_t const depth = largestValueBytes / (open.size() + close.size());
+    std::string text;
+    for (std::size_t level = 0; level < depth; ++level)
+        text += open;
+    text += innermost;
+    for (std::size_t level = 0; level < depth; ++level)
+        text += close;
+    return text;
+}
+
+// Objects that others may have stored among those that are read.
+std::vector<std::string> oddObjects()
+{
+    return {
+        "7", "null", "[]", "\"]\"", "{}", R"({"meta":7})", R"({"meta":{}})", R"({"meta":{"name":7},"spec":{}})", R"({"meta":{"name":1e999}})",
+        R"({"meta":{"name":"x"}})", R"({"meta":{"name":"x"},"spec":1e999})", R"({"meta":{"name":"x"},"spec":{"incarnation":1e999}})",
+        R"({"meta":{"name":"x"},"spec":"}],{\"meta\":"})", nested("[", "", "]"), R"({"meta":{"name":"x"},"spec":)" + nested("[", "", "]") + '}',
+        R"({"meta":{"name":"x"},"spec":{"role":)" + nested(R"({"a":)", "1", "}") + "}}", R"({"meta":)" + nested("[", "", "]") + '}'
+    };
+}
+
 Member someMember()
 {
     Member member;
@@ -197,3 +224,18 @@
     member.name = "agent-1";
     BOOST_TEST(!client.writeMember(member).ok());
 }
+
+// One record that cannot be read failed the whole read, each time, so that no member was found any more.
+BOOST_AUTO_TEST_CASE(AnOddRecordHidesNoOther)
+{
+    StandInStore standIn;
+    division::DivisionStore store(url);
+    for (std::string const& odd : oddObjects()) {
+        standIn.prepare(200, list(odd + ',' + goodRecord + ',' + odd, 9));
+        absl::StatusOr<std::vector<Member>> const members = store.readMembers(true);
+        std::string const shown = odd.substr(0, 80);
+        BOOST_TEST(members.ok(), shown << ": " << members.status());
+        BOOST_TEST((members.ok() && *members == std::vector<Member> { someMember() }), shown);
+    }
+    BOOST_TEST(store.skippedObjects() == 2 * oddObjects().size());
+}
