Records of members out of range are not taken from the store

A record in the store with a number, name or role out of range became a member, and any role other than "entry" was an agent. Peers refuse such a record in messages (fromProtobuf). -1 became an incarnation of 2^64-1; a member of the same name cannot exceed an incarnation of 2^62 or more (raiseIncarnation), and so could not refute it.

Cause: the store's client checked the endpoints only; get<uint64_t>() converts negative and floating-point numbers, which is undefined for those out of range. The rule for records stood in the conversion of control messages.

Ruled out: ports. parseEndpoint refuses port 0, ports above 65535 and trailing text, and did so before (the cases are in the test).

The effect of an incarnation out of range on a fleet was read in the code, not run.

--- a/include/plantaindrift/membership/Member.h
+++ b/include/plantaindrift/membership/Member.h
@@ -3,6 +3,7 @@
 #include "plantaindrift/base/Types.h"
 
 #include <compare>
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <string_view>
@@ -45,4 +46,16 @@
     friend bool operator==(Member const&, Member const&) = default;
 };
 
+/// \brief Highest incarnation that is accepted; a member that must exceed it could not refute any more.
+inline constexpr std::uint64_t maximumIncarnation = 1ULL << 62U;
+
+/// \brief Longest name of a member, data centre, service or target in a message.
+inline constexpr std::size_t maximumNameLength = 253;
+
+/// \brief True if a text can be the name of a member, data centre, service or target: printable ASCII without spaces.
+[[nodiscard]] bool isValidName(std::string_view text) noexcept;
+
+/// \brief True if peers take the record: names, incarnation and weight are in range, and only agents have a service.
+[[nodiscard]] bool isValidMember(Member const& member) noexcept;
+
 } // namespace plantaindrift
--- a/src/configuration/ProtobufConversion.cpp
+++ b/src/configuration/ProtobufConversion.cpp
@@ -9,31 +9,17 @@
 
     constexpr std::uint32_t maximumShort = std::numeric_limits<std::uint16_t>::max();
 
-    [[nodiscard]] bool isName(std::string const& text)
-    {
-        bool const printable = std::all_of(text.begin(), text.end(), [](char letter) { return letter > ' ' && letter <= '~'; });
-        return printable && !text.empty() && text.size() <= maximumNameLength;
-    }
-
-    [[nodiscard]] bool isNameOrEmpty(std::string const& text)
-    {
-        return text.empty() || isName(text);
-    }
-
     [[nodiscard]] bool isInRange(control::Member const& message)
     {
         bool const enums = control::Role_IsValid(message.role()) && control::State_IsValid(message.state());
-        bool const numbers = message.weight() >= 1 && message.weight() <= maximumShort && message.slots() <= maximumShort;
-        bool const names = isName(message.name()) && isNameOrEmpty(message.data_centre()) && isNameOrEmpty(message.service());
-        bool const service = message.service().empty() == (message.role() == control::ROLE_ENTRY);
-        return enums && numbers && names && service && message.incarnation() <= maximumIncarnation;
+        return enums && message.weight() <= maximumShort && message.slots() <= maximumShort;
     }
 
     [[nodiscard]] bool isInRange(control::Service const& message)
     {
-        bool const targets = std::all_of(message.targets().begin(), message.targets().end(), isName);
-        bool const dataCentres = std::all_of(message.data_centres().begin(), message.data_centres().end(), isName);
-        return isName(message.name()) && targets && dataCentres;
+        bool const targets = std::all_of(message.targets().begin(), message.targets().end(), isValidName);
+        bool const dataCentres = std::all_of(message.data_centres().begin(), message.data_centres().end(), isValidName);
+        return isValidName(message.name()) && targets && dataCentres;
     }
 
     [[nodiscard]] std::optional<ServiceAddress> addressFromProtobuf(control::ServiceAddress const& message)
@@ -77,7 +63,7 @@
         change.name = message.name();
         bool const before = readSide(message.has_before(), message.before(), change.before);
         bool const after = readSide(message.has_after(), message.after(), change.after);
-        if (!before || !after || !isName(change.name))
+        if (!before || !after || !isValidName(change.name))
             return std::nullopt;
         if (change.after && change.after->name != change.name)
             return std::nullopt;
@@ -137,7 +123,7 @@
     member.weight = static_cast<std::uint16_t>(message.weight());
     member.slots = static_cast<std::uint16_t>(message.slots());
     member.connections = message.connections();
-    return member;
+    return isValidMember(member) ? std::optional(member) : std::nullopt;
 }
 
 void toProtobuf(Service const& service, control::Service& message)
--- a/src/configuration/ProtobufConversion.h
+++ b/src/configuration/ProtobufConversion.h
@@ -11,12 +11,6 @@
 
 namespace plantaindrift {
 
-/// \brief Highest incarnation that is accepted; a member that must exceed it could not refute any more.
-inline constexpr std::uint64_t maximumIncarnation = 1ULL << 62U;
-
-/// \brief Longest name of a member, data centre, service or target in a message.
-inline constexpr std::size_t maximumNameLength = 253;
-
 /// \brief Writes an endpoint; an unset one becomes address 0.
 void toProtobuf(Endpoint endpoint, control::Endpoint& message);
 
--- a/tests/DivisionStoreTests.cpp
+++ b/tests/DivisionStoreTests.cpp
@@ -10,6 +10,7 @@
 #include <mutex>
 #include <nlohmann/json.hpp>
 #include <thread>
+#include <utility>
 
 namespace {
 
@@ -239,3 +240,33 @@
     }
     BOOST_TEST(store.skippedObjects() == 2 * oddObjects().size());
 }
+
+// A record with a number, port, role or name out of range was taken as a member, or under the wrong role. Peers refuse what
+// describes it, and an incarnation that is too high cannot be refuted by the member of that name.
+BOOST_AUTO_TEST_CASE(ARecordOutOfRangeIsNotTaken)
+{
+    StandInStore standIn;
+    division::DivisionStore store(url);
+    std::string const longName = '"' + std::string(254, 'a') + '"';
+    std::vector<std::pair<std::string, std::string>> const fields {
+        { "role", R"("gateway")" }, { "role", R"("")" }, { "role", R"("agent")" }, { "role", "7" }, { "service", R"("desk")" }, { "service", "null" },
+        { "data_centre", longName }, { "data_centre", R"("a b")" }, { "data_centre", R"("\n")" }, { "data_centre", R"("\u00e9")" }, { "data_centre", "[]" },
+        { "incarnation", "-1" }, { "incarnation", "1.5" }, { "incarnation", "1e30" }, { "incarnation", "-1e30" }, { "incarnation", "4611686018427387904" },
+        { "incarnation", "18446744073709551615" }, { "incarnation", "18446744073709551616" }, { "incarnation", "true" }, { "incarnation", R"("42")" },
+        { "data", R"("10.1.0.1:70000")" }, { "data", R"("10.1.0.1:0")" }, { "data", R"("10.1.0.1:-1")" }, { "data", R"("10.1.0.1:7735x")" },
+        { "data", R"("10.1.0.1:4294974731")" }, { "data", R"("10.1.0.256:7735")" }, { "data", "7735" }, { "control", R"("10.1.0.1")" }, { "control", R"("")" }
+    };
+    for (auto const& [field, value] : fields) {
+        nlohmann::json record = nlohmann::json::parse(goodRecord);
+        record["spec"][field] = nlohmann::json::parse(value);
+        record["meta"]["name"] = "x";
+        standIn.prepare(200, list(record.dump() + ',' + goodRecord, 9));
+        BOOST_TEST(store.readMembers(true).value().size() == 1U, field << ' ' << value);
+    }
+    for (std::string const& name : { std::string("\"\""), longName, std::string(R"("a b")"), std::string(R"("a\u0000")"), std::string(R"("\u00e9")") }) {
+        nlohmann::json record = nlohmann::json::parse(goodRecord);
+        record["meta"]["name"] = nlohmann::json::parse(name);
+        standIn.prepare(200, list(record.dump() + ',' + goodRecord, 9));
+        BOOST_TEST(store.readMembers(true).value().size() == 1U, name);
+    }
+}
