--- a/tests/DivisionStoreTests.cpp
+++ b/tests/DivisionStoreTests.cpp
@@ -270,3 +270,28 @@
         BOOST_TEST(store.readMembers(true).value().size() == 1U, name);
     }
 }
+
+// The name of a record that others wrote ended the query of the next page early or changed it, and a page on which no record
+// follows the name that was asked for was read again without end.
+BOOST_AUTO_TEST_CASE(PagesContinueAfterAnyName)
+{
+    StandInStore standIn;
+    division::DivisionStore store(url);
+    std::string const odd = R"({"meta":{"name":"a&b=c #%?/\u00e9"}})";
+    standIn.prepare(200, "{\"items\":[" + odd + "],\"more\":true,\"store-revision\":9}");
+    standIn.prepare(200, list(goodRecord, 9));
+    BOOST_TEST(store.readMembers(false).value().size() == 1U);
+    BOOST_TEST(standIn.calls()[1] == "GET /plantaindrift/objects/members?serializable=1&after=a%26b%3Dc%20%23%25%3F%2F%C3%A9");
+}
+
+BOOST_AUTO_TEST_CASE(PagesThatDoNotContinueAreReadOnce)
+{
+    StandInStore standIn;
+    division::DivisionStore store(url);
+    std::string const page = "{\"items\":[" + goodRecord + "],\"more\":true,\"store-revision\":9}";
+    for (int call = 0; call < 3; ++call)
+        standIn.prepare(200, page);
+    absl::StatusOr<std::vector<Member>> const members = store.readMembers(true);
+    BOOST_TEST(members.ok(), members.status());
+    BOOST_TEST(standIn.calls().size() == 2U);
+}
