One odd object beside the configuration does not keep entries from reading it

Entries got no configuration, neither at their start nor by a watch, while an object that cannot be read lay beside config/main. A configuration on a second page of the list counted as absent, and so did a list that is null.

Cause: the objects of the kind were parsed in one piece, each had to have a name, and only the first page was read.

Ruled out: skipping config/main itself. If it cannot be read, the read fails as before, and the configuration in force stays.

Change: objects of the configuration's kind are read as members are: page by page, each on its own. If no configuration is found and one object has no readable name, the read fails, since that object may be the configuration. The watch goes on from the revision of the first page.

--- a/tests/DivisionStoreTests.cpp
+++ b/tests/DivisionStoreTests.cpp
@@ -113,6 +113,14 @@
     };
 }
 
+// Puts an object between two odd ones.
+std::string between(std::string const& odd, std::string const& object)
+{
+    std::string text = odd;
+    text.append(1, ',').append(object).append(1, ',').append(odd);
+    return text;
+}
+
 Member someMember()
 {
     Member member;
@@ -232,7 +240,7 @@
     StandInStore standIn;
     division::DivisionStore store(url);
     for (std::string const& odd : oddObjects()) {
-        standIn.prepare(200, list(odd + ',' + goodRecord + ',' + odd, 9));
+        standIn.prepare(200, list(between(odd, goodRecord), 9));
         absl::StatusOr<std::vector<Member>> const members = store.readMembers(true);
         std::string const shown = odd.substr(0, 80);
         BOOST_TEST(members.ok(), shown << ": " << members.status());
@@ -295,3 +303,51 @@
     BOOST_TEST(members.ok(), members.status());
     BOOST_TEST(standIn.calls().size() == 2U);
 }
+
+// One object beside the configuration that could not be read failed every read and watch of the configuration.
+BOOST_AUTO_TEST_CASE(AnOddObjectDoesNotHideTheConfiguration)
+{
+    StandInStore standIn;
+    division::DivisionStore store(url);
+    for (std::string const& odd : oddObjects()) {
+        std::string const shown = odd.substr(0, 80);
+        standIn.prepare(200, list(between(odd, object(7)), 530));
+        absl::StatusOr<std::optional<VersionedConfiguration>> found = store.readConfiguration();
+        BOOST_TEST(found.ok(), shown << ": " << found.status());
+        BOOST_TEST((found.ok() && found->value().version == 7U), shown);
+        std::string const event = "{\"deleted\":false,\"object\":" + odd + '}';
+        standIn.prepare(200, "{\"events\":[" + between(event, "{\"deleted\":false,\"object\":" + object(9) + '}') + "],\"store-revision\":533}");
+        found = store.awaitConfiguration(100ms);
+        BOOST_TEST(found.ok(), shown << ": " << found.status());
+        BOOST_TEST((found.ok() && found->value().version == 9U), shown);
+    }
+}
+
+// Without a configuration, an object that cannot be read may be the configuration.
+BOOST_AUTO_TEST_CASE(AnUnreadableObjectIsNotTakenForAnAbsentConfiguration)
+{
+    StandInStore standIn;
+    division::DivisionStore store(url);
+    standIn.prepare(200, list(R"({"meta":{"name":1e999}})", 1));
+    BOOST_TEST(!store.readConfiguration().ok());
+    standIn.prepare(200, list(R"({"meta":{"name":"main"},"spec":{"version":1e999,"routes":[],"services":[]}})", 1));
+    BOOST_TEST(!store.readConfiguration().ok());
+    standIn.prepare(200, R"({"items":null,"more":false,"store-revision":1})");
+    BOOST_TEST(!store.readConfiguration().ok());
+    standIn.prepare(200, R"({"events":[{"deleted":false,"object":{}}],"store-revision":2})");
+    BOOST_TEST(!store.awaitConfiguration(100ms).ok());
+}
+
+// Large objects of others fill the first page.
+BOOST_AUTO_TEST_CASE(AConfigurationOnALaterPageIsRead)
+{
+    StandInStore standIn;
+    division::DivisionStore store(url);
+    standIn.prepare(200, R"({"items":[{"meta":{"name":"large"}}],"more":true,"store-revision":530})");
+    standIn.prepare(200, list(object(7), 531));
+    standIn.prepare(200, "{\"events\":[],\"store-revision\":540}");
+    BOOST_TEST_REQUIRE(store.readConfiguration().value().has_value());
+    BOOST_TEST(standIn.calls()[1] == "GET /plantaindrift/objects/config?after=large");
+    BOOST_TEST(store.awaitConfiguration(100ms).ok());
+    BOOST_TEST(standIn.calls()[2] == "GET /plantaindrift/objects/config?watch=530&wait-ms=100");
+}
