HTTP requests of a process are bounded

A request of any size was kept in memory before a handler saw it, on the ports of metrics and of announcements; agents have 64 MB.

Cause: the server library sets no limits by default.

Change: bodies of up to 256 KiB, URLs and header fields of up to 8 KiB, at most 64 header fields. Status reports have some hundred bytes.

Evidence: HttpServerTests/ALargeRequestIsRefused failed before (a body of 300,000 bytes and a path of 70,000 bytes were handled) and passes now.

--- a/src/runtime/HttpServer.cpp
+++ b/src/runtime/HttpServer.cpp
@@ -18,6 +18,12 @@
 
     constexpr std::chrono::seconds connectionTimeout { 30 };
 
+    // Status reports of targets have some hundred bytes; no other request has a body.
+    constexpr std::uint64_t maximumBodyBytes = 256U << 10U;
+    constexpr std::size_t maximumUrlBytes = 8U << 10U;
+    constexpr std::size_t maximumHeaderFieldBytes = 8U << 10U;
+    constexpr std::size_t maximumHeaderFields = 64;
+
     HttpRequest toRequest(restinio::request_handle_t const& handle)
     {
         HttpRequest request;
@@ -60,6 +66,12 @@
             .concurrent_accepts_count(1)
             .max_pipelined_requests(1)
             .buffer_size(8192)
+            .incoming_http_msg_limits(restinio::incoming_http_msg_limits_t()
+                                          .max_url_size(maximumUrlBytes)
+                                          .max_field_name_size(maximumHeaderFieldBytes)
+                                          .max_field_value_size(maximumHeaderFieldBytes)
+                                          .max_field_count(maximumHeaderFields)
+                                          .max_body_size(maximumBodyBytes))
             .request_handler([this](restinio::request_handle_t const& handle) { return answer(handle, handler(toRequest(handle))); });
     }
 
