Responses to HTTP requests are bounded

A response was kept in memory whatever its size; agents have 64 MB.

Cause: the client appended what arrived without a limit.

Change: a response longer than 16 MiB ends the request as refused. Lists of the store have about 1 MB.

Evidence: HttpClientTests/AResponseThatIsTooLargeIsRefused failed before and passes now, also for a response of just 16 MiB.

--- a/include/plantaindrift/runtime/HttpClient.h
+++ b/include/plantaindrift/runtime/HttpClient.h
@@ -4,11 +4,15 @@
 
 #include <atomic>
 #include <chrono>
+#include <cstddef>
 #include <memory>
 #include <string>
 
 namespace plantaindrift {
 
+/// \brief Longest body of a response. Lists of the store have about 1 MB, and the smallest machines 64 MB of memory.
+inline constexpr std::size_t maximumResponseBytes = 16U << 20U;
+
 /// \brief Response to an HTTP request.
 struct HttpResult {
     long status { 0 };
@@ -39,7 +43,8 @@
 /// \param url      URL whose host is an IPv4 address
 /// \param body     sent with PUT and POST
 /// \param timeout  limit for the whole request
-/// \returns        the response, whatever its status; DeadlinePassed after the timeout, Refused if the request failed
+/// \returns        the response, whatever its status; DeadlinePassed after the timeout, Refused if the request failed or the
+///                 response is longer than maximumResponseBytes
 [[nodiscard]] absl::StatusOr<HttpResult> sendHttp(std::string const& method, std::string const& url, std::string const& body, std::chrono::milliseconds timeout);
 
 } // namespace plantaindrift
--- a/src/runtime/HttpClient.cpp
+++ b/src/runtime/HttpClient.cpp
@@ -9,9 +9,13 @@
 
 namespace {
 
+    // Any other result than the number of bytes makes libcurl end the request.
     std::size_t appendBody(char* bytes, std::size_t size, std::size_t count, void* output)
     {
-        static_cast<std::string*>(output)->append(bytes, size * count);
+        std::string& body = *static_cast<std::string*>(output);
+        if (size * count > maximumResponseBytes - body.size())
+            return 0;
+        body.append(bytes, size * count);
         return size * count;
     }
 
@@ -72,6 +76,8 @@
     CURLcode const code = curl_easy_perform(handle);
     if (code == CURLE_OPERATION_TIMEDOUT)
         return makeError(ErrorKind::DeadlinePassed, url + " did not answer in time; check that the process runs and is not overloaded");
+    if (code == CURLE_WRITE_ERROR)
+        return makeError(ErrorKind::Refused, url + ": the response is longer than " + std::to_string(maximumResponseBytes) + " bytes; check the address");
     if (code != CURLE_OK)
         return makeError(ErrorKind::Refused, url + ": " + curl_easy_strerror(code) + "; check the address and that the process runs");
     curl_easy_getinfo(handle, CURLINFO_RESPONSE_CODE, &result.status);
--- a/tests/HttpClientTests.cpp
+++ b/tests/HttpClientTests.cpp
@@ -1,10 +1,12 @@
 // Guards against an answer that a server sends a second time, late, and that is taken for the answer to the next
-// request.
+// request, and against answers that take all memory.
 #include "plantaindrift/runtime/HttpClient.h"
+#include "plantaindrift/runtime/HttpServer.h"
 
 #include <asio/buffer.hpp>
 #include <asio/io_context.hpp>
 #include <asio/ip/tcp.hpp>
+#include <asio/post.hpp>
 #include <asio/read_until.hpp>
 #include <asio/write.hpp>
 #include <boost/test/unit_test.hpp>
@@ -79,3 +81,24 @@
         BOOST_TEST(result->body == path);
     }
 }
+
+// A response was kept whatever its size, which can take all memory of a small machine.
+BOOST_AUTO_TEST_CASE(AResponseThatIsTooLargeIsRefused)
+{
+    asio::io_context loop;
+    std::size_t bytes = 0;
+    constexpr Endpoint address { 0x7F000001U, 18742 };
+    HttpServer server(loop, address, [&bytes](HttpRequest const&) { return HttpAnswer { 200, std::string(bytes, ' ') }; });
+    BOOST_TEST_REQUIRE(server.start().ok());
+    std::thread thread([&loop] { loop.run(); });
+    HttpClient client;
+    bytes = maximumResponseBytes;
+    absl::StatusOr<HttpResult> const largest = client.send("GET", "http://127.0.0.1:18742/", "", 10s);
+    bytes = maximumResponseBytes + 1;
+    absl::StatusOr<HttpResult> const tooLarge = client.send("GET", "http://127.0.0.1:18742/", "", 10s);
+    asio::post(loop, [&server, &loop] { server.stop(); loop.stop(); });
+    thread.join();
+    BOOST_TEST_REQUIRE(largest.ok());
+    BOOST_TEST(largest->body.size() == maximumResponseBytes);
+    BOOST_TEST(!tooLarge.ok());
+}
