DaemonCoreTests take a TCP port that is free for TCP

DaemonCoreTests failed in 8 of 32 runs on a machine with many open connections: "cannot listen for HTTP on 127.0.0.1:54150: bind: Address already in use".

Cause: the test took a port that was free for UDP and listened on it for TCP.

Ruled out: the product.

Change: the HTTP port is one that was free for TCP. No check is changed.

--- a/tests/DaemonCoreTests.cpp
+++ b/tests/DaemonCoreTests.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <asio/io_context.hpp>
+#include <asio/ip/tcp.hpp>
 #include <asio/ip/udp.hpp>
 #include <asio/post.hpp>
 #include <boost/test/unit_test.hpp>
@@ -36,13 +37,21 @@
     return { 0x7F000001U, socket.local_endpoint().port() };
 }
 
+// A port that is free for UDP may be in use for TCP.
+Endpoint freeTcpEndpoint()
+{
+    asio::io_context loop;
+    asio::ip::tcp::acceptor const acceptor(loop, asio::ip::tcp::endpoint(asio::ip::address_v4::loopback(), 0));
+    return { 0x7F000001U, acceptor.local_endpoint().port() };
+}
+
 CommonSettings makeSettings()
 {
     CommonSettings settings;
     settings.name = "core";
     settings.data = freeEndpoint();
     settings.control = freeEndpoint();
-    settings.http = freeEndpoint();
+    settings.http = freeTcpEndpoint();
     settings.insecure = true;
     settings.controlTransport = ControlTransportKind::Datagram;
     return settings;
