--- a/tests/DivisionFormatTests.cpp
+++ b/tests/DivisionFormatTests.cpp
@@ -156,6 +156,26 @@
     BOOST_TEST(!division::readConfigurationObject(nlohmann::json()).ok());
 }
 
+// Numbers out of range were converted: a version of -1 became the highest of all, so that no later one was taken.
+BOOST_AUTO_TEST_CASE(ConfigurationsWithNumbersOutOfRangeAreRefused)
+{
+    for (char const* const pointer : { "/version", "/routes/0/priority", "/routes/0/target-latency-ms", "/routes/1/backends/0/weight", "/services/0/max-conns" }) {
+        for (char const* const value : { "-1", "1e30", "-1e30", "18446744073709551616", "true", "null" }) {
+            nlohmann::json contents = goodConfiguration();
+            contents[nlohmann::json::json_pointer(pointer)] = nlohmann::json::parse(value);
+            BOOST_TEST(!division::readConfigurationObject(contents).ok(), pointer << " = " << value);
+        }
+    }
+    nlohmann::json floating = goodConfiguration();
+    floating["routes"][0]["target-latency-ms"] = 300.0;
+    BOOST_TEST(division::readConfigurationObject(floating).ok());
+    for (char const* const pointer : { "/routes/0/priority", "/routes/1/backends/0/weight" }) {
+        nlohmann::json contents = goodConfiguration();
+        contents[nlohmann::json::json_pointer(pointer)] = 65536;
+        BOOST_TEST(!division::readConfigurationObject(contents).ok(), pointer);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(AnAnnouncementIsRead)
 {
     absl::StatusOr<TargetAnnouncement> const read = division::readAnnouncement(report(goodReport));
