An unusable configuration does not keep an entry from the members

An entry neither read the members nor wrote its record while config/main could not be read: the others did not learn of it, and it learned of new members by gossip only.

Cause: the store's thread repeated the read of the configuration and did nothing else until it succeeded.

Ruled out: other errors. If the store cannot be reached or refuses the call, the next call waits as before.

Change: after a read that failed because of the configuration's contents, the thread reads the members or writes the record, if that is due. The read of the configuration is repeated with the same backoff as before.

Evidence: DaemonCoreTests/AnUnusableConfigurationDoesNotHideTheMembers failed before (no read, no write within 5 s) and passes now; 5 of 5 runs of DaemonCoreTests passed.

--- a/src/runtime/FleetStoreThread.cpp
+++ b/src/runtime/FleetStoreThread.cpp
@@ -124,17 +124,32 @@
 absl::Status FleetStoreThread::step()
 {
     // The configuration comes first: without it no packet is served, while peers are known from the seeds.
-    if (handlers_.configuration && !hasConfiguration_)
-        return readConfiguration();
-    if (!hasMembers_)
-        return readMembers();
-    if (!isRegistered_)
-        return writeSelf();
-    if (std::chrono::steady_clock::now() >= nextMembersRead_)
-        return readMembers();
+    if (handlers_.configuration && !hasConfiguration_) {
+        absl::Status const status = readConfiguration();
+        bool const isUnusable = !status.ok() && errorKind(status) == ErrorKind::InvalidMessage;
+        if (!isUnusable || !isMembersStepDue())
+            return status;
+        // The members must not wait until somebody corrects the configuration.
+        absl::Status const membersStatus = stepMembers();
+        return membersStatus.ok() ? status : membersStatus;
+    }
+    if (isMembersStepDue())
+        return stepMembers();
     return awaitConfiguration();
 }
 
+bool FleetStoreThread::isMembersStepDue() const noexcept
+{
+    return !hasMembers_ || !isRegistered_ || std::chrono::steady_clock::now() >= nextMembersRead_;
+}
+
+absl::Status FleetStoreThread::stepMembers()
+{
+    if (hasMembers_ && !isRegistered_)
+        return writeSelf();
+    return readMembers();
+}
+
 absl::Status FleetStoreThread::readMembers()
 {
     TimePoint const started = std::chrono::steady_clock::now();
--- a/src/runtime/FleetStoreThread.h
+++ b/src/runtime/FleetStoreThread.h
@@ -84,6 +84,8 @@
     void run();
     [[nodiscard]] absl::Status guardedStep();
     [[nodiscard]] absl::Status step();
+    [[nodiscard]] bool isMembersStepDue() const noexcept;
+    [[nodiscard]] absl::Status stepMembers(); ///< reads the members, or writes the record of this process
     [[nodiscard]] absl::Status readMembers();
     void scheduleMembersRead(std::size_t members);
     [[nodiscard]] absl::Status writeSelf();
--- a/tests/DaemonCoreTests.cpp
+++ b/tests/DaemonCoreTests.cpp
@@ -1,5 +1,6 @@
 // Guards against datagrams that are lost because they arrived just before a planned stop, and against single errors that
 // end a process.
+#include "plantaindrift/base/Error.h"
 #include "runtime/DaemonCore.h"
 #include "runtime/FleetStoreThread.h"
 
@@ -8,6 +9,7 @@
 #include <asio/ip/tcp.hpp>
 #include <asio/ip/udp.hpp>
 #include <asio/post.hpp>
+#include <atomic>
 #include <boost/test/unit_test.hpp>
 #include <stdexcept>
 #include <thread>
@@ -104,6 +106,27 @@
     int& calls_;
 };
 
+// Holds a configuration that cannot be read.
+class UnusableConfigurationStore final : public FleetStore {
+public:
+    explicit UnusableConfigurationStore(std::atomic<int>& writes)
+        : writes_(writes)
+    {
+    }
+    absl::StatusOr<std::optional<VersionedConfiguration>> readConfiguration() override { return makeError(ErrorKind::InvalidMessage, "unusable"); }
+    absl::StatusOr<std::optional<VersionedConfiguration>> awaitConfiguration(std::chrono::milliseconds /*time*/) override { return makeError(ErrorKind::InvalidMessage, "unusable"); }
+    absl::StatusOr<std::vector<Member>> readMembers(bool /*fresh*/) override { return std::vector<Member> {}; }
+    absl::Status writeMember(Member const& /*member*/) override
+    {
+        ++writes_;
+        return absl::OkStatus();
+    }
+    absl::Status removeMember(std::string_view /*name*/) override { return absl::OkStatus(); }
+
+private:
+    std::atomic<int>& writes_;
+};
+
 } // namespace
 
 BOOST_AUTO_TEST_CASE(DatagramsThatArrivedBeforeAStopAreProcessed)
@@ -201,3 +224,23 @@
     store.removeSelf();
     BOOST_TEST(calls == 3);
 }
+
+// An entry neither read the members nor wrote its record while the configuration in the store was unusable.
+BOOST_AUTO_TEST_CASE(AnUnusableConfigurationDoesNotHideTheMembers)
+{
+    asio::io_context loop;
+    std::atomic<int> writes { 0 };
+    bool wasRead = false;
+    FleetStoreThread::Handlers handlers;
+    handlers.configuration = [](VersionedConfiguration const&) {};
+    handlers.members = [&](std::vector<Member> const&, bool) { wasRead = true; };
+    FleetStoreThread store(loop, std::make_unique<UnusableConfigurationStore>(writes), Member {}, handlers);
+    store.start();
+    TimePoint const end = std::chrono::steady_clock::now() + 5s;
+    while ((!wasRead || writes == 0) && std::chrono::steady_clock::now() < end) {
+        loop.run_for(50ms);
+        loop.restart();
+    }
+    BOOST_TEST(wasRead);
+    BOOST_TEST(writes > 0);
+}
