--- a/src/runtime/FleetStoreThread.cpp
+++ b/src/runtime/FleetStoreThread.cpp
@@ -124,17 +124,32 @@
 absl::Status FleetStoreThread::step()
 {
     // The configuration comes first: without it no packet is served, while peers are known from the seeds.
-    if (handlers_.configuration && !hasConfiguration_)
-        return readConfiguration();
-    if (!hasMembers_)
-        return readMembers();
-    if (!isRegistered_)
-        return writeSelf();
-    if (std::chrono::steady_clock::now() >= nextMembersRead_)
-        return readMembers();
+    if (handlers_.configuration && !hasConfiguration_) {
+        absl::Status const status = readConfiguration();
+        bool const isUnusable = !status.ok() && errorKind(status) == ErrorKind::InvalidMessage;
+        if (!isUnusable || !isMembersStepDue())
+            return status;
+        // The members must not wait until somebody corrects the configuration.
+        absl::Status const membersStatus = stepMembers();
+        return membersStatus.ok() ? status : membersStatus;
+    }
+    if (isMembersStepDue())
+        return stepMembers();
     return awaitConfiguration();
 }
 
+bool FleetStoreThread::isMembersStepDue() const noexcept
+{
+    return !hasMembers_ || !isRegistered_ || std::chrono::steady_clock::now() >= nextMembersRead_;
+}
+
+absl::Status FleetStoreThread::stepMembers()
+{
+    if (hasMembers_ && !isRegistered_)
+        return writeSelf();
+    return readMembers();
+}
+
 absl::Status FleetStoreThread::readMembers()
 {
     TimePoint const started = std::chrono::steady_clock::now();
@@ -231,6 +246,7 @@
 {
     page.addGauge("plantaindrift_store_reachable", "1 if the last call to the store was answered.", {}, reachable_ ? 1 : 0);
     page.addCounter("plantaindrift_store_calls_total", "Calls to the store.", {}, static_cast<double>(calls_));
+    page.addCounter("plantaindrift_store_skipped_objects_total", "Unusable objects in answers of the store, counted at each read.", {}, static_cast<double>(store_->skippedObjects()));
     for (std::size_t call = 0; call < storeCallCount; ++call)
         page.addHistogram("plantaindrift_store_call_seconds", "Times of calls to the store, answered or not, without watches.", { { "call", std::string(storeCallNames[call]) } }, callTimes_[call]);
 }
--- a/tests/DivisionStoreTests.cpp
+++ b/tests/DivisionStoreTests.cpp
@@ -10,6 +10,7 @@
 #include <mutex>
 #include <nlohmann/json.hpp>
 #include <thread>
+#include <utility>
 
 namespace {
 
@@ -85,6 +86,41 @@
     return "{\"items\":[" + items + "],\"more\":false,\"store-revision\":" + std::to_string(revision) + '}';
 }
 
+std::string const goodRecord = R"({"meta":{"name":"front-1"},"spec":{"role":"entry","service":"","data_centre":"north","incarnation":42,"data":"10.1.0.1:7735","control":"10.1.0.1:7720"}})";
+
+// Nests empty lists, or objects, as deeply as the largest value in the store allows.
+std::string nested(std::string_view open, std::string_view innermost, std::string_view close)
+{
+    constexpr std::size_t largestValueBytes = 1000000;
+    std::size_t const depth = largestValueBytes / (open.size() + close.size());
+    std::string text;
+    for (std::size_t level = 0; level < depth; ++level)
+        text += open;
+    text += innermost;
+    for (std::size_t level = 0; level < depth; ++level)
+        text += close;
+    return text;
+}
+
+// Objects that others may have stored among those that are read.
+std::vector<std::string> oddObjects()
+{
+    return {
+        "7", "null", "[]", "\"]\"", "{}", R"({"meta":7})", R"({"meta":{}})", R"({"meta":{"name":7},"spec":{}})", R"({"meta":{"name":1e999}})",
+        R"({"meta":{"name":"x"}})", R"({"meta":{"name":"x"},"spec":1e999})", R"({"meta":{"name":"x"},"spec":{"incarnation":1e999}})",
+        R"({"meta":{"name":"x"},"spec":"}],{\"meta\":"})", nested("[", "", "]"), R"({"meta":{"name":"x"},"spec":)" + nested("[", "", "]") + '}',
+        R"({"meta":{"name":"x"},"spec":{"role":)" + nested(R"({"a":)", "1", "}") + "}}", R"({"meta":)" + nested("[", "", "]") + '}'
+    };
+}
+
+// Puts an object between two odd ones.
+std::string between(std::string const& odd, std::string const& object)
+{
+    std::string text = odd;
+    text.append(1, ',').append(object).append(1, ',').append(odd);
+    return text;
+}
+
 Member someMember()
 {
     Member member;
@@ -197,3 +233,121 @@
     member.name = "agent-1";
     BOOST_TEST(!client.writeMember(member).ok());
 }
+
+// One record that cannot be read failed the whole read, each time, so that no member was found any more.
+BOOST_AUTO_TEST_CASE(AnOddRecordHidesNoOther)
+{
+    StandInStore standIn;
+    division::DivisionStore store(url);
+    for (std::string const& odd : oddObjects()) {
+        standIn.prepare(200, list(between(odd, goodRecord), 9));
+        absl::StatusOr<std::vector<Member>> const members = store.readMembers(true);
+        std::string const shown = odd.substr(0, 80);
+        BOOST_TEST(members.ok(), shown << ": " << members.status());
+        BOOST_TEST((members.ok() && *members == std::vector<Member> { someMember() }), shown);
+    }
+    BOOST_TEST(store.skippedObjects() == 2 * oddObjects().size());
+}
+
+// A record with a number, port, role or name out of range was taken as a member, or under the wrong role. Peers refuse what
+// describes it, and an incarnation that is too high cannot be refuted by the member of that name.
+BOOST_AUTO_TEST_CASE(ARecordOutOfRangeIsNotTaken)
+{
+    StandInStore standIn;
+    division::DivisionStore store(url);
+    std::string const longName = '"' + std::string(254, 'a') + '"';
+    std::vector<std::pair<std::string, std::string>> const fields {
+        { "role", R"("gateway")" }, { "role", R"("")" }, { "role", R"("agent")" }, { "role", "7" }, { "service", R"("desk")" }, { "service", "null" },
+        { "data_centre", longName }, { "data_centre", R"("a b")" }, { "data_centre", R"("\n")" }, { "data_centre", R"("\u00e9")" }, { "data_centre", "[]" },
+        { "incarnation", "-1" }, { "incarnation", "1.5" }, { "incarnation", "1e30" }, { "incarnation", "-1e30" }, { "incarnation", "4611686018427387904" },
+        { "incarnation", "18446744073709551615" }, { "incarnation", "18446744073709551616" }, { "incarnation", "true" }, { "incarnation", R"("42")" },
+        { "data", R"("10.1.0.1:70000")" }, { "data", R"("10.1.0.1:0")" }, { "data", R"("10.1.0.1:-1")" }, { "data", R"("10.1.0.1:7735x")" },
+        { "data", R"("10.1.0.1:4294974731")" }, { "data", R"("10.1.0.256:7735")" }, { "data", "7735" }, { "control", R"("10.1.0.1")" }, { "control", R"("")" }
+    };
+    for (auto const& [field, value] : fields) {
+        nlohmann::json record = nlohmann::json::parse(goodRecord);
+        record["spec"][field] = nlohmann::json::parse(value);
+        record["meta"]["name"] = "x";
+        standIn.prepare(200, list(record.dump() + ',' + goodRecord, 9));
+        BOOST_TEST(store.readMembers(true).value().size() == 1U, field << ' ' << value);
+    }
+    for (std::string const& name : { std::string("\"\""), longName, std::string(R"("a b")"), std::string(R"("a\u0000")"), std::string(R"("\u00e9")") }) {
+        nlohmann::json record = nlohmann::json::parse(goodRecord);
+        record["meta"]["name"] = nlohmann::json::parse(name);
+        standIn.prepare(200, list(record.dump() + ',' + goodRecord, 9));
+        BOOST_TEST(store.readMembers(true).value().size() == 1U, name);
+    }
+}
+
+// The name of a record that others wrote ended the query of the next page early or changed it, and a page on which no record
+// follows the name that was asked for was read again without end.
+BOOST_AUTO_TEST_CASE(PagesContinueAfterAnyName)
+{
+    StandInStore standIn;
+    division::DivisionStore store(url);
+    std::string const odd = R"({"meta":{"name":"a&b=c #%?/\u00e9"}})";
+    standIn.prepare(200, "{\"items\":[" + odd + "],\"more\":true,\"store-revision\":9}");
+    standIn.prepare(200, list(goodRecord, 9));
+    BOOST_TEST(store.readMembers(false).value().size() == 1U);
+    BOOST_TEST(standIn.calls()[1] == "GET /plantaindrift/objects/members?serializable=1&after=a%26b%3Dc%20%23%25%3F%2F%C3%A9");
+}
+
+BOOST_AUTO_TEST_CASE(PagesThatDoNotContinueAreReadOnce)
+{
+    StandInStore standIn;
+    division::DivisionStore store(url);
+    std::string const page = "{\"items\":[" + goodRecord + "],\"more\":true,\"store-revision\":9}";
+    for (int call = 0; call < 3; ++call)
+        standIn.prepare(200, page);
+    absl::StatusOr<std::vector<Member>> const members = store.readMembers(true);
+    BOOST_TEST(members.ok(), members.status());
+    BOOST_TEST(standIn.calls().size() == 2U);
+}
+
+// One object beside the configuration that could not be read failed every read and watch of the configuration.
+BOOST_AUTO_TEST_CASE(AnOddObjectDoesNotHideTheConfiguration)
+{
+    StandInStore standIn;
+    division::DivisionStore store(url);
+    for (std::string const& odd : oddObjects()) {
+        std::string const shown = odd.substr(0, 80);
+        standIn.prepare(200, list(between(odd, object(7)), 530));
+        absl::StatusOr<std::optional<VersionedConfiguration>> found = store.readConfiguration();
+        BOOST_TEST(found.ok(), shown << ": " << found.status());
+        BOOST_TEST((found.ok() && found->value().version == 7U), shown);
+        std::string const event = "{\"deleted\":false,\"object\":" + odd + '}';
+        standIn.prepare(200, "{\"events\":[" + between(event, "{\"deleted\":false,\"object\":" + object(9) + '}') + "],\"store-revision\":533}");
+        found = store.awaitConfiguration(100ms);
+        BOOST_TEST(found.ok(), shown << ": " << found.status());
+        BOOST_TEST((found.ok() && found->value().version == 9U), shown);
+    }
+}
+
+// Without a configuration, an object that cannot be read may be the configuration.
+BOOST_AUTO_TEST_CASE(AnUnreadableObjectIsNotTakenForAnAbsentConfiguration)
+{
+    StandInStore standIn;
+    division::DivisionStore store(url);
+    standIn.prepare(200, list(R"({"meta":{"name":1e999}})", 1));
+    BOOST_TEST(!store.readConfiguration().ok());
+    standIn.prepare(200, list(R"({"meta":{"name":"main"},"spec":{"version":1e999,"routes":[],"services":[]}})", 1));
+    BOOST_TEST(!store.readConfiguration().ok());
+    standIn.prepare(200, R"({"items":null,"more":false,"store-revision":1})");
+    BOOST_TEST(!store.readConfiguration().ok());
+    standIn.prepare(200, R"({"events":[{"deleted":false,"object":{}}],"store-revision":2})");
+    BOOST_TEST(!store.awaitConfiguration(100ms).ok());
+}
+
+// Large objects of others fill the first page.
+BOOST_AUTO_TEST_CASE(AConfigurationOnALaterPageIsRead)
+{
+    StandInStore standIn;
+    division::DivisionStore store(url);
+    standIn.prepare(200, R"({"items":[{"meta":{"name":"large"}}],"more":true,"store-revision":530})");
+    standIn.prepare(200, list(object(7), 531));
+    standIn.prepare(200, "{\"events\":[],\"store-revision\":540}");
+    BOOST_TEST_REQUIRE(store.readConfiguration().value().has_value());
+    BOOST_TEST(standIn.calls()[1] == "GET /plantaindrift/objects/config?after=large");
+    BOOST_TEST(store.awaitConfiguration(100ms).ok());
+    BOOST_TEST(standIn.calls()[2] == "GET /plantaindrift/objects/config?watch=530&wait-ms=100");
+}
