The stand-in's store comes back from an older copy

What was missing: no run of the soak could lose what the store had acknowledged, so nothing on loopback showed how processes go on after it.

Change: the command "restore" with age_ms undoes what was written since. Objects of the system are gone or as they were, revisions go back and are given out again, waiting watches are cut, a watch from a revision that the store does not have gets 410, and what the operator wrote is written again in its order. All answers carry Store-Era, which rises by one each time. What was written stays known when the history is forgotten, so that a restore can go back behind that.

There was no such command before.

--- a/standins/common/FaultyServer.h
+++ b/standins/common/FaultyServer.h
@@ -38,6 +38,7 @@
         std::uint16_t status { 200 };
         std::string body;
         std::uint64_t version { 0 }; ///< 0 means no ETag
+        std::uint64_t era { 0 }; ///< 0 means no Store-Era
     };
 
     /// \param onListening  gets the bound port
@@ -85,7 +86,7 @@
             return;
         }
         if (faults_.outage)
-            reply = { 503, "outage", 0 };
+            reply = { 503, "outage", 0, reply.era };
         if (faults_.slowMilliseconds == 0) {
             send(request, reply);
             return;
@@ -101,6 +102,8 @@
         response.append_header(restinio::http_field::content_type, "application/json");
         if (reply.version != 0)
             response.append_header(restinio::http_field::etag, '"' + std::to_string(reply.version) + '"');
+        if (reply.era != 0)
+            response.append_header("Store-Era", std::to_string(reply.era));
         response.set_body(reply.body);
         response.done();
     }
--- a/standins/division/Store.cpp
+++ b/standins/division/Store.cpp
@@ -1,5 +1,7 @@
 #include "division/Store.h"
 
+#include "plantaindrift/runtime/Log.h"
+
 #include <algorithm>
 #include <chrono>
 
@@ -9,6 +11,7 @@
 
     constexpr std::string_view objectsPath = "/plantaindrift/objects/";
     constexpr std::chrono::milliseconds longestWatch { 30'000 };
+    constexpr std::string_view operatorKind = "config";
 
     using standin::FaultyServer;
 
@@ -22,15 +25,21 @@
 {
 }
 
+void Store::answer(Request const& request, Reply reply)
+{
+    reply.era = era_;
+    server_.answer(request, std::move(reply));
+}
+
 void Store::handle(Request const& request, std::string const& path)
 {
     if (path == "/forget") {
         forgetHistory();
-        FaultyServer::send(request, { 200, "{}", 0 });
+        FaultyServer::send(request, { 200, "{}", 0, era_ });
         return;
     }
     if (!path.starts_with(objectsPath)) {
-        FaultyServer::send(request, { 404, "{}", 0 });
+        FaultyServer::send(request, { 404, "{}", 0, era_ });
         return;
     }
     std::string const rest = path.substr(objectsPath.size());
@@ -38,7 +47,7 @@
     std::string const kind = rest.substr(0, slash);
     std::string const name = slash == std::string::npos ? "" : rest.substr(slash + 1);
     if (server_.isDown())
-        server_.answer(request, {});
+        answer(request, {});
     else if (request->header().method() == restinio::http_method_get())
         handleRead(request, kind, name);
     else
@@ -53,11 +62,11 @@
         return;
     }
     if (name.empty()) {
-        server_.answer(request, list(request, kind));
+        answer(request, list(request, kind));
         return;
     }
     Kind::const_iterator const found = kinds_[kind].find(name);
-    server_.answer(request, found == kinds_[kind].end() ? Reply { 404, "{}", 0 } : Reply { 200, found->second.dump(), 0 });
+    answer(request, found == kinds_[kind].end() ? Reply { 404, "{}", 0 } : Reply { 200, found->second.dump(), 0 });
 }
 
 Store::Reply Store::list(Request const& request, std::string const& kind) const
@@ -83,7 +92,7 @@
     nlohmann::json const body = nlohmann::json::parse(request->body(), nullptr, false);
     bool const isRemoval = request->header().method() == restinio::http_method_delete();
     if (!isRemoval && !body.is_object()) {
-        server_.answer(request, { 400, "{}", 0 });
+        answer(request, { 400, "{}", 0 });
         return;
     }
     if (name.empty() && body.contains("meta"))
@@ -91,7 +100,7 @@
     Reply reply = write(request, kind, name, body);
     wakeWaiters();
     if (!server_.takeLostAnswer())
-        server_.answer(request, std::move(reply));
+        answer(request, std::move(reply));
 }
 
 Store::Reply Store::write(Request const& request, std::string const& kind, std::string const& name, nlohmann::json const& body)
@@ -104,36 +113,73 @@
     if (request->header().method() == restinio::http_method_delete()) {
         if (isNew)
             return { 404, "{}", 0 };
-        note(kind, found->second, true);
+        nlohmann::json const removed = found->second;
         objects.erase(found);
+        note(kind, removed, true, removed);
         return { 200, "{}", 0 };
     }
     nlohmann::json const contents = body.value("spec", nlohmann::json::object());
     if (!isNew && found->second["spec"] == contents)
         return { 200, found->second.dump(), 0 };
-    std::uint64_t const next = revision_ + 1;
-    std::uint64_t const created = isNew ? next : found->second["meta"]["create-revision"].get<std::uint64_t>();
-    nlohmann::json object { { "meta", { { "name", name }, { "revision", next }, { "create-revision", created }, { "finalizers", nlohmann::json::array() }, { "deleting", false } } }, { "spec", contents }, { "status", nlohmann::json::object() } };
-    objects[name] = object;
-    note(kind, object, false);
-    if (kind == "config")
+    put(kind, name, contents);
+    if (kind == operatorKind)
         configured_(contents);
-    return { 200, object.dump(), 0 };
+    return { 200, objects[name].dump(), 0 };
+}
+
+void Store::put(std::string const& kind, std::string const& name, nlohmann::json const& contents)
+{
+    nlohmann::json& object = kinds_[kind][name];
+    nlohmann::json before = std::move(object);
+    std::uint64_t const next = revision_ + 1;
+    std::uint64_t const created = before.is_null() ? next : before["meta"]["create-revision"].get<std::uint64_t>();
+    object = { { "meta", { { "name", name }, { "revision", next }, { "create-revision", created }, { "finalizers", nlohmann::json::array() }, { "deleting", false } } }, { "spec", contents }, { "status", nlohmann::json::object() } };
+    note(kind, object, false, std::move(before));
+}
+
+void Store::note(std::string const& kind, nlohmann::json const& object, bool deleted, nlohmann::json before)
+{
+    history_.push_back({ ++revision_, kind, object, deleted, std::move(before), std::chrono::steady_clock::now() });
+}
+
+void Store::undo(Change const& change)
+{
+    std::string const name = change.object["meta"]["name"].get<std::string>();
+    if (change.before.is_null())
+        kinds_[change.kind].erase(name);
+    else
+        kinds_[change.kind][name] = change.before;
 }
 
-void Store::note(std::string const& kind, nlohmann::json const& object, bool deleted)
+void Store::restore(std::chrono::steady_clock::time_point taken)
 {
-    history_.push_back({ ++revision_, kind, object, deleted });
+    std::vector<Change> lost;
+    while (!history_.empty() && history_.back().time > taken) {
+        undo(history_.back());
+        lost.insert(lost.begin(), std::move(history_.back()));
+        history_.pop_back();
+        revision_ = lost.front().revision - 1;
+    }
+    forgotten_ = std::min(forgotten_, revision_);
+    ++era_;
+    cutWaiters();
+    std::size_t const all = lost.size();
+    std::erase_if(lost, [](Change const& change) { return change.kind != operatorKind; });
+    for (Change const& change : lost)
+        put(change.kind, change.object["meta"]["name"].get<std::string>(), change.object["spec"]);
+    logEvent(LogLevel::Info, "store_restored", { { "era", era_ }, { "lost", all - lost.size() }, { "written_again", lost.size() }, { "revision", revision_ } });
 }
 
 void Store::handleWatch(Request const& request, std::string const& kind, std::uint64_t after)
 {
-    if (after < forgotten_) {
-        server_.answer(request, { 410, "{}", 0 });
+    // The store never gave out a later revision, or it lost it.
+    bool const isUnknown = after < forgotten_ || after > revision_;
+    if (isUnknown) {
+        answer(request, { 410, "{}", 0 });
         return;
     }
     if (hasEvents(kind, after)) {
-        server_.answer(request, { 200, events(kind, after), 0 });
+        answer(request, { 200, events(kind, after), 0 });
         return;
     }
     std::chrono::milliseconds const wait { FaultyServer::parseNumber(FaultyServer::parameterOf(request, "wait-ms")).value_or(0) };
@@ -142,7 +188,7 @@
     waiter->timer.async_wait([this, waiter](asio::error_code const& error) {
         if (error)
             return;
-        server_.answer(waiter->request, { 200, events(waiter->kind, waiter->after), 0 });
+        answer(waiter->request, { 200, events(waiter->kind, waiter->after), 0 });
         waiters_.erase(waiter);
     });
 }
@@ -168,16 +214,21 @@
         // A timer that has already expired answers by itself; answering here as well would answer twice.
         bool const isWoken = hasEvents(waiter->kind, waiter->after) && waiter->timer.cancel() > 0;
         if (isWoken)
-            server_.answer(waiter->request, { 200, events(waiter->kind, waiter->after), 0 });
+            answer(waiter->request, { 200, events(waiter->kind, waiter->after), 0 });
         waiter = isWoken ? waiters_.erase(waiter) : std::next(waiter);
     }
 }
 
-// The waiting watches are cut off.
+// What was written stays known for a restore.
 void Store::forgetHistory()
 {
-    history_.clear();
     forgotten_ = revision_;
+    cutWaiters();
+}
+
+// A request that is released closes its connection.
+void Store::cutWaiters()
+{
     for (std::list<Waiter>::iterator waiter = waiters_.begin(); waiter != waiters_.end();)
         waiter = waiter->timer.cancel() > 0 ? waiters_.erase(waiter) : std::next(waiter);
 }
--- a/standins/division/Store.h
+++ b/standins/division/Store.h
@@ -4,6 +4,7 @@
 
 #include <asio/io_context.hpp>
 #include <asio/steady_timer.hpp>
+#include <chrono>
 #include <cstdint>
 #include <functional>
 #include <list>
@@ -24,6 +25,10 @@
 
     void start() { server_.start(); }
 
+    /// \brief Comes back from a copy that was taken at a moment: what the system wrote since is gone, revisions are given
+    /// out again, waiting watches are cut, and what the operator wrote since is written again.
+    void restore(std::chrono::steady_clock::time_point taken);
+
 private:
     using Request = standin::FaultyServer::Request;
     using Reply = standin::FaultyServer::Reply;
@@ -34,6 +39,8 @@
         std::string kind;
         nlohmann::json object;
         bool deleted { false };
+        nlohmann::json before; ///< null if there was no such object
+        std::chrono::steady_clock::time_point time;
     };
 
     struct Waiter {
@@ -48,10 +55,12 @@
     std::map<std::string, Kind> kinds_;
     std::vector<Change> history_;
     std::uint64_t revision_ { 500 };
-    std::uint64_t forgotten_ { 0 }; ///< history up to this revision is gone
+    std::uint64_t forgotten_ { 0 }; ///< history up to this revision is not told any more
+    std::uint64_t era_ { 1 }; ///< rises with each restore
     std::list<Waiter> waiters_;
     standin::FaultyServer server_;
 
+    void answer(Request const& request, Reply reply);
     void handle(Request const& request, std::string const& path);
     void handleRead(Request const& request, std::string const& kind, std::string const& name);
     void handleWatch(Request const& request, std::string const& kind, std::uint64_t after);
@@ -60,9 +69,12 @@
     [[nodiscard]] Reply write(Request const& request, std::string const& kind, std::string const& name, nlohmann::json const& body);
     [[nodiscard]] std::string events(std::string const& kind, std::uint64_t after) const;
     [[nodiscard]] bool hasEvents(std::string const& kind, std::uint64_t after) const;
-    void note(std::string const& kind, nlohmann::json const& object, bool deleted);
+    void put(std::string const& kind, std::string const& name, nlohmann::json const& contents);
+    void note(std::string const& kind, nlohmann::json const& object, bool deleted, nlohmann::json before);
+    void undo(Change const& change);
     void wakeWaiters();
     void forgetHistory();
+    void cutWaiters();
 };
 
 } // namespace plantaindrift::standins
--- a/standins/division/main.cpp
+++ b/standins/division/main.cpp
@@ -1,7 +1,7 @@
 // Stand-in for the division platform around the system: store, routers, targets and callers in one process, which sees
 // both ends of every flow and judges the promises of the platform's pages.
 //
-// POST /control takes one JSON command: {"do": "drain" | "crash" | "start" | "serve" | "disturb" | "loss" | "cut" | "traffic", ...}.
+// POST /control takes one JSON command: {"do": "drain" | "crash" | "start" | "serve" | "disturb" | "loss" | "cut" | "traffic" | "restore", ...}.
 // GET /state gives counts and broken promises.
 
 #include "common/Process.h"
@@ -143,6 +143,8 @@
                 router_.setLoss(command.at("share").get<double>());
             else if (what == "cut")
                 router_.cut(addressOf(command), command.at("on").get<bool>());
+            else if (what == "restore")
+                store_.restore(now - std::chrono::milliseconds(command.at("age_ms").get<std::int64_t>()));
             else if (what == "disturb")
                 judge_.disturb(addressOf(command), now);
             else
