The stand-in's judge finds packets of an open flow that reach only other targets

What was missing: the judge held the rule on three packets in two seconds only while nothing had happened to any process for four seconds. The soak disturbs some process about every half second, so that the rule was never judged. Feeds ended after eight seconds, before a process that stood still when they opened was in touch again.

Change: what excuses is a disturbance of the flow's own target, of an entry that took its packets since the last one that reached that target, or of everybody. Whatever was reported before still is. The report names targets and entries. Feeds take 5 to 25 s. Commands to the stand-in are logged, so that its log tells which faults came when.

Evidence: AFlowIsJudgedByTheProcessesThatItPasses (DivisionStandInTests).

--- a/standins/division/Callers.cpp
+++ b/standins/division/Callers.cpp
@@ -9,7 +9,9 @@
 
     constexpr std::chrono::milliseconds requestDeadline { 3000 };
     constexpr std::chrono::milliseconds feedPause { 300 };
-    constexpr std::chrono::seconds feedTime { 8 };
+    // Long enough for a flow that opens while a process stands still to go on after that process is in touch again.
+    constexpr std::chrono::seconds shortestFeed { 5 };
+    constexpr std::chrono::seconds longestFeed { 25 };
     constexpr int mostTries = 3;
     constexpr std::size_t bookingBytes = 900;
     constexpr std::size_t uploadBytes = 20'000;
@@ -54,7 +56,7 @@
     Session& session = sessions_.emplace_back();
     session.isFeed = isFeed;
     session.route = routes_[random_() % routes_.size()];
-    session.feedEnd = now + feedTime;
+    session.feedEnd = now + std::chrono::seconds(std::uniform_int_distribution<std::int64_t>(shortestFeed.count(), longestFeed.count())(random_));
     ask(session, now);
 }
 
--- a/standins/division/Judge.cpp
+++ b/standins/division/Judge.cpp
@@ -2,6 +2,8 @@
 
 #include "plantaindrift/runtime/Log.h"
 
+#include <algorithm>
+
 namespace plantaindrift::standins {
 
 namespace {
@@ -18,6 +20,14 @@
         return formatEndpoint(flow.first) + " to " + formatEndpoint(flow.second);
     }
 
+    std::string describe(std::set<std::uint32_t> const& addresses)
+    {
+        std::string text;
+        for (std::uint32_t const address : addresses)
+            text += (text.empty() ? "" : ", ") + formatAddress(address);
+        return text;
+    }
+
 } // namespace
 
 void Judge::report(std::string const& text)
@@ -47,6 +57,12 @@
     return true;
 }
 
+// The processes whose state decides where the flow's packets go; others may be disturbed.
+bool Judge::areInTouch(OpenFlow const& flow, TimePoint now) const
+{
+    return isInTouch(flow.target, now) && std::all_of(flow.entries.begin(), flow.entries.end(), [&](std::uint32_t entry) { return isInTouch(entry, now); });
+}
+
 bool Judge::areAllInTouch(TimePoint now) const
 {
     for (std::pair<std::uint32_t const, TimePoint> const& disturbance : disturbed_) {
@@ -61,7 +77,7 @@
     std::map<Endpoint, std::set<std::string>>::const_iterator const services = allowed_.find(flow.second);
     if (services == allowed_.end() || !services->second.contains(service))
         report("ROUTE: " + describe(flow) + " opened at service " + service);
-    flows_[flow] = { service, target, 0, {}, false };
+    flows_[flow] = { service, target, 0, {}, {}, {}, false };
 }
 
 void Judge::flowEnded(FlowEnds const& flow)
@@ -74,6 +90,13 @@
     std::erase_if(flows_, [target](std::pair<FlowEnds const, OpenFlow> const& flow) { return flow.second.target == target; });
 }
 
+void Judge::packetTaken(FlowEnds const& flow, std::uint32_t entry)
+{
+    std::map<FlowEnds, OpenFlow>::iterator const found = flows_.find(flow);
+    if (found != flows_.end() && entry != 0)
+        found->second.entries.insert(entry);
+}
+
 void Judge::packetArrived(FlowEnds const& flow, std::uint32_t target, TimePoint now)
 {
     std::map<FlowEnds, OpenFlow>::iterator const found = flows_.find(flow);
@@ -82,15 +105,18 @@
     OpenFlow& open = found->second;
     if (open.target == target) {
         open.foreign = 0;
+        open.others.clear();
+        open.entries.clear();
         return;
     }
     if (open.foreign++ == 0)
         open.firstForeign = now;
+    open.others.insert(target);
     bool const isLong = now - open.firstForeign > flowSlack && open.foreign >= foreignPackets;
-    if (!isLong || open.reported || !areAllInTouch(now))
+    if (!isLong || open.reported || !areInTouch(open, now))
         return;
     open.reported = true;
-    report("FLOW: " + std::to_string(open.foreign) + " packets of " + describe(flow) + " reached other targets and none its own");
+    report("FLOW: " + std::to_string(open.foreign) + " packets of " + describe(flow) + " reached " + describe(open.others) + " and none " + formatAddress(open.target) + ", where it is open; taken by " + describe(open.entries));
 }
 
 void Judge::openingTaken(std::string const& target, TimePoint drainedAt, TimePoint now)
--- a/standins/division/Judge.h
+++ b/standins/division/Judge.h
@@ -27,6 +27,11 @@
     /// \brief Something unplanned happens to a process now, or to all of them if the address is 0.
     void disturb(std::uint32_t address, TimePoint now);
 
+    // ---- what routers see ----
+
+    /// \brief An entry took a packet of a flow from its caller; none did if the address is 0.
+    void packetTaken(FlowEnds const& flow, std::uint32_t entry);
+
     // ---- what targets see ----
 
     /// \brief A target's end of a flow opened.
@@ -64,6 +69,8 @@
         std::uint32_t target { 0 };
         std::uint32_t foreign { 0 }; ///< packets at other targets since the last one at its own
         TimePoint firstForeign;
+        std::set<std::uint32_t> entries; ///< took packets since then
+        std::set<std::uint32_t> others; ///< targets that got them
         bool reported { false };
     };
 
@@ -75,6 +82,7 @@
 
     void report(std::string const& text);
     [[nodiscard]] bool isInTouch(std::uint32_t address, TimePoint now) const;
+    [[nodiscard]] bool areInTouch(OpenFlow const& flow, TimePoint now) const;
     [[nodiscard]] bool areAllInTouch(TimePoint now) const;
 };
 
--- a/standins/division/Router.cpp
+++ b/standins/division/Router.cpp
@@ -65,10 +65,10 @@
 }
 
 // Rendezvous hashing: only the flows of an entry that leaves or joins move. Without a ready entry, all are used.
-void Router::forward(FlowEnds const& flow, std::span<std::byte const> datagram)
+std::uint32_t Router::forward(FlowEnds const& flow, std::span<std::byte const> datagram)
 {
     if (entries_.empty() || std::uniform_real_distribution<double>(0, 1)(random_) < loss_)
-        return;
+        return 0;
     std::uint64_t const hash = hashEnds(flow);
     std::size_t best = entries_.size();
     std::uint64_t highest = 0;
@@ -80,8 +80,10 @@
             highest = score;
         }
     }
-    if (best < entries_.size() && !cut_.contains(entries_[best].data.address))
-        send_(entries_[best].data, datagram);
+    if (best == entries_.size() || cut_.contains(entries_[best].data.address))
+        return 0;
+    send_(entries_[best].data, datagram);
+    return entries_[best].data.address;
 }
 
 } // namespace plantaindrift::standins
--- a/standins/division/Router.h
+++ b/standins/division/Router.h
@@ -34,7 +34,9 @@
     Router& operator=(Router const&) = delete;
 
     /// \brief Carries a caller's packet to an entry.
-    void forward(FlowEnds const& flow, std::span<std::byte const> datagram);
+    ///
+    /// \returns  the entry's address; 0 if the packet was lost
+    std::uint32_t forward(FlowEnds const& flow, std::span<std::byte const> datagram);
 
     /// \brief Share of callers' packets that are lost from now on.
     void setLoss(double share) noexcept { loss_ = share; }
--- a/standins/division/main.cpp
+++ b/standins/division/main.cpp
@@ -67,7 +67,7 @@
             , router_(
                   process_.loop, parseEntries(FLAGS_entries), [this](Endpoint to, std::span<std::byte const> bytes) { sockets_.send(to, bytes); }, FLAGS_seed)
             , callers_(
-                  judge_, requireEndpoint("callers", FLAGS_callers).address, parseRoutes(FLAGS_routes), [this](FlowEnds const& flow, std::span<std::byte const> bytes) { router_.forward(flow, bytes); }, FLAGS_seed + 1)
+                  judge_, requireEndpoint("callers", FLAGS_callers).address, parseRoutes(FLAGS_routes), [this](FlowEnds const& flow, std::span<std::byte const> bytes) { judge_.packetTaken(flow, router_.forward(flow, bytes)); }, FLAGS_seed + 1)
             , http_(process_.loop, requireEndpoint("http", FLAGS_http), [this](HttpRequest const& request) { return answer(request); })
         {
             std::uint64_t seed = FLAGS_seed + 2;
@@ -118,6 +118,7 @@
             if (request.method == "GET" && request.path == "/state")
                 return jsonAnswer(state());
             try {
+                logEvent(LogLevel::Info, "command", { { "text", request.body } });
                 obey(nlohmann::json::parse(request.body));
             } catch (std::exception const& error) {
                 return { 400, std::string("the command cannot be used: ") + error.what() + "; see the head of main.cpp\n" };
--- a/tests/DivisionStandInTests.cpp
+++ b/tests/DivisionStandInTests.cpp
@@ -127,6 +127,28 @@
     BOOST_TEST(judge.violations().size() == 1U);
 }
 
+// A soak disturbs some process all the time; a flow whose own processes are in touch is judged nevertheless.
+BOOST_AUTO_TEST_CASE(AFlowIsJudgedByTheProcessesThatItPasses)
+{
+    struct Case {
+        std::uint32_t disturbed; ///< a second before the flow's packets reach the wrong target
+        bool broken;
+    };
+    constexpr std::uint32_t entry = 0x7F010001U;
+    constexpr std::uint32_t otherEntry = 0x7F010002U;
+    for (Case const& one : { Case { entry, false }, Case { owner, false }, Case { 0, false }, Case { otherEntry, true }, Case { other, true } }) {
+        Judge judge = judgeWithOpenFlow();
+        judge.packetTaken(flow, otherEntry);
+        judge.packetArrived(flow, owner, start + 1s);
+        judge.disturb(one.disturbed, start + 2s);
+        for (int index = 0; index < 4; ++index) {
+            judge.packetTaken(flow, entry);
+            judge.packetArrived(flow, other, start + 3s + index * 700ms);
+        }
+        BOOST_TEST(judge.violations().size() == (one.broken ? 1U : 0U), formatAddress(one.disturbed));
+    }
+}
+
 BOOST_AUTO_TEST_CASE(PacketsAtTheOwnTargetEndASearch)
 {
     Judge judge = judgeWithOpenFlow();
