--- a/scripts/division_bed.py
+++ b/scripts/division_bed.py
@@ -12,11 +12,17 @@
 import subprocess
 import tempfile
 import threading
+import time
 
 from testbed import CheckFailed, Ports, answers, binary, fetch, fetch_json, wait_until
 
 CALLER_ADDRESS = "127.9.0.1"
 DATA_CENTRES = ("north", "south", "east")
+
+# Figures of the platform's pages: how long a fault excuses a process, and when a confirmed configuration must be in force.
+STABLE_SECONDS = 4
+CONFIGURATION_SECONDS = 3
+
 ROUTES = {"198.18.0.1:443": "desk", "198.18.0.2:443": "ledger"}
 
 
@@ -90,6 +96,10 @@
         self.process = None
         self.proxy = None
         self.planned_end = False  # the process was told to end, or killed
+        self.replaced = 0  # how often a machine of another name took its place
+
+    def member(self):
+        return f"{self.name}-{self.replaced}" if self.replaced else self.name
 
 
 class DivisionBed:
@@ -102,6 +112,8 @@
         self.random = random.Random(seed)
         self.seed = seed
         self.version = 0
+        self.confirmed = 0.0  # when the store confirmed the latest version
+        self.disturbed = {}  # name of a machine, or nothing for all: when something last happened to it
         self.started = []
         self.loop = asyncio.new_event_loop()
         threading.Thread(target=self.loop.run_forever, daemon=True).start()
@@ -138,7 +150,7 @@
 
     def settings(self, machine):
         seeds = ", ".join(f'"{self.at(entry, "control")}"' for entry in self.entries[:3])
-        text = (f'name = "{machine.name}"\ndata_centre = "{self.data_centre(machine)}"\ninsecure = true\n'
+        text = (f'name = "{machine.member()}"\ndata_centre = "{self.data_centre(machine)}"\ninsecure = true\n'
                 f'data = "{self.at(machine, "data")}"\ncontrol = "{self.at(machine, "control")}"\ncontrol_transport = "datagram"\n'
                 f'http = "{self.at(machine, "http")}"\n')
         if machine.service is None:
@@ -155,6 +167,7 @@
             output.write(self.settings(machine))
         role = "entry" if machine.service is None else "agent"
         machine.planned_end = False
+        self.disturbed[machine.name] = time.monotonic()
         machine.process = self.launch(machine.name, [binary(f"plantaindrift-division-{role}"), f"--settings={path}"])
 
     def start_all(self):
@@ -190,11 +203,30 @@
 
     def disturb(self, machine=None):
         """Something unplanned begins or ends at a machine, or at all of them."""
+        self.disturbed[machine.name if machine else None] = time.monotonic()
         self.tell("disturb", address=machine.address if machine else "")
 
+    def is_in_touch(self, machine):
+        last = max(self.disturbed.get(machine.name, 0), self.disturbed.get(None, 0))
+        return machine.process.poll() is None and not machine.planned_end and time.monotonic() - last > STABLE_SECONDS
+
+    def check_configuration(self):
+        """A confirmed configuration is in force at every entry that nothing happened to."""
+        if time.monotonic() - self.confirmed < CONFIGURATION_SECONDS:
+            return
+        for entry in self.entries:
+            if self.is_in_touch(entry):
+                applied = self.metric(entry, "plantaindrift_configuration_position")
+                if applied < self.version:
+                    raise CheckFailed(f"CONFIG: {entry.name} applies version {applied:.0f}, and {self.version} was confirmed "
+                                      f"{time.monotonic() - self.confirmed:.1f} s ago")
+
     def store_faults(self, **faults):
         fetch(self.store, "/faults", "POST", json.dumps(faults))
 
+    def members(self):
+        return {item["meta"]["name"] for item in fetch_json(self.store, "/plantaindrift/objects/members")["items"]}
+
     def configure(self):
         """Writes the next version of the configuration, with one more unused route."""
         self.version += self.random.randint(1, 5)
@@ -208,6 +240,7 @@
             fetch(self.store, "/plantaindrift/objects/config", "POST", body)
         else:
             fetch(self.store, "/plantaindrift/objects/config/main", "PUT", body)
+        self.confirmed = time.monotonic()
 
     def check_processes(self):
         for machine in self.entries + self.agents:
