--- a/standins/division/main.cpp
+++ b/standins/division/main.cpp
@@ -1,7 +1,7 @@
 // Stand-in for the division platform around the system: store, routers, targets and callers in one process, which sees
 // both ends of every flow and judges the promises of the platform's pages.
 //
-// POST /control takes one JSON command: {"do": "drain" | "crash" | "start" | "serve" | "disturb" | "loss" | "cut" | "traffic", ...}.
+// POST /control takes one JSON command: {"do": "drain" | "crash" | "start" | "serve" | "disturb" | "loss" | "cut" | "traffic" | "restore", ...}.
 // GET /state gives counts and broken promises.
 
 #include "common/Process.h"
@@ -67,7 +67,7 @@
             , router_(
                   process_.loop, parseEntries(FLAGS_entries), [this](Endpoint to, std::span<std::byte const> bytes) { sockets_.send(to, bytes); }, FLAGS_seed)
             , callers_(
-                  judge_, requireEndpoint("callers", FLAGS_callers).address, parseRoutes(FLAGS_routes), [this](FlowEnds const& flow, std::span<std::byte const> bytes) { router_.forward(flow, bytes); }, FLAGS_seed + 1)
+                  judge_, requireEndpoint("callers", FLAGS_callers).address, parseRoutes(FLAGS_routes), [this](FlowEnds const& flow, std::span<std::byte const> bytes) { judge_.packetTaken(flow, router_.forward(flow, bytes)); }, FLAGS_seed + 1)
             , http_(process_.loop, requireEndpoint("http", FLAGS_http), [this](HttpRequest const& request) { return answer(request); })
         {
             std::uint64_t seed = FLAGS_seed + 2;
@@ -118,6 +118,7 @@
             if (request.method == "GET" && request.path == "/state")
                 return jsonAnswer(state());
             try {
+                logEvent(LogLevel::Info, "command", { { "text", request.body } });
                 obey(nlohmann::json::parse(request.body));
             } catch (std::exception const& error) {
                 return { 400, std::string("the command cannot be used: ") + error.what() + "; see the head of main.cpp\n" };
@@ -143,6 +144,8 @@
                 router_.setLoss(command.at("share").get<double>());
             else if (what == "cut")
                 router_.cut(addressOf(command), command.at("on").get<bool>());
+            else if (what == "restore")
+                store_.restore(now - std::chrono::milliseconds(command.at("age_ms").get<std::int64_t>()));
             else if (what == "disturb")
                 judge_.disturb(addressOf(command), now);
             else
