Log and count generations of the store, records written and reads discarded

What callers saw: after a restore of the platform's store, flows of some agents were reset. The logs showed neither that the store had been restored nor whether a process wrote its record again.

Change: HttpClient delivers the headers of an answer. An entry logs and counts configurations of the store that are older than the one in force (configuration_discarded). No call and no decision changes.

Evidence: AnswersNameTheStoresGeneration and AMetricShowsThatTheStoreWasRestored; before, the interface that they use did not exist, so that they did not compile.

--- a/include/plantaindrift/runtime/HttpClient.h
+++ b/include/plantaindrift/runtime/HttpClient.h
@@ -5,7 +5,11 @@
 #include <atomic>
 #include <chrono>
 #include <memory>
+#include <optional>
 #include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
 
 namespace plantaindrift {
 
@@ -13,6 +17,12 @@
 struct HttpResult {
     long status { 0 };
     std::string body;
+    std::vector<std::pair<std::string, std::string>> headers {}; ///< names in lower case, and values
+
+    /// \brief The value of a header, or nothing.
+    ///
+    /// \param name  in lower case
+    [[nodiscard]] std::optional<std::string_view> header(std::string_view name) const;
 };
 
 /// \brief Blocking HTTP client; every request has a connection of its own. Not thread-safe.
--- a/include/plantaindrift/runtime/HttpServer.h
+++ b/include/plantaindrift/runtime/HttpServer.h
@@ -8,6 +8,8 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <utility>
+#include <vector>
 
 namespace plantaindrift {
 
@@ -24,6 +26,7 @@
     int status { 200 };
     std::string body;
     std::string contentType { "text/plain; charset=utf-8" };
+    std::vector<std::pair<std::string, std::string>> headers {}; ///< further names and values
 };
 
 /// \brief HTTP server on an event loop that the caller runs; the handler runs on that loop.
--- a/include/plantaindrift/store/FleetStore.h
+++ b/include/plantaindrift/store/FleetStore.h
@@ -38,6 +38,11 @@
     /// \brief Makes awaitConfiguration fail soon, now and from then on. May be called on any thread.
     virtual void cancelWait() noexcept { }
 
+    /// \brief The newest generation of the store that an answer named; 0 until one did. May be called on any thread.
+    ///
+    /// It rises when the store comes back from an older copy, which lacks what was written after the copy was made.
+    [[nodiscard]] virtual std::uint64_t generation() const noexcept { return 0; }
+
     /// \brief Members as they announced themselves.
     ///
     /// \param fresh  false: at a lower price, may lack the last seconds
--- a/src/runtime/FleetStoreThread.cpp
+++ b/src/runtime/FleetStoreThread.cpp
@@ -8,6 +8,7 @@
 #include <array>
 #include <asio/post.hpp>
 #include <exception>
+#include <utility>
 
 namespace plantaindrift {
 
@@ -103,6 +104,7 @@
     while (!stopping_ && !isDone()) {
         absl::Status const status = guardedStep();
         recordResult(status);
+        noteGeneration();
         if (status.ok())
             continue;
         std::uniform_int_distribution<std::int64_t> jitter(backoff_.count() / 4, backoff_.count());
@@ -170,6 +172,14 @@
     absl::Status status = store_->writeMember(self_);
     recordCall(StoreCall::WriteMember, started);
     isRegistered_ = status.ok();
+    if (!isRegistered_)
+        return status;
+    bool const isRepeated = recordsWritten_ > 0;
+    ++recordsWritten_;
+    recordsRewritten_ += isRepeated ? 1 : 0;
+    asio::post(loop_, [name = self_.name, isRepeated, generation = store_->generation()] {
+        logEvent(LogLevel::Info, "member_record_written", { { "name", name }, { "repeated", isRepeated }, { "store_generation", generation } });
+    });
     return status;
 }
 
@@ -231,10 +241,28 @@
 {
     page.addGauge("plantaindrift_store_reachable", "1 if the last call to the store was answered.", {}, reachable_ ? 1 : 0);
     page.addCounter("plantaindrift_store_calls_total", "Calls to the store.", {}, static_cast<double>(calls_));
+    page.addGauge("plantaindrift_store_generation", "Generation of the store, which rises when it comes back from an older copy; 0 if unknown.", {}, static_cast<double>(store_->generation()));
+    page.addCounter("plantaindrift_store_restores_total", "Rises of the store's generation.", {}, static_cast<double>(generationChanges_));
+    std::string_view const recordsHelp = "Writes of this process's own record.";
+    page.addCounter("plantaindrift_store_records_written_total", recordsHelp, { { "repeated", "no" } }, static_cast<double>(recordsWritten_ - recordsRewritten_));
+    page.addCounter("plantaindrift_store_records_written_total", recordsHelp, { { "repeated", "yes" } }, static_cast<double>(recordsRewritten_));
     for (std::size_t call = 0; call < storeCallCount; ++call)
         page.addHistogram("plantaindrift_store_call_seconds", "Times of calls to the store, answered or not, without watches.", { { "call", std::string(storeCallNames[call]) } }, callTimes_[call]);
 }
 
+void FleetStoreThread::noteGeneration()
+{
+    std::uint64_t const current = store_->generation();
+    if (current <= generation_)
+        return;
+    std::uint64_t const previous = std::exchange(generation_, current);
+    bool const isRestored = previous > 0;
+    generationChanges_ += isRestored ? 1 : 0;
+    asio::post(loop_, [previous, current, isRestored] {
+        logEvent(isRestored ? LogLevel::Warning : LogLevel::Info, isRestored ? "store_restored" : "store_generation", { { "generation", current }, { "previous", previous } });
+    });
+}
+
 void FleetStoreThread::recordResult(absl::Status const& status)
 {
     if (status.ok())
--- a/src/runtime/FleetStoreThread.h
+++ b/src/runtime/FleetStoreThread.h
@@ -69,6 +69,9 @@
     std::atomic<bool> stopping_ { false };
     std::atomic<bool> reachable_ { true };
     std::atomic<std::uint64_t> calls_ { 0 };
+    std::atomic<std::uint64_t> generationChanges_ { 0 };
+    std::atomic<std::uint64_t> recordsWritten_ { 0 };
+    std::atomic<std::uint64_t> recordsRewritten_ { 0 };
     std::array<LatencyHistogram, storeCallCount> callTimes_; ///< accessed only on the event loop
     std::mutex mutex_;
     std::condition_variable wake_;
@@ -77,6 +80,7 @@
     std::size_t memberReads_ { 0 };
     TimePoint nextMembersRead_;
     bool isRegistered_ { false };
+    std::uint64_t generation_ { 0 }; ///< of the store, as of the last call; 0 if unknown
     std::size_t entryCount_ { 0 }; ///< entries in the list of members that was read last
     bool hasConfiguration_ { false };
     std::thread thread_;
@@ -93,6 +97,7 @@
     void post(std::optional<VersionedConfiguration> configuration);
     void recordCall(StoreCall call, TimePoint started);
     void recordResult(absl::Status const& status);
+    void noteGeneration();
     void pause(std::chrono::milliseconds time);
     [[nodiscard]] bool isDone() const noexcept;
 };
--- a/src/runtime/HttpClient.cpp
+++ b/src/runtime/HttpClient.cpp
@@ -2,6 +2,8 @@
 
 #include "plantaindrift/base/Error.h"
 
+#include <algorithm>
+#include <cctype>
 #include <curl/curl.h>
 #include <memory>
 
@@ -15,6 +17,26 @@
         return size * count;
     }
 
+    std::string_view trim(std::string_view text)
+    {
+        constexpr std::string_view space = " \t\r\n";
+        std::size_t const first = text.find_first_not_of(space);
+        return first == std::string_view::npos ? std::string_view() : text.substr(first, text.find_last_not_of(space) - first + 1);
+    }
+
+    // Receives one header line at a time, and the status line.
+    std::size_t appendHeader(char* bytes, std::size_t size, std::size_t count, void* output)
+    {
+        std::string_view const line(bytes, size * count);
+        std::size_t const colon = line.find(':');
+        if (colon == std::string_view::npos)
+            return line.size();
+        std::string name(trim(line.substr(0, colon)));
+        std::transform(name.begin(), name.end(), name.begin(), [](unsigned char letter) { return static_cast<char>(std::tolower(letter)); });
+        static_cast<HttpResult*>(output)->headers.emplace_back(std::move(name), trim(line.substr(colon + 1)));
+        return line.size();
+    }
+
     int abortIfCancelled(void* cancelled, curl_off_t, curl_off_t, curl_off_t, curl_off_t)
     {
         return static_cast<std::atomic<bool> const*>(cancelled)->load() ? 1 : 0;
@@ -22,6 +44,12 @@
 
 } // namespace
 
+std::optional<std::string_view> HttpResult::header(std::string_view name) const
+{
+    auto const found = std::find_if(headers.begin(), headers.end(), [name](std::pair<std::string, std::string> const& one) { return one.first == name; });
+    return found != headers.end() ? std::optional<std::string_view>(found->second) : std::nullopt;
+}
+
 struct HttpClient::State {
     struct Deleter {
         void operator()(CURL* handle) const noexcept { curl_easy_cleanup(handle); }
@@ -59,6 +87,8 @@
     curl_easy_setopt(handle, CURLOPT_TIMEOUT_MS, static_cast<long>(timeout.count()));
     curl_easy_setopt(handle, CURLOPT_WRITEFUNCTION, &appendBody);
     curl_easy_setopt(handle, CURLOPT_WRITEDATA, &result.body);
+    curl_easy_setopt(handle, CURLOPT_HEADERFUNCTION, &appendHeader);
+    curl_easy_setopt(handle, CURLOPT_HEADERDATA, &result);
     if (cancelled != nullptr) {
         curl_easy_setopt(handle, CURLOPT_NOPROGRESS, 0L);
         curl_easy_setopt(handle, CURLOPT_XFERINFOFUNCTION, &abortIfCancelled);
--- a/src/runtime/HttpServer.cpp
+++ b/src/runtime/HttpServer.cpp
@@ -33,7 +33,10 @@
     restinio::request_handling_status_t answer(restinio::request_handle_t const& handle, HttpAnswer&& content)
     {
         restinio::http_status_line_t const line(restinio::http_status_code_t(static_cast<std::uint16_t>(content.status)), content.status < 300 ? "OK" : "Error");
-        return handle->create_response(line)
+        auto response = handle->create_response(line);
+        for (auto const& [name, value] : content.headers)
+            response.append_header(name, value);
+        return response
             .append_header(restinio::http_field::content_type, content.contentType)
             .set_body(std::move(content.body))
             .connection_close()
--- a/src/runtime/RelayEntryDaemon.cpp
+++ b/src/runtime/RelayEntryDaemon.cpp
@@ -123,6 +123,7 @@
         TimePoint started_ { std::chrono::steady_clock::now() };
         std::uint64_t configurationVersion_ { 0 };
         std::uint64_t refusedMessages_ { 0 };
+        std::uint64_t discardedConfigurations_ { 0 };
         bool wasReady_ { false };
         bool hasMembers_ { false };
 
@@ -175,6 +176,11 @@
 
         void addConfiguration(VersionedConfiguration const& found)
         {
+            std::uint64_t const position = control_.completePosition();
+            if (found.version < position) {
+                ++discardedConfigurations_;
+                logEvent(LogLevel::Info, "configuration_discarded", { { "version", found.version }, { "position", position } });
+            }
             control_.addSnapshot(found.version, found.configuration, std::chrono::steady_clock::now());
             applyControl();
         }
@@ -245,6 +251,7 @@
             page.addGauge("plantaindrift_entry_flows", "Flows whose owner is remembered.", {}, static_cast<double>(relay_.flowCount()));
             page.addCounter("plantaindrift_flow_messages_refused_total", "Relay messages that are malformed, stale or not authenticated.", {}, static_cast<double>(refusedMessages_));
             page.addGauge("plantaindrift_configuration_position", "Applied version of the configuration.", {}, static_cast<double>(control_.changeLog().position()));
+            page.addCounter("plantaindrift_configurations_discarded_total", "Configurations that the store gave and that are older than the one in force.", {}, static_cast<double>(discardedConfigurations_));
             page.addCounter("plantaindrift_entry_search_queries_total", "Messages that searches for owners sent to agents.", {}, static_cast<double>(relay_.searchMessageCount()));
             std::string_view const searchHelp = "Times from the first segment of a flow without a known owner to the end of the search.";
             page.addHistogram("plantaindrift_entry_search_seconds", searchHelp, { { "outcome", "found" } }, relay_.successfulSearchTimes());
--- a/tests/DivisionStoreTests.cpp
+++ b/tests/DivisionStoreTests.cpp
@@ -43,6 +43,12 @@
         answers_.push_back({ status, std::move(body), "application/json" });
     }
 
+    void prepare(int status, std::string body, int era)
+    {
+        std::lock_guard<std::mutex> const lock(mutex_);
+        answers_.push_back({ status, std::move(body), "application/json", { { "Store-Era", std::to_string(era) } } });
+    }
+
     [[nodiscard]] std::vector<std::string> calls()
     {
         std::lock_guard<std::mutex> const lock(mutex_);
@@ -197,3 +203,23 @@
     member.name = "agent-1";
     BOOST_TEST(!client.writeMember(member).ok());
 }
+
+// Guards against a restored store that nobody notices: each answer, refused ones too, names the generation.
+BOOST_AUTO_TEST_CASE(AnswersNameTheStoresGeneration)
+{
+    StandInStore standIn;
+    division::DivisionStore store(url);
+    BOOST_TEST(store.generation() == 0U);
+    standIn.prepare(200, list(object(7), 530), 0);
+    BOOST_TEST(store.readConfiguration().ok());
+    BOOST_TEST(store.generation() == 1U);
+    standIn.prepare(503, "{}", 4);
+    BOOST_TEST(!store.readConfiguration().ok());
+    BOOST_TEST(store.generation() == 5U);
+    // An answer that was delayed does not make it fall, and one without the header leaves it.
+    standIn.prepare(503, "{}", 2);
+    standIn.prepare(503, "{}");
+    BOOST_TEST(!store.readConfiguration().ok());
+    BOOST_TEST(!store.readConfiguration().ok());
+    BOOST_TEST(store.generation() == 5U);
+}
--- /dev/null
+++ b/tests/FleetStoreThreadTests.cpp
@@ -0,0 +1,218 @@
+// Guards against a store that comes back from an older copy and lacks what this process read and wrote.
+#include "plantaindrift/base/Error.h"
+#include "runtime/FleetStoreThread.h"
+
+#include <algorithm>
+#include <asio/io_context.hpp>
+#include <boost/test/unit_test.hpp>
+#include <condition_variable>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <thread>
+
+namespace {
+
+using namespace plantaindrift;
+using namespace std::chrono_literals;
+
+// What the store holds; outlives the FleetStore that the thread owns.
+class StoreContents {
+public:
+    // The store comes back from a copy that lacks all members' records.
+    void restore()
+    {
+        std::lock_guard<std::mutex> const lock(mutex_);
+        ++generation_;
+        members_.clear();
+        changed_.notify_all();
+    }
+
+    void failWrites(int count)
+    {
+        std::lock_guard<std::mutex> const lock(mutex_);
+        failingWrites_ = count;
+    }
+
+    [[nodiscard]] std::uint64_t generation()
+    {
+        std::lock_guard<std::mutex> const lock(mutex_);
+        return generation_;
+    }
+
+    [[nodiscard]] bool has(std::string const& name)
+    {
+        std::lock_guard<std::mutex> const lock(mutex_);
+        return members_.contains(name);
+    }
+
+    [[nodiscard]] int count(std::string const& call)
+    {
+        std::lock_guard<std::mutex> const lock(mutex_);
+        return calls_[call];
+    }
+
+    // Waits like a watch, which ends when the store is restored.
+    void wait(std::chrono::milliseconds time, std::atomic<bool> const& cancelled)
+    {
+        std::unique_lock<std::mutex> lock(mutex_);
+        ++calls_["await"];
+        std::uint64_t const before = generation_;
+        changed_.wait_for(lock, std::min(time, std::chrono::milliseconds { 50 }), [&] { return cancelled || generation_ != before; });
+    }
+
+    [[nodiscard]] std::vector<Member> readMembers(bool fresh)
+    {
+        std::lock_guard<std::mutex> const lock(mutex_);
+        ++calls_[fresh ? "fresh" : "read"];
+        std::vector<Member> found;
+        for (auto const& [name, member] : members_)
+            found.push_back(member);
+        return found;
+    }
+
+    [[nodiscard]] bool write(Member const& member)
+    {
+        std::lock_guard<std::mutex> const lock(mutex_);
+        ++calls_["write"];
+        if (failingWrites_ > 0) {
+            --failingWrites_;
+            return false;
+        }
+        members_[member.name] = member;
+        return true;
+    }
+
+    void remove(std::string const& name)
+    {
+        std::lock_guard<std::mutex> const lock(mutex_);
+        ++calls_["remove"];
+        members_.erase(name);
+    }
+
+    void noteConfigurationRead()
+    {
+        std::lock_guard<std::mutex> const lock(mutex_);
+        ++calls_["configuration"];
+    }
+
+private:
+    std::mutex mutex_;
+    std::condition_variable changed_;
+    std::map<std::string, Member> members_;
+    std::map<std::string, int> calls_;
+    std::uint64_t generation_ { 1 };
+    int failingWrites_ { 0 };
+};
+
+class FakeStore final : public FleetStore {
+public:
+    explicit FakeStore(std::shared_ptr<StoreContents> contents)
+        : contents_(std::move(contents))
+    {
+    }
+
+    [[nodiscard]] absl::StatusOr<std::optional<VersionedConfiguration>> readConfiguration() override
+    {
+        contents_->noteConfigurationRead();
+        noteAnswer();
+        return std::optional<VersionedConfiguration>(VersionedConfiguration { 1, {} });
+    }
+
+    [[nodiscard]] absl::StatusOr<std::optional<VersionedConfiguration>> awaitConfiguration(std::chrono::milliseconds time) override
+    {
+        contents_->wait(time, cancelled_);
+        noteAnswer();
+        return std::optional<VersionedConfiguration>();
+    }
+
+    void cancelWait() noexcept override { cancelled_ = true; }
+    [[nodiscard]] std::uint64_t generation() const noexcept override { return generation_; }
+
+    [[nodiscard]] absl::StatusOr<std::vector<Member>> readMembers(bool fresh) override
+    {
+        noteAnswer();
+        return contents_->readMembers(fresh);
+    }
+
+    [[nodiscard]] absl::Status writeMember(Member const& member) override
+    {
+        noteAnswer();
+        return contents_->write(member) ? absl::OkStatus() : makeError(ErrorKind::Refused, "too many calls");
+    }
+
+    [[nodiscard]] absl::Status removeMember(std::string_view name) override
+    {
+        contents_->remove(std::string(name));
+        return absl::OkStatus();
+    }
+
+private:
+    std::shared_ptr<StoreContents> contents_;
+    std::atomic<std::uint64_t> generation_ { 0 };
+    std::atomic<bool> cancelled_ { false };
+
+    void noteAnswer() { generation_ = contents_->generation(); }
+};
+
+Member makeSelf(MemberRole role)
+{
+    Member self;
+    self.name = "node-1";
+    self.role = role;
+    self.data = { 0x0A010001U, 7735 };
+    self.control = { 0x0A010001U, 7720 };
+    return self;
+}
+
+// One process with its event loop.
+struct Process {
+    std::shared_ptr<StoreContents> contents { std::make_shared<StoreContents>() };
+    asio::io_context loop;
+    int memberLists { 0 };
+    int configurations { 0 };
+    std::unique_ptr<FleetStoreThread> store;
+
+    explicit Process(MemberRole role)
+    {
+        FleetStoreThread::Handlers handlers;
+        handlers.members = [this](std::vector<Member> const&, bool) { ++memberLists; };
+        if (role == MemberRole::Entry)
+            handlers.configuration = [this](VersionedConfiguration const&) { ++configurations; };
+        store = std::make_unique<FleetStoreThread>(loop, std::make_unique<FakeStore>(contents), makeSelf(role), handlers);
+        store->start();
+        BOOST_TEST_REQUIRE(runUntil([this] { return contents->has("node-1") && memberLists > 0; }, 10s));
+    }
+
+    template <typename Predicate>
+    bool runUntil(Predicate predicate, Duration limit)
+    {
+        TimePoint const end = std::chrono::steady_clock::now() + limit;
+        while (!predicate() && std::chrono::steady_clock::now() < end) {
+            loop.restart();
+            loop.run_for(10ms);
+        }
+        return predicate();
+    }
+
+    [[nodiscard]] std::string metrics() const
+    {
+        MetricsPage page;
+        store->addMetrics(page);
+        return page.text();
+    }
+};
+
+} // namespace
+
+// Guards against a restore that leaves no trace in what operators see.
+BOOST_AUTO_TEST_CASE(AMetricShowsThatTheStoreWasRestored)
+{
+    Process entry(MemberRole::Entry);
+    BOOST_TEST(entry.metrics().find("plantaindrift_store_restores_total 0") != std::string::npos);
+    entry.contents->restore();
+    BOOST_TEST(entry.runUntil([&entry] { return entry.metrics().find("plantaindrift_store_restores_total 1") != std::string::npos; }, 10s));
+    BOOST_TEST(entry.metrics().find("plantaindrift_store_generation 2") != std::string::npos);
+    BOOST_TEST(entry.metrics().find("plantaindrift_store_records_written_total{repeated=\"no\"} 1") != std::string::npos);
+}
