--- a/src/runtime/FleetStoreThread.cpp
+++ b/src/runtime/FleetStoreThread.cpp
@@ -258,11 +258,25 @@
     std::uint64_t const previous = std::exchange(generation_, current);
     bool const isRestored = previous > 0;
     generationChanges_ += isRestored ? 1 : 0;
+    if (isRestored)
+        forgetReads();
     asio::post(loop_, [previous, current, isRestored] {
         logEvent(isRestored ? LogLevel::Warning : LogLevel::Info, isRestored ? "store_restored" : "store_generation", { { "generation", current }, { "previous", previous } });
     });
 }
 
+// What was read may be gone, and what others write again is to be found. An entry reads both at once; an agent hears
+// of entries from its monitors.
+void FleetStoreThread::forgetReads()
+{
+    if (!handlers_.configuration)
+        return;
+    hasConfiguration_ = false;
+    hasMembers_ = false;
+    memberReads_ = 0;
+    backoff_ = initialBackoff;
+}
+
 void FleetStoreThread::recordResult(absl::Status const& status)
 {
     if (status.ok())
--- a/src/runtime/FleetStoreThread.h
+++ b/src/runtime/FleetStoreThread.h
@@ -98,6 +98,7 @@
     void recordCall(StoreCall call, TimePoint started);
     void recordResult(absl::Status const& status);
     void noteGeneration();
+    void forgetReads();
     void pause(std::chrono::milliseconds time);
     [[nodiscard]] bool isDone() const noexcept;
 };
--- a/tests/DivisionStoreTests.cpp
+++ b/tests/DivisionStoreTests.cpp
@@ -223,3 +223,45 @@
     BOOST_TEST(!store.readConfiguration().ok());
     BOOST_TEST(store.generation() == 5U);
 }
+
+// A revision that a restored store gives out again gets no 410, so that a watch from it misses changes.
+BOOST_AUTO_TEST_CASE(ARevisionOfAnEarlierGenerationIsNotWatched)
+{
+    StandInStore standIn;
+    division::DivisionStore store(url);
+    standIn.prepare(200, list(object(7), 530), 1);
+    BOOST_TEST(store.readConfiguration().ok());
+    // Another call is the first to be answered by the restored store.
+    standIn.prepare(200, list("", 525), 2);
+    BOOST_TEST(store.readMembers(true).ok());
+    BOOST_TEST(!store.awaitConfiguration(100ms).ok());
+    BOOST_TEST(standIn.calls().size() == 2U);
+    standIn.prepare(200, list(object(9), 540), 2);
+    standIn.prepare(200, "{\"events\":[],\"store-revision\":540}", 2);
+    BOOST_TEST(store.readConfiguration().value().value().version == 9U);
+    BOOST_TEST(store.awaitConfiguration(100ms).ok());
+    BOOST_TEST(standIn.calls()[3] == "GET /plantaindrift/objects/config?watch=540&wait-ms=100");
+}
+
+// A restored store answers a watch that began before, from a revision that meant something else.
+BOOST_AUTO_TEST_CASE(AnAnswerToAWatchFromAnEarlierGenerationIsDiscarded)
+{
+    StandInStore standIn;
+    division::DivisionStore store(url);
+    standIn.prepare(200, list(object(7), 530), 1);
+    BOOST_TEST(store.readConfiguration().ok());
+    standIn.prepare(200, "{\"events\":[],\"store-revision\":531}", 2);
+    BOOST_TEST(!store.awaitConfiguration(100ms).ok());
+    BOOST_TEST(store.generation() == 3U);
+}
+
+// An answer from before the restore that arrives after it would bring back what is gone.
+BOOST_AUTO_TEST_CASE(AnAnswerOfAnEarlierGenerationIsRefused)
+{
+    StandInStore standIn;
+    division::DivisionStore store(url);
+    standIn.prepare(200, list(object(7), 530), 2);
+    standIn.prepare(200, list(object(8), 531), 1);
+    BOOST_TEST(store.readConfiguration().ok());
+    BOOST_TEST(!store.readConfiguration().ok());
+}
--- a/tests/FleetStoreThreadTests.cpp
+++ b/tests/FleetStoreThreadTests.cpp
@@ -216,3 +216,13 @@
     BOOST_TEST(entry.metrics().find("plantaindrift_store_generation 2") != std::string::npos);
     BOOST_TEST(entry.metrics().find("plantaindrift_store_records_written_total{repeated=\"no\"} 1") != std::string::npos);
 }
+
+// Guards against configuration and members that an entry reads seconds after a restore, or not at all.
+BOOST_AUTO_TEST_CASE(AnEntryReadsEverythingAgainAfterARestore)
+{
+    Process entry(MemberRole::Entry);
+    int const configurations = entry.contents->count("configuration");
+    int const lists = entry.contents->count("fresh");
+    entry.contents->restore();
+    BOOST_TEST(entry.runUntil([&] { return entry.contents->count("configuration") > configurations && entry.contents->count("fresh") > lists; }, 1s));
+}
