Every process writes its record again after a restore of the store

What callers saw: agents that started after the copy was made were missing in the store for good.

Cause: FleetStoreThread ended at an agent once its record was written, and an entry saw the loss of its own only at its next read of the members.

Change: replies to heartbeats name the newest generation of the store that the entry knows (field 11; a peer without it ignores it or sends 0). The agent's thread waits for that instead of ending, makes no calls meanwhile, and writes its record again once for a new generation. Writes are spread over 5 ms a process, at least 0.3 s, and retried with backoff. A record that stands there unchanged is not replaced: the store's 409 holds it. A list that may be old no longer shows that the own record is there. A process that leaves writes nothing.

Ruled out: polling by agents (thousands of calls), and a read before the write (one call more; the 409 tells the same).

Evidence, with the change taken out on a scratch copy: AnAgentWritesItsRecordAgainWhenToldOfARestore (1 write instead of 4), AnAgentWritesItsRecordOnceForAGeneration, AnEntryWritesItsRecordAgainAfterARestore (no record after 10 s) and ARecordThatStandsThereUnchangedIsNotReplaced (2 calls instead of 1) failed.

--- a/include/plantaindrift/membership/AgentControl.h
+++ b/include/plantaindrift/membership/AgentControl.h
@@ -51,6 +51,9 @@
     /// \brief Time of the newest heartbeat reply; the lease of the view runs from here.
     [[nodiscard]] std::optional<TimePoint> lastReply() const noexcept;
 
+    /// \brief The newest generation of the platform's store that an entry named; 0 until one did.
+    [[nodiscard]] std::uint64_t storeGeneration() const noexcept;
+
     /// \brief Entries found elsewhere than in the settings; a few of them get a heartbeat at once.
     void addEntries(std::span<Endpoint const> entries, TimePoint now);
 
--- a/include/plantaindrift/membership/EntryControl.h
+++ b/include/plantaindrift/membership/EntryControl.h
@@ -82,6 +82,9 @@
     /// \brief Adds records from the platform's announcement objects; older incarnations are ignored.
     void addMembers(std::span<Member const> members, TimePoint now);
 
+    /// \brief Sets the store's generation, which the replies to heartbeats name; it does not fall.
+    void setStoreGeneration(std::uint64_t generation) noexcept;
+
     /// \brief Spreads that this entry leaves; call before the process ends.
     void leave(TimePoint now);
 
--- a/src/membership/AgentControl.cpp
+++ b/src/membership/AgentControl.cpp
@@ -59,6 +59,7 @@
     bool serviceChanged { false };
     bool sendsService { false }; ///< a monitor lacks the declaration
     std::uint64_t position { 0 };
+    std::uint64_t storeGeneration { 0 };
     std::map<std::string, double> peerLoads;
     std::optional<TimePoint> lastReply;
     std::optional<TimePoint> lastList;
@@ -91,6 +92,7 @@
     if (reply.refute_incarnation() > maximumIncarnation || static_cast<std::size_t>(reply.monitors_size()) > MonitorContacts::maximumNamed)
         return false;
     lastReply = now;
+    storeGeneration = std::max<std::uint64_t>(storeGeneration, reply.store_generation());
     std::chrono::milliseconds const told { reply.interval_ms() };
     contacts.noteReply(from, std::clamp(told, options.heartbeat, std::max(options.heartbeat, longestInterval)), monitors, reply.need_record(), now);
     sendsService = reply.need_service();
@@ -336,6 +338,11 @@
     state_->sendHeartbeats(state_->contacts.takeAll(now), now);
 }
 
+std::uint64_t AgentControl::storeGeneration() const noexcept
+{
+    return state_->storeGeneration;
+}
+
 EntryControl::Counts AgentControl::counts() const noexcept
 {
     return state_->counts;
--- a/src/membership/EntryControl.cpp
+++ b/src/membership/EntryControl.cpp
@@ -185,6 +185,7 @@
     std::map<std::string, std::uint32_t, std::less<>> reportedViews; ///< of agents whose view differed
     std::set<std::string> changedServices;
     bool neighboursOutdated { true };
+    std::uint64_t storeGeneration { 0 };
     std::optional<TimePoint> lastTick;
     std::optional<TimePoint> lastExpiry;
 };
@@ -276,6 +277,7 @@
     detector.heard(heartbeat.name(), now, interval);
     reply.set_interval_ms(static_cast<std::uint32_t>(interval.count()));
     reply.set_position(spread.log().position());
+    reply.set_store_generation(storeGeneration);
     addMonitors(heartbeat, reply);
     MemberTable::Record const* const record = table.find(heartbeat.name());
     if (record == nullptr || record->member.incarnation < heartbeat.incarnation()) {
@@ -992,6 +994,11 @@
         state_->accept(member, std::chrono::seconds { 0 }, State::Spread::No, now);
 }
 
+void EntryControl::setStoreGeneration(std::uint64_t generation) noexcept
+{
+    state_->storeGeneration = std::max(state_->storeGeneration, generation);
+}
+
 void EntryControl::leave(TimePoint now)
 {
     state_->self.state = MemberState::Left;
--- a/src/runtime/FleetStoreThread.cpp
+++ b/src/runtime/FleetStoreThread.cpp
@@ -33,6 +33,10 @@
     constexpr std::chrono::milliseconds initialBackoff { 100 };
     constexpr std::chrono::milliseconds maximumBackoff { 1500 };
 
+    // All processes together write their records again at half the rate that the store takes.
+    constexpr std::chrono::milliseconds minimumRewritePeriod { 300 };
+    constexpr std::chrono::milliseconds rewriteTimePerMember { 5 };
+
     // A record that is left behind would be used again once all entries restart. With the wait for requests in progress
     // and two calls of a second, a stop takes less than the 6 s after which the platform kills a process.
     constexpr std::chrono::milliseconds removalTimeout { 1500 };
@@ -94,14 +98,46 @@
         logEvent(LogLevel::Warning, "record_not_removed", { { "name", self_.name }, { "problem", std::string_view(status.message().data(), status.message().size()) } });
 }
 
-bool FleetStoreThread::isDone() const noexcept
+void FleetStoreThread::noteStoreGeneration(std::uint64_t generation)
 {
-    return hasMembers_ && isRegistered_ && !handlers_.configuration;
+    {
+        std::lock_guard<std::mutex> const lock(mutex_);
+        if (generation <= reportedGeneration_)
+            return;
+        reportedGeneration_ = generation;
+    }
+    wake_.notify_all();
+}
+
+std::uint64_t FleetStoreThread::reportedGeneration()
+{
+    std::lock_guard<std::mutex> const lock(mutex_);
+    return reportedGeneration_;
+}
+
+// Agents are many, so they make no calls while nothing is to be written.
+void FleetStoreThread::awaitReportedGeneration()
+{
+    {
+        std::unique_lock<std::mutex> lock(mutex_);
+        wake_.wait(lock, [this] { return stopping_ || reportedGeneration_ > registeredGeneration_; });
+    }
+    if (!stopping_)
+        isRegistered_ = false;
+}
+
+// The processes of a fleet learn of a restore within a second; their writes are spread so that the store takes them.
+void FleetStoreThread::delayRepeatedWrite()
+{
+    std::size_t const writers = handlers_.configuration ? entryCount_ : memberCount_;
+    std::chrono::milliseconds const longest = std::max(minimumRewritePeriod, rewriteTimePerMember * static_cast<std::int64_t>(writers));
+    std::uniform_int_distribution<std::int64_t> jitter(0, longest.count());
+    pause(std::chrono::milliseconds { jitter(random_) });
 }
 
 void FleetStoreThread::run()
 {
-    while (!stopping_ && !isDone()) {
+    while (!stopping_) {
         absl::Status const status = guardedStep();
         recordResult(status);
         noteGeneration();
@@ -132,6 +168,10 @@
         return readMembers();
     if (!isRegistered_)
         return writeSelf();
+    if (!handlers_.configuration) {
+        awaitReportedGeneration();
+        return absl::OkStatus();
+    }
     if (std::chrono::steady_clock::now() >= nextMembersRead_)
         return readMembers();
     return awaitConfiguration();
@@ -140,18 +180,25 @@
 absl::Status FleetStoreThread::readMembers()
 {
     TimePoint const started = std::chrono::steady_clock::now();
-    absl::StatusOr<std::vector<Member>> members = store_->readMembers(memberReads_ == 0);
+    bool const isFresh = memberReads_ == 0;
+    std::uint64_t const generation = store_->generation();
+    absl::StatusOr<std::vector<Member>> members = store_->readMembers(isFresh);
     recordCall(StoreCall::ReadMembers, started);
     if (!members.ok())
         return members.status();
     hasMembers_ = true;
     scheduleMembersRead(members->size());
     entryCount_ = static_cast<std::size_t>(std::count_if(members->begin(), members->end(), [](Member const& member) { return member.role == MemberRole::Entry; }));
-    isRegistered_ = std::any_of(members->begin(), members->end(), [this](Member const& member) {
+    memberCount_ = members->size();
+    bool const isListed = std::any_of(members->begin(), members->end(), [this](Member const& member) {
         bool const sameRole = member.role == self_.role && member.service == self_.service;
         return member.name == self_.name && sameRole && member.data == self_.data && member.control == self_.control && member.dataCentre == self_.dataCentre;
     });
-    asio::post(loop_, [this, found = std::move(*members), registered = isRegistered_] { handlers_.members(found, registered); });
+    // A list that may be old does not show that the record is still there.
+    isRegistered_ = isListed && (isFresh || isRegistered_);
+    if (isRegistered_ && isFresh)
+        registeredGeneration_ = generation > 0 ? generation : store_->generation();
+    asio::post(loop_, [this, found = std::move(*members), registered = isListed] { handlers_.members(found, registered); });
     return absl::OkStatus();
 }
 
@@ -168,13 +215,20 @@
 
 absl::Status FleetStoreThread::writeSelf()
 {
+    bool const isRepeated = recordsWritten_ > 0 || registeredGeneration_ > 0;
+    if (isRepeated && backoff_ == initialBackoff)
+        delayRepeatedWrite();
+    // A process that leaves removes its record after this thread has ended.
+    if (stopping_)
+        return absl::OkStatus();
+    std::uint64_t const reported = reportedGeneration();
     TimePoint const started = std::chrono::steady_clock::now();
     absl::Status status = store_->writeMember(self_);
     recordCall(StoreCall::WriteMember, started);
     isRegistered_ = status.ok();
     if (!isRegistered_)
         return status;
-    bool const isRepeated = recordsWritten_ > 0;
+    registeredGeneration_ = std::max({ registeredGeneration_, reported, store_->generation() });
     ++recordsWritten_;
     recordsRewritten_ += isRepeated ? 1 : 0;
     asio::post(loop_, [name = self_.name, isRepeated, generation = store_->generation()] {
@@ -260,7 +314,9 @@
     generationChanges_ += isRestored ? 1 : 0;
     if (isRestored)
         forgetReads();
-    asio::post(loop_, [previous, current, isRestored] {
+    asio::post(loop_, [this, previous, current, isRestored] {
+        if (handlers_.generation)
+            handlers_.generation(current);
         logEvent(isRestored ? LogLevel::Warning : LogLevel::Info, isRestored ? "store_restored" : "store_generation", { { "generation", current }, { "previous", previous } });
     });
 }
@@ -269,6 +325,7 @@
 // of entries from its monitors.
 void FleetStoreThread::forgetReads()
 {
+    isRegistered_ = isRegistered_ && registeredGeneration_ >= generation_;
     if (!handlers_.configuration)
         return;
     hasConfiguration_ = false;
--- a/src/runtime/FleetStoreThread.h
+++ b/src/runtime/FleetStoreThread.h
@@ -35,12 +35,13 @@
 /// \brief Reads a FleetStore on a separate thread and posts what it reads to the event loop.
 ///
 /// Reads the configuration and the members, writes this process's record if the store lacks it, then waits for
-/// changes. Retries failed calls with jittered exponential backoff.
+/// changes; if the configuration is not read, only for noteStoreGeneration. Retries failed calls with jittered exponential backoff.
 class FleetStoreThread {
 public:
     /// \brief Callbacks; all run on the event loop.
     struct Handlers {
         std::function<void(VersionedConfiguration const&)> configuration; ///< if empty, the configuration is not read
+        std::function<void(std::uint64_t)> generation; ///< the store's generation has risen or become known; may be empty
         std::function<void(std::vector<Member> const&, bool registered)> members; ///< registered: the store already holds the record of this process
     };
 
@@ -51,6 +52,9 @@
 
     void start();
 
+    /// \brief Takes a generation of the store that another process knows; a new one makes this process write its record again.
+    void noteStoreGeneration(std::uint64_t generation);
+
     /// \brief Tells the thread to end after its current call, and cancels a watch. Does not block.
     void requestStop();
 
@@ -81,6 +85,9 @@
     TimePoint nextMembersRead_;
     bool isRegistered_ { false };
     std::uint64_t generation_ { 0 }; ///< of the store, as of the last call; 0 if unknown
+    std::uint64_t registeredGeneration_ { 0 }; ///< in which the store had or got the record
+    std::uint64_t reportedGeneration_ { 0 }; ///< by other processes; guarded by mutex_
+    std::size_t memberCount_ { 0 }; ///< in the list that was read last
     std::size_t entryCount_ { 0 }; ///< entries in the list of members that was read last
     bool hasConfiguration_ { false };
     std::thread thread_;
@@ -100,7 +107,9 @@
     void noteGeneration();
     void forgetReads();
     void pause(std::chrono::milliseconds time);
-    [[nodiscard]] bool isDone() const noexcept;
+    [[nodiscard]] std::uint64_t reportedGeneration();
+    void awaitReportedGeneration();
+    void delayRepeatedWrite();
 };
 
 } // namespace plantaindrift
--- a/src/runtime/RelayAgentDaemon.cpp
+++ b/src/runtime/RelayAgentDaemon.cpp
@@ -174,6 +174,8 @@
         void receiveControl(Endpoint from, std::span<std::byte const> bytes)
         {
             control_.receive(from, bytes, std::chrono::steady_clock::now());
+            if (store_)
+                store_->noteStoreGeneration(control_.storeGeneration());
             applyControl();
         }
 
--- a/src/runtime/RelayEntryDaemon.cpp
+++ b/src/runtime/RelayEntryDaemon.cpp
@@ -75,6 +75,7 @@
             if (!settings_.common.platformUrl.empty()) {
                 FleetStoreThread::Handlers handlers;
                 handlers.configuration = [this](VersionedConfiguration const& found) { addConfiguration(found); };
+                handlers.generation = [this](std::uint64_t generation) { control_.setStoreGeneration(generation); };
                 handlers.members = [this](std::vector<Member> const& members, bool /*known*/) { addMembers(members); };
                 store_.emplace(core_.loop(), platform_.openStore(settings_.common.platformUrl), self_, std::move(handlers));
                 store_->start();
--- a/tests/ControlMessageTests.cpp
+++ b/tests/ControlMessageTests.cpp
@@ -243,3 +243,21 @@
     BOOST_TEST((fleet.stateAt("entry-1", "agent-0") == MemberState::Active));
     BOOST_TEST(fleet.recordAt("entry-1", "agent-0")->incarnation < 10U);
 }
+
+// Agents do not poll the store, so they learn from heartbeat replies that it was restored.
+BOOST_AUTO_TEST_CASE(AgentsLearnTheStoresGenerationFromEntries)
+{
+    ControlFleet fleet({ 47, 0, 0, 1ms, 20ms });
+    fleet.seeds = { ControlFleet::endpointOf(1) };
+    fleet.addEntry("entry", "kegalle");
+    fleet.addAgent("agent", "kegalle", "desk");
+    fleet.run(3s);
+    BOOST_TEST(fleet.agent("agent").storeGeneration() == 0U);
+    fleet.entry("entry").setStoreGeneration(5);
+    fleet.run(3s);
+    BOOST_TEST(fleet.agent("agent").storeGeneration() == 5U);
+    // An entry that has not heard of the restore yet changes nothing.
+    fleet.entry("entry").setStoreGeneration(4);
+    fleet.run(3s);
+    BOOST_TEST(fleet.agent("agent").storeGeneration() == 5U);
+}
--- a/tests/DivisionStoreTests.cpp
+++ b/tests/DivisionStoreTests.cpp
@@ -265,3 +265,17 @@
     BOOST_TEST(store.readConfiguration().ok());
     BOOST_TEST(!store.readConfiguration().ok());
 }
+
+// Thousands of processes write their records again after a restore; most still have one.
+BOOST_AUTO_TEST_CASE(ARecordThatStandsThereUnchangedIsNotReplaced)
+{
+    StandInStore standIn;
+    division::DivisionStore store(url);
+    standIn.prepare(409, R"({"meta":{"name":"front-1","revision":3},"spec":{"role":"entry","service":"","data_centre":"north","incarnation":42,"data":"10.1.0.1:7735","control":"10.1.0.1:7720"}})");
+    BOOST_TEST(store.writeMember(someMember()).ok());
+    BOOST_TEST(standIn.calls().size() == 1U);
+    standIn.prepare(409, R"({"meta":{"name":"front-1","revision":3},"spec":{"role":"entry","service":"","data_centre":"north","incarnation":41,"data":"10.1.0.1:7735","control":"10.1.0.1:7720"}})");
+    standIn.prepare(200, "{}");
+    BOOST_TEST(store.writeMember(someMember()).ok());
+    BOOST_TEST(standIn.calls().size() == 3U);
+}
--- a/tests/FleetStoreThreadTests.cpp
+++ b/tests/FleetStoreThreadTests.cpp
@@ -11,6 +11,7 @@
 #include <mutex>
 #include <string>
 #include <thread>
+#include <utility>
 
 namespace {
 
@@ -20,12 +21,12 @@
 // What the store holds; outlives the FleetStore that the thread owns.
 class StoreContents {
 public:
-    // The store comes back from a copy that lacks all members' records.
+    // The store comes back from a copy that lacks all members' records. Lists that may be old still show them.
     void restore()
     {
         std::lock_guard<std::mutex> const lock(mutex_);
         ++generation_;
-        members_.clear();
+        oldMembers_ = std::exchange(members_, {});
         changed_.notify_all();
     }
 
@@ -67,7 +68,7 @@
         std::lock_guard<std::mutex> const lock(mutex_);
         ++calls_[fresh ? "fresh" : "read"];
         std::vector<Member> found;
-        for (auto const& [name, member] : members_)
+        for (auto const& [name, member] : fresh || oldMembers_.empty() ? members_ : oldMembers_)
             found.push_back(member);
         return found;
     }
@@ -101,6 +102,7 @@
     std::mutex mutex_;
     std::condition_variable changed_;
     std::map<std::string, Member> members_;
+    std::map<std::string, Member> oldMembers_;
     std::map<std::string, int> calls_;
     std::uint64_t generation_ { 1 };
     int failingWrites_ { 0 };
@@ -226,3 +228,61 @@
     entry.contents->restore();
     BOOST_TEST(entry.runUntil([&] { return entry.contents->count("configuration") > configurations && entry.contents->count("fresh") > lists; }, 1s));
 }
+
+// Guards against records that a restore lost: an entry that starts would not know their processes.
+BOOST_AUTO_TEST_CASE(AnEntryWritesItsRecordAgainAfterARestore)
+{
+    Process entry(MemberRole::Entry);
+    entry.contents->failWrites(2);
+    entry.contents->restore();
+    BOOST_TEST(entry.runUntil([&entry] { return entry.contents->has("node-1"); }, 10s));
+    BOOST_TEST(entry.runUntil([&entry] { return entry.metrics().find("plantaindrift_store_records_written_total{repeated=\"yes\"} 1") != std::string::npos; }, 10s));
+}
+
+// An agent makes no calls once its record is written, so it learns of a restore from the entries.
+BOOST_AUTO_TEST_CASE(AnAgentWritesItsRecordAgainWhenToldOfARestore)
+{
+    Process agent(MemberRole::Agent);
+    int const written = agent.contents->count("write");
+    agent.contents->restore();
+    agent.runUntil([] { return false; }, 300ms);
+    BOOST_TEST(agent.contents->count("write") == written);
+    agent.contents->failWrites(2);
+    agent.store->noteStoreGeneration(2);
+    BOOST_TEST(agent.runUntil([&agent] { return agent.contents->has("node-1"); }, 10s));
+    BOOST_TEST(agent.contents->count("write") == written + 3);
+    BOOST_TEST(agent.contents->count("await") == 0);
+}
+
+// Every heartbeat's reply names the generation; calls must not follow from each of them.
+BOOST_AUTO_TEST_CASE(AnAgentWritesItsRecordOnceForAGeneration)
+{
+    Process agent(MemberRole::Agent);
+    agent.runUntil([] { return false; }, 100ms);
+    int const written = agent.contents->count("write");
+    agent.store->noteStoreGeneration(0);
+    agent.store->noteStoreGeneration(1);
+    agent.runUntil([] { return false; }, 1s);
+    BOOST_TEST(agent.contents->count("write") == written);
+    // An entry that is wrong about the generation causes one write, not many.
+    for (int repeated = 0; repeated < 5; ++repeated) {
+        agent.store->noteStoreGeneration(7);
+        agent.runUntil([] { return false; }, 400ms);
+    }
+    BOOST_TEST(agent.contents->count("write") == written + 1);
+}
+
+// The record of a process that leaves would be used as that of a running target.
+BOOST_AUTO_TEST_CASE(AProcessThatLeavesDoesNotWriteItsRecordAgain)
+{
+    for (MemberRole const role : { MemberRole::Entry, MemberRole::Agent }) {
+        Process process(role);
+        process.contents->restore();
+        process.store->requestStop();
+        process.store->noteStoreGeneration(2);
+        process.store->removeSelf();
+        process.store->noteStoreGeneration(2);
+        process.runUntil([] { return false; }, 1s);
+        BOOST_TEST(!process.contents->has("node-1"));
+    }
+}
