An entry that starts waits for a peer with full state before it gives flows up

What callers saw: an entry that started after a restore, before all agents had written their records again, took the store's short list for complete and reset flows of the agents that it did not know.

Cause: the views counted as complete once any list of members was read.

Change: they do not while a peer may give full state: one that has it has answered, or one has not answered yet and less than 0.5 s have passed since the start. If all peers that answer are starting too, the list is all there is.

EntriesThatStartTogetherDoNotWaitForEachOther holds the bound of half a second.

--- a/include/plantaindrift/membership/EntryControl.h
+++ b/include/plantaindrift/membership/EntryControl.h
@@ -79,6 +79,10 @@
     /// \brief True once full state arrived from a peer, or no peer answered for 10 s.
     [[nodiscard]] bool isCaughtUp(TimePoint now) const noexcept;
 
+    /// \brief True while a running peer may know members that the platform's list lacks; false if all peers that answer
+    /// are starting too.
+    [[nodiscard]] bool expectsFullState(TimePoint now) const;
+
     /// \brief Adds records from the platform's announcement objects; older incarnations are ignored.
     void addMembers(std::span<Member const> members, TimePoint now);
 
--- a/src/membership/CatchUp.cpp
+++ b/src/membership/CatchUp.cpp
@@ -16,6 +16,7 @@
     shards_ = {};
     busy_.clear();
     partial_.clear();
+    hasFullPeer_ = false;
 }
 
 std::vector<std::pair<Endpoint, control::ShardRequest>> CatchUp::tick(TimePoint now, std::span<Endpoint const> peers, RandomSource& random)
@@ -45,9 +46,21 @@
     return requests;
 }
 
+bool CatchUp::areAllPartial(std::span<Endpoint const> peers) const
+{
+    return std::all_of(peers.begin(), peers.end(), [this](Endpoint peer) { return partial_.contains(peer); });
+}
+
+bool CatchUp::expectsFullState(TimePoint now, std::span<Endpoint const> peers) const
+{
+    if (!active_ || complete_)
+        return false;
+    return hasFullPeer_ || (now - started_ < silencePatience && !areAllPartial(peers));
+}
+
 bool CatchUp::isHopeless(TimePoint now, std::span<Endpoint const> peers) const
 {
-    bool const cold = std::all_of(peers.begin(), peers.end(), [this](Endpoint peer) { return partial_.contains(peer); });
+    bool const cold = areAllPartial(peers);
     return now - lastProgress_ >= patience || peers.empty() || (cold && now - started_ >= coldPatience);
 }
 
@@ -86,6 +99,7 @@
     } else {
         busy_.erase(from);
         partial_.erase(from);
+        hasFullPeer_ = true;
     }
     std::array<std::vector<Service>, shardCount> services;
     for (control::Service const& message : reply.services()) {
--- a/src/membership/CatchUp.h
+++ b/src/membership/CatchUp.h
@@ -32,6 +32,11 @@
     /// After a total loss nobody has full state.
     static constexpr std::chrono::seconds coldPatience { 3 };
 
+    /// \brief Time without any answer after which no peer is expected to have full state.
+    ///
+    /// Callers of flows that a loss of power ended are reset within 1 s of its return.
+    static constexpr std::chrono::milliseconds silencePatience { 500 };
+
     /// \brief Most shards in one request.
     ///
     /// While only the seeds are known, the first answers name the peers for the other shards.
@@ -48,6 +53,9 @@
     /// \brief True once a peer with full state gave every shard.
     [[nodiscard]] bool isComplete() const noexcept { return complete_; }
 
+    /// \brief True while a peer may still give full state: one did in part, or one that was asked has not answered yet.
+    [[nodiscard]] bool expectsFullState(TimePoint now, std::span<Endpoint const> peers) const;
+
     /// \brief Requests to send now; also ends the fetch when nobody answers.
     [[nodiscard]] std::vector<std::pair<Endpoint, control::ShardRequest>> tick(TimePoint now, std::span<Endpoint const> peers, RandomSource& random);
 
@@ -69,6 +77,7 @@
         std::vector<Service> services;
     };
 
+    [[nodiscard]] bool areAllPartial(std::span<Endpoint const> peers) const;
     [[nodiscard]] bool isHopeless(TimePoint now, std::span<Endpoint const> peers) const;
     void finishIfDone();
     void askOutdatedAgain();
@@ -79,6 +88,7 @@
     bool complete_ { false };
     bool members_ { true };
     bool assembled_ { false };
+    bool hasFullPeer_ { false }; ///< a peer with full state answered
     TimePoint started_;
     TimePoint lastProgress_;
     std::set<Endpoint> partial_; ///< peers that catch up themselves
--- a/src/membership/EntryControl.cpp
+++ b/src/membership/EntryControl.cpp
@@ -988,6 +988,11 @@
     return state_->lastTick && (state_->catchUp.isComplete() || !state_->catchUp.isActive());
 }
 
+bool EntryControl::expectsFullState(TimePoint now) const
+{
+    return !state_->lastTick || state_->catchUp.expectsFullState(now, state_->contacts());
+}
+
 void EntryControl::addMembers(std::span<Member const> members, TimePoint now)
 {
     for (Member const& member : members)
--- a/src/runtime/RelayEntryDaemon.cpp
+++ b/src/runtime/RelayEntryDaemon.cpp
@@ -159,7 +159,7 @@
                 core_.releasePackets();
             control_.tick(now);
             applyControl();
-            relay_.setViewsComplete(hasMembers_ || control_.isCaughtUp(now));
+            relay_.setViewsComplete(control_.isCaughtUp(now) || (hasMembers_ && !control_.expectsFullState(now)));
             relay_.tick(now, wallClockSeconds());
             logReadinessChange();
         }
--- a/tests/CatchUpTests.cpp
+++ b/tests/CatchUpTests.cpp
@@ -115,3 +115,40 @@
         BOOST_TEST(fleet.entry(name).isCaughtUp(fleet.now()), name);
     BOOST_TEST(fleet.isConverged());
 }
+
+// The list of a restored store may be short of members, whose flows an entry that starts would take for lost.
+BOOST_AUTO_TEST_CASE(AnEntryThatStartsWaitsForAPeerWithFullState)
+{
+    ControlFleet fleet({ 47, 0, 0, 1ms, 20ms });
+    startFleet(fleet, 6, 40, 10);
+    std::size_t const members = fleet.entry("entry-0").members().size();
+    EntryControl& joiner = fleet.addEntry("joiner", "kegalle");
+    BOOST_TEST(joiner.expectsFullState(fleet.now()));
+    Duration const passed = fleet.runUntil([&] { return !joiner.expectsFullState(fleet.now()); }, 10s);
+    BOOST_TEST((passed <= 10s));
+    BOOST_TEST(joiner.members().size() == members + 1);
+}
+
+// After a loss of power of all, the list of the store is all there is, and callers of lost flows are reset within 1 s.
+BOOST_AUTO_TEST_CASE(EntriesThatStartTogetherDoNotWaitForEachOther)
+{
+    ControlFleet fleet({ 48, 0, 0, 1ms, 20ms });
+    for (std::uint32_t index = 1; index <= 6; ++index)
+        fleet.seeds.push_back(ControlFleet::endpointOf(index));
+    for (int index = 0; index < 6; ++index)
+        fleet.addEntry("entry-" + std::to_string(index), "kegalle");
+    Duration const passed = fleet.runUntil([&fleet] { return std::ranges::none_of(fleet.entryNames(), [&fleet](std::string const& name) { return fleet.entry(name).expectsFullState(fleet.now()); }); }, 5s);
+    BOOST_TEST((passed <= 500ms));
+}
+
+// Peers that do not answer may be gone; an entry waits for them no longer than half a second.
+BOOST_AUTO_TEST_CASE(AnEntryWhosePeersAreSilentExpectsNothingOfThem)
+{
+    ControlFleet fleet({ 49, 0, 0, 1ms, 20ms });
+    fleet.seeds = { ControlFleet::endpointOf(200), ControlFleet::endpointOf(201) };
+    EntryControl& alone = fleet.addEntry("alone", "kegalle");
+    fleet.run(200ms);
+    BOOST_TEST(alone.expectsFullState(fleet.now()));
+    fleet.run(400ms);
+    BOOST_TEST(!alone.expectsFullState(fleet.now()));
+}
