--- a/include/plantaindrift/membership/EntryControl.h
+++ b/include/plantaindrift/membership/EntryControl.h
@@ -79,9 +79,16 @@
     /// \brief True once full state arrived from a peer, or no peer answered for 10 s.
     [[nodiscard]] bool isCaughtUp(TimePoint now) const noexcept;
 
+    /// \brief True while a running peer may know members that the platform's list lacks; false if all peers that answer
+    /// are starting too.
+    [[nodiscard]] bool expectsFullState(TimePoint now) const;
+
     /// \brief Adds records from the platform's announcement objects; older incarnations are ignored.
     void addMembers(std::span<Member const> members, TimePoint now);
 
+    /// \brief Sets the store's generation, which the replies to heartbeats name; it does not fall.
+    void setStoreGeneration(std::uint64_t generation) noexcept;
+
     /// \brief Spreads that this entry leaves; call before the process ends.
     void leave(TimePoint now);
 
--- a/tests/DivisionStoreTests.cpp
+++ b/tests/DivisionStoreTests.cpp
@@ -44,6 +44,12 @@
         answers_.push_back({ status, std::move(body), "application/json" });
     }
 
+    void prepare(int status, std::string body, int era)
+    {
+        std::lock_guard<std::mutex> const lock(mutex_);
+        answers_.push_back({ status, std::move(body), "application/json", { { "Store-Era", std::to_string(era) } } });
+    }
+
     [[nodiscard]] std::vector<std::string> calls()
     {
         std::lock_guard<std::mutex> const lock(mutex_);
@@ -351,3 +357,79 @@
     BOOST_TEST(store.awaitConfiguration(100ms).ok());
     BOOST_TEST(standIn.calls()[2] == "GET /plantaindrift/objects/config?watch=530&wait-ms=100");
 }
+
+// Guards against a restored store that nobody notices: each answer, refused ones too, names the generation.
+BOOST_AUTO_TEST_CASE(AnswersNameTheStoresGeneration)
+{
+    StandInStore standIn;
+    division::DivisionStore store(url);
+    BOOST_TEST(store.generation() == 0U);
+    standIn.prepare(200, list(object(7), 530), 0);
+    BOOST_TEST(store.readConfiguration().ok());
+    BOOST_TEST(store.generation() == 1U);
+    standIn.prepare(503, "{}", 4);
+    BOOST_TEST(!store.readConfiguration().ok());
+    BOOST_TEST(store.generation() == 5U);
+    // An answer that was delayed does not make it fall, and one without the header leaves it.
+    standIn.prepare(503, "{}", 2);
+    standIn.prepare(503, "{}");
+    BOOST_TEST(!store.readConfiguration().ok());
+    BOOST_TEST(!store.readConfiguration().ok());
+    BOOST_TEST(store.generation() == 5U);
+}
+
+// A revision that a restored store gives out again gets no 410, so that a watch from it misses changes.
+BOOST_AUTO_TEST_CASE(ARevisionOfAnEarlierGenerationIsNotWatched)
+{
+    StandInStore standIn;
+    division::DivisionStore store(url);
+    standIn.prepare(200, list(object(7), 530), 1);
+    BOOST_TEST(store.readConfiguration().ok());
+    // Another call is the first to be answered by the restored store.
+    standIn.prepare(200, list("", 525), 2);
+    BOOST_TEST(store.readMembers(true).ok());
+    BOOST_TEST(!store.awaitConfiguration(100ms).ok());
+    BOOST_TEST(standIn.calls().size() == 2U);
+    standIn.prepare(200, list(object(9), 540), 2);
+    standIn.prepare(200, "{\"events\":[],\"store-revision\":540}", 2);
+    BOOST_TEST(store.readConfiguration().value().value().version == 9U);
+    BOOST_TEST(store.awaitConfiguration(100ms).ok());
+    BOOST_TEST(standIn.calls()[3] == "GET /plantaindrift/objects/config?watch=540&wait-ms=100");
+}
+
+// A restored store answers a watch that began before, from a revision that meant something else.
+BOOST_AUTO_TEST_CASE(AnAnswerToAWatchFromAnEarlierGenerationIsDiscarded)
+{
+    StandInStore standIn;
+    division::DivisionStore store(url);
+    standIn.prepare(200, list(object(7), 530), 1);
+    BOOST_TEST(store.readConfiguration().ok());
+    standIn.prepare(200, "{\"events\":[],\"store-revision\":531}", 2);
+    BOOST_TEST(!store.awaitConfiguration(100ms).ok());
+    BOOST_TEST(store.generation() == 3U);
+}
+
+// An answer from before the restore that arrives after it would bring back what is gone.
+BOOST_AUTO_TEST_CASE(AnAnswerOfAnEarlierGenerationIsRefused)
+{
+    StandInStore standIn;
+    division::DivisionStore store(url);
+    standIn.prepare(200, list(object(7), 530), 2);
+    standIn.prepare(200, list(object(8), 531), 1);
+    BOOST_TEST(store.readConfiguration().ok());
+    BOOST_TEST(!store.readConfiguration().ok());
+}
+
+// Thousands of processes write their records again after a restore; most still have one.
+BOOST_AUTO_TEST_CASE(ARecordThatStandsThereUnchangedIsNotReplaced)
+{
+    StandInStore standIn;
+    division::DivisionStore store(url);
+    standIn.prepare(409, R"({"meta":{"name":"front-1","revision":3},"spec":{"role":"entry","service":"","data_centre":"north","incarnation":42,"data":"10.1.0.1:7735","control":"10.1.0.1:7720"}})");
+    BOOST_TEST(store.writeMember(someMember()).ok());
+    BOOST_TEST(standIn.calls().size() == 1U);
+    standIn.prepare(409, R"({"meta":{"name":"front-1","revision":3},"spec":{"role":"entry","service":"","data_centre":"north","incarnation":41,"data":"10.1.0.1:7735","control":"10.1.0.1:7720"}})");
+    standIn.prepare(200, "{}");
+    BOOST_TEST(store.writeMember(someMember()).ok());
+    BOOST_TEST(standIn.calls().size() == 3U);
+}
