--- a/src/relay/OwnerRecords.h
+++ b/src/relay/OwnerRecords.h
@@ -9,7 +9,7 @@
 
 namespace plantaindrift {
 
-/// \brief Owners of flows at other targets, as entries and passed opening segments tell them.
+/// \brief Owners of flows at other targets, as reported by entries, or known from opening segments that were passed on.
 ///
 /// A record may be wrong: the owner confirms or refutes it.
 class OwnerRecords {
--- a/src/runtime/FleetStoreThread.cpp
+++ b/src/runtime/FleetStoreThread.cpp
@@ -338,7 +338,7 @@
     });
 }
 
-// What was read may be gone, and what others write again is to be found. An entry reads both at once; an agent hears
+// What was read may be gone, and what others write again is to be found. An entry reads both at once; an agent learns
 // of entries from its monitors.
 void FleetStoreThread::forgetReads()
 {
--- a/standins/division/Store.h
+++ b/standins/division/Store.h
@@ -55,7 +55,7 @@
     std::map<std::string, Kind> kinds_;
     std::vector<Change> history_;
     std::uint64_t revision_ { 500 };
-    std::uint64_t forgotten_ { 0 }; ///< history up to this revision is not told any more
+    std::uint64_t forgotten_ { 0 }; ///< history up to this revision is no longer available
     std::uint64_t era_ { 1 }; ///< rises with each restore
     std::list<Waiter> waiters_;
     standin::FaultyServer server_;
--- a/tests/ControlMessageTests.cpp
+++ b/tests/ControlMessageTests.cpp
@@ -256,7 +256,7 @@
     fleet.entry("entry").setStoreGeneration(5);
     fleet.run(3s);
     BOOST_TEST(fleet.agent("agent").storeGeneration() == 5U);
-    // An entry that has not heard of the restore yet changes nothing.
+    // An entry that does not know the restore yet changes nothing.
     fleet.entry("entry").setStoreGeneration(4);
     fleet.run(3s);
     BOOST_TEST(fleet.agent("agent").storeGeneration() == 5U);
--- a/tests/DivisionStandInStoreTests.cpp
+++ b/tests/DivisionStandInStoreTests.cpp
@@ -180,7 +180,7 @@
     store.restore(taken);
     BOOST_TEST(store.watch(members, lost, 0).status == 410);
     BOOST_TEST(store.watch(members, kept, 0).status == 200);
-    // Once the revision is given out again, nothing tells the watch apart from one of the new history.
+    // Once the revision is given out again, nothing distinguishes the watch from one of the new history.
     store.write(members, "other", 1);
     BOOST_TEST(store.write(members, "last", 1) == lost);
     Answer const misled = store.watch(members, lost, 0);
@@ -221,7 +221,7 @@
     }
 }
 
-// A later restore may go back behind an earlier one, and behind history that is not told any more.
+// A later restore may go back behind an earlier one, and behind history that is no longer available.
 BOOST_AUTO_TEST_CASE(RestoresFollowEachOther)
 {
     StoreProcess store;
--- a/tests/EntryRelayTests.cpp
+++ b/tests/EntryRelayTests.cpp
@@ -215,7 +215,7 @@
 }
 
 // Guards against a reset of an open flow whose target the entry does not know: a member record that was late, or lost while
-// machines were cut off. The owner's notice tells more than the entry's view.
+// machines were cut off. A notice of the owner outweighs the view of the entry.
 BOOST_AUTO_TEST_CASE(AnOwnerThatTheViewLacksKeepsItsFlows)
 {
     Scene scene(2, 6);
