--- a/review/1/case.py
+++ b/review/1/case.py
@@ -10,7 +10,7 @@
 
 ENTRIES = 4
 RATE = 60
-FEEDS = 30
+FEEDS = 6
 CALM_SECONDS = 6
 
 # The platform starts the replacements at once; RULES.md: bounds.recovery-s of the small sites.
