--- a/review/1/case.py
+++ b/review/1/case.py
@@ -8,6 +8,9 @@
 from division_bed import Machine, StoreProxy  # noqa: E402
 from testbed import Ports  # noqa: E402
 
+# With TROUBLE=0 the script does the same without the disruption.
+HAS_TROUBLE = os.environ.get("TROUBLE", "1") != "0"
+
 ENTRIES = 4
 RATE = 60
 FEEDS = 6
@@ -62,7 +65,7 @@
     bed.tell("traffic", rate=RATE, feeds=FEEDS)
     before = served_share(bed, record, CALM_SECONDS, "calm")
     record.add("served_before", share=f"{before:.2f}")
-    if review.has_trouble():
+    if HAS_TROUBLE:
         for entry in bed.first:
             entry.planned_end = True
             entry.process.kill()
@@ -85,7 +88,8 @@
 
 
 def main():
-    record = review.Record(__file__)
+    record = review.Record(os.path.join(os.path.dirname(os.path.abspath(__file__)), "record.txt"))
+    record.add("trouble", on=HAS_TROUBLE)
     if not review.are_programs_built():
         record.add("not_run", why="programs are missing in target/bin")
         return review.NOT_RUN
--- a/review/bed.py
+++ b/review/bed.py
@@ -16,17 +16,12 @@
 BROKEN, HELD, NOT_RUN = 1, 0, 2
 
 
-def has_trouble():
-    return os.environ.get("TROUBLE", "1") != "0"
-
-
 class Record:
-    """record.txt of a case: what was sent, answered and run."""
+    """What was sent, answered and run, in the record.txt of a case."""
 
-    def __init__(self, case_file):
+    def __init__(self, path):
         self.begin = time.monotonic()
-        self.file = open(os.path.join(os.path.dirname(os.path.abspath(case_file)), "record.txt"), "w", encoding="utf-8")
-        self.add("trouble", on=has_trouble())
+        self.file = open(path, "w", encoding="utf-8")
 
     def add(self, event, **fields):
         line = f"{time.monotonic() - self.begin:8.3f} {event}" + "".join(f" {key}={value}" for key, value in fields.items())
