Fetch shards once while an entry joins

Cause: EntryControl::onDigestRequest asked for the differing shards also while CatchUp was active.

The extra message is the reply to a shard request that followed a peer's digests.

Change: no shard request in answer to digests while the entry catches up; the next comparison carries what is left.

Test: ShardsComeFromManyPeers checks the same bounds for 20 seeds, 42 among them; seed 61 failed before on.

--- a/src/membership/EntryControl.cpp
+++ b/src/membership/EntryControl.cpp
@@ -420,7 +420,8 @@
     if (static_cast<std::size_t>(request.digests_size()) != shardCount)
         return false;
     std::vector<std::uint32_t> shards = differingShards(table, request);
-    if (!shards.empty() && governor.allows()) {
+    // While it catches up, this entry fetches all shards from many peers already.
+    if (!shards.empty() && governor.allows() && !catchUp.isActive()) {
         control::Envelope answer;
         *answer.mutable_shard_request() = antiEntropy.makeRequest(table, shards);
         if (static_cast<std::size_t>(answer.shard_request().shards_size()) < shards.size())
--- a/tests/CatchUpTests.cpp
+++ b/tests/CatchUpTests.cpp
@@ -30,6 +30,28 @@
     fleet.run(30s);
 }
 
+// Joins an entry and compares the bytes that its peers send.
+void joinAndCompareShares(std::uint64_t seed)
+{
+    ControlFleet fleet({ seed, 0, 0, 1ms, 20ms });
+    startFleet(fleet, 20, 100, 200);
+    std::map<std::string, std::size_t> bytesTo;
+    fleet.observe = [&bytesTo](Member const& from, Member const& to, std::string const& bytes) {
+        if (to.name == "joiner")
+            bytesTo[from.name] += bytes.size();
+    };
+    fleet.addEntry("joiner", "kegalle");
+    fleet.runUntil([&fleet] { return fleet.entry("joiner").isCaughtUp(fleet.now()); }, 10s);
+    std::size_t all = 0;
+    std::size_t most = 0;
+    for (auto const& [name, bytes] : bytesTo) {
+        all += bytes;
+        most = std::max(most, bytes);
+    }
+    BOOST_TEST(bytesTo.size() >= 15U, "seed " << seed);
+    BOOST_TEST(most * 5 < all, "seed " << seed << ": " << most << " of " << all << " bytes");
+}
+
 } // namespace
 
 BOOST_AUTO_TEST_CASE(AJoiningEntryGetsFullStateFromPeersWithinTenSeconds)
@@ -46,25 +68,11 @@
     }
 }
 
+// A peer whose periodic comparison met the joining entry sent all shards that the entry fetched from others anyway.
 BOOST_AUTO_TEST_CASE(ShardsComeFromManyPeers)
 {
-    ControlFleet fleet({ 42, 0, 0, 1ms, 20ms });
-    startFleet(fleet, 20, 100, 200);
-    std::map<std::string, std::size_t> bytesTo;
-    fleet.observe = [&bytesTo](Member const& from, Member const& to, std::string const& bytes) {
-        if (to.name == "joiner")
-            bytesTo[from.name] += bytes.size();
-    };
-    fleet.addEntry("joiner", "kegalle");
-    fleet.runUntil([&fleet] { return fleet.entry("joiner").isCaughtUp(fleet.now()); }, 10s);
-    std::size_t all = 0;
-    std::size_t most = 0;
-    for (auto const& [name, bytes] : bytesTo) {
-        all += bytes;
-        most = std::max(most, bytes);
-    }
-    BOOST_TEST(bytesTo.size() >= 15U);
-    BOOST_TEST(most * 5 < all);
+    for (std::uint64_t seed = 42; seed < 62; ++seed)
+        joinAndCompareShares(seed);
 }
 
 // A change that is accepted while an entry joins must not leave it with parts of two positions.
