Request overdue heartbeats from members that may not know their monitor

Cause: an agent sends heartbeats to the entries of its settings, to those that its one read of the members listed, and to those that replies name. New entries are in none of these once no old entry replies. They monitor the agents that the store lists, never receive a heartbeat and take each agent for dead after 9.4 s; nothing asks the agent, and nothing tells it the addresses.

Ruled out: lost heartbeats (agents sent none to the new addresses), a wrong read of the store (75 of 75 members were read), load reports (they arrived at the entries all the while).

Change: a monitor requests a heartbeat from each member that is overdue by an interval, once an interval, before it may suspect it; the member answers with its record, and the reply names its monitors. Entries request one from a random agent that is taken for dead every 5 s, and an agent that nobody answers also tries the three entries that answered last. These cover an agent that was cut off while the entries were replaced. Verdicts are logged and counted with what they follow from.

Tests: AgentsStayLiveWhenAllEntriesAreReplacedAtNewAddresses (before: 11 of 11 agents taken for dead), AnAgentReturnsAfterACutInWhichAllEntriesWereReplaced, AnAgentReturnsToTheEntriesThatAnsweredLast: each failed without its part of the change. EveryKindOfMessageOccurs counts the new message, and its fleet now has a member that stands still.

--- a/include/plantaindrift/membership/Detector.h
+++ b/include/plantaindrift/membership/Detector.h
@@ -15,7 +15,8 @@
 
 /// \brief Decides which of the monitored members are suspect or dead.
 ///
-/// 3 missed heartbeats make a member suspect; if it does not refute that within 3 further intervals, it is dead.
+/// 3 missed heartbeats make a member suspect; if it does not refute that within 3 further intervals, it is dead. Before
+/// that, the member is asked for a heartbeat: it sends none to a monitor that it does not know.
 class Detector {
 public:
     static constexpr int missedHeartbeats = 3;
@@ -33,6 +34,9 @@
         std::string name;
         std::uint64_t incarnation { 0 };
         MemberState state { MemberState::Suspect };
+        Duration silence { 0 }; ///< since the last heartbeat, or since the start of the watch if there was none
+        bool wasHeard { false }; ///< this monitor has received a heartbeat of the member
+        int requests { 0 }; ///< requests for a heartbeat since then
     };
 
     /// \brief Starts to expect heartbeats.
@@ -50,11 +54,18 @@
     /// \brief New verdicts; call at every tick.
     [[nodiscard]] std::vector<Verdict> tick(TimePoint now, MemberTable const& table);
 
+    /// \brief Members whose heartbeat is overdue by one interval or more and is to be requested; each once an interval.
+    [[nodiscard]] std::vector<std::string> takeDueRequests(TimePoint now);
+
     [[nodiscard]] std::size_t watched() const noexcept { return watched_.size(); }
 
 private:
     struct Watch {
-        TimePoint lastHeard;
+        TimePoint lastHeard; ///< in the future while a new monitor grants a round
+        TimePoint silentSince; ///< last heartbeat, or start of the watch
+        TimePoint lastRequest; ///< last request for a heartbeat, or silentSince
+        int requests { 0 }; ///< since silentSince
+        bool wasHeard { false };
         std::chrono::milliseconds interval { 0 };
         std::optional<TimePoint> suspectSince;
         std::uint64_t suspected { 0 }; ///< incarnation that this monitor suspected last
--- a/include/plantaindrift/membership/EntryControl.h
+++ b/include/plantaindrift/membership/EntryControl.h
@@ -2,6 +2,7 @@
 
 #include "plantaindrift/base/Types.h"
 #include "plantaindrift/configuration/ChangeLog.h"
+#include "plantaindrift/membership/Detector.h"
 #include "plantaindrift/membership/Member.h"
 #include "plantaindrift/membership/ServiceView.h"
 
@@ -55,6 +56,9 @@
     /// \brief Services whose view changed since the last call, with their new views.
     [[nodiscard]] std::vector<ServiceView> takeChangedViews();
 
+    /// \brief Members that this entry took for suspect or dead since the last call, and from what.
+    [[nodiscard]] std::vector<Detector::Verdict> takeVerdicts();
+
     /// \brief Takes changes read from the platform; also spreads those that are new.
     void addChanges(std::span<ConfigurationChange const> changes, TimePoint now);
 
@@ -94,12 +98,15 @@
 
     [[nodiscard]] std::vector<Member> members() const;
 
-    /// \brief Bytes sent and received since start, and messages that could not be decoded.
+    /// \brief Bytes sent and received since start, messages that could not be decoded, and what the detector did.
     struct Counts {
         std::uint64_t sentBytes { 0 };
         std::uint64_t receivedBytes { 0 };
         std::uint64_t malformed { 0 };
         std::uint64_t deferred { 0 }; ///< deltas that waited for the budget
+        std::uint64_t heartbeatRequests { 0 };
+        std::uint64_t suspicions { 0 }; ///< members that this entry took for suspect
+        std::uint64_t deaths { 0 }; ///< members that this entry took for dead
     };
     [[nodiscard]] Counts counts() const noexcept;
 
--- a/src/membership/AgentControl.cpp
+++ b/src/membership/AgentControl.cpp
@@ -31,6 +31,7 @@
     explicit State(AgentControlOptions const& given);
 
     bool onHeartbeatReply(Endpoint from, control::HeartbeatReply const& reply, TimePoint now);
+    bool onHeartbeatRequest(Endpoint from, control::HeartbeatRequest const& request, TimePoint now);
     bool onLoadShare(control::LoadShare const& share);
     bool takeMembers(control::HeartbeatReply const& reply, TimePoint now);
     void acceptRecord(Member const& member, std::chrono::seconds age, TimePoint now);
@@ -105,6 +106,15 @@
     return members && declaration;
 }
 
+// The name is that of another member if the address was used before; the sender learns of this one by the heartbeat.
+bool AgentControl::State::onHeartbeatRequest(Endpoint from, control::HeartbeatRequest const& request, TimePoint now)
+{
+    if (request.name().empty())
+        return false;
+    sendHeartbeats({ contacts.addRequester(from, now) }, now);
+    return true;
+}
+
 bool AgentControl::State::takeMembers(control::HeartbeatReply const& reply, TimePoint now)
 {
     bool valid = true;
@@ -264,6 +274,8 @@
     bool valid = false;
     if (envelope && envelope->has_heartbeat_reply())
         valid = state_->onHeartbeatReply(from, envelope->heartbeat_reply(), now);
+    else if (envelope && envelope->has_heartbeat_request())
+        valid = state_->onHeartbeatRequest(from, envelope->heartbeat_request(), now);
     else if (envelope && envelope->has_load_share())
         valid = state_->onLoadShare(envelope->load_share());
     if (!valid)
--- a/src/membership/Detector.cpp
+++ b/src/membership/Detector.cpp
@@ -9,8 +9,11 @@
     auto const [position, added] = watched_.try_emplace(std::string(name));
     if (!added)
         return;
-    position->second.lastHeard = now + missedHeartbeats * interval;
-    position->second.interval = interval;
+    Watch& watch = position->second;
+    watch.lastHeard = now + missedHeartbeats * interval;
+    watch.silentSince = now;
+    watch.lastRequest = now;
+    watch.interval = interval;
 }
 
 void Detector::unwatch(std::string_view name)
@@ -27,6 +30,10 @@
         return;
     Watch& watch = found->second;
     watch.lastHeard = now;
+    watch.silentSince = now;
+    watch.lastRequest = now;
+    watch.requests = 0;
+    watch.wasHeard = true;
     watch.interval = interval;
     watch.suspectSince.reset();
     watch.suspected = 0;
@@ -54,11 +61,24 @@
             continue;
         std::optional<MemberState> const state = judge(watch, record->member, now);
         if (state)
-            verdicts.push_back({ name, record->member.incarnation, *state });
+            verdicts.push_back({ name, record->member.incarnation, *state, now - watch.silentSince, watch.wasHeard, watch.requests });
     }
     return verdicts;
 }
 
+std::vector<std::string> Detector::takeDueRequests(TimePoint now)
+{
+    std::vector<std::string> due;
+    for (auto& [name, watch] : watched_) {
+        if (now - watch.lastRequest <= watch.interval + slack)
+            continue;
+        watch.lastRequest = now;
+        ++watch.requests;
+        due.push_back(name);
+    }
+    return due;
+}
+
 void Detector::skipPause(TimePoint now)
 {
     // Heartbeats that arrived during an own pause wait in the receive queue and prove nothing yet.
@@ -66,6 +86,8 @@
         Duration const pause = now - *lastTick_;
         for (auto& [name, watch] : watched_) {
             watch.lastHeard += pause;
+            watch.silentSince += pause;
+            watch.lastRequest += pause;
             if (watch.suspectSince)
                 *watch.suspectSince += pause;
         }
--- a/src/membership/EntryControl.cpp
+++ b/src/membership/EntryControl.cpp
@@ -12,7 +12,6 @@
 #include "membership/TokenBucket.h"
 #include "membership/ViewHash.h"
 #include "plantaindrift/base/Hash.h"
-#include "plantaindrift/membership/Detector.h"
 #include "plantaindrift/membership/MemberTable.h"
 #include "plantaindrift/membership/MonitorSelection.h"
 #include "plantaindrift/membership/WatcherSelection.h"
@@ -98,6 +97,7 @@
     using Handler = bool (State::*)(Endpoint, control::Envelope const&, TimePoint);
     bool onHeartbeat(Endpoint from, control::Envelope const& envelope, TimePoint now);
     bool onHeartbeatReply(Endpoint from, control::Envelope const& envelope, TimePoint now);
+    bool onHeartbeatRequest(Endpoint from, control::Envelope const& envelope, TimePoint now);
     bool onGossip(Endpoint from, control::Envelope const& envelope, TimePoint now);
     bool onDigestRequest(Endpoint from, control::Envelope const& envelope, TimePoint now);
     bool onShardRequest(Endpoint from, control::Envelope const& envelope, TimePoint now);
@@ -139,6 +139,7 @@
     void start(TimePoint now);
     void noticePause(TimePoint now);
     void detect(TimePoint now);
+    void requestHeartbeat(Member const& member);
     void updateWatches(TimePoint now);
     void expire(TimePoint now);
     void sendHeartbeats(TimePoint now);
@@ -146,6 +147,7 @@
     void sendGossip(TimePoint now);
     void compare(TimePoint now);
     void reconnect();
+    [[nodiscard]] Member const* randomDeadAgent();
     void sendDigests(Endpoint to);
     void fetch(TimePoint now);
     void fetchChanges(TimePoint now);
@@ -184,6 +186,7 @@
     std::map<Endpoint, Contact> heartbeats;
     std::map<std::string, std::uint32_t, std::less<>> reportedViews; ///< of agents whose view differed
     std::set<std::string> changedServices;
+    std::vector<Detector::Verdict> verdicts; ///< not taken yet
     bool neighboursOutdated { true };
     std::uint64_t storeGeneration { 0 };
     std::optional<TimePoint> lastTick;
@@ -216,6 +219,8 @@
         return &State::onHeartbeat;
     case control::Envelope::kHeartbeatReply:
         return &State::onHeartbeatReply;
+    case control::Envelope::kHeartbeatRequest:
+        return &State::onHeartbeatRequest;
     case control::Envelope::kGossip:
         return &State::onGossip;
     case control::Envelope::kDigestRequest:
@@ -388,6 +393,14 @@
     return true;
 }
 
+bool EntryControl::State::onHeartbeatRequest(Endpoint from, control::Envelope const& envelope, TimePoint /*now*/)
+{
+    if (envelope.heartbeat_request().name().empty())
+        return false;
+    sendHeartbeat(from, true);
+    return true;
+}
+
 bool EntryControl::State::onGossip(Endpoint from, control::Envelope const& envelope, TimePoint now)
 {
     bool valid = true;
@@ -692,7 +705,23 @@
         Member member = table.find(verdict.name)->member;
         member.state = verdict.state;
         accept(member, std::chrono::seconds { 0 }, Spread::Yes, now);
+        ++(verdict.state == MemberState::Dead ? counts.deaths : counts.suspicions);
+        verdicts.push_back(verdict);
     }
+    // A member that does not know this monitor, for example because all entries it knew are gone, would seem silent.
+    for (std::string const& name : detector.takeDueRequests(now)) {
+        MemberTable::Record const* const record = table.find(name);
+        if (record != nullptr)
+            requestHeartbeat(record->member);
+    }
+}
+
+void EntryControl::State::requestHeartbeat(Member const& member)
+{
+    ++counts.heartbeatRequests;
+    control::Envelope envelope;
+    envelope.mutable_heartbeat_request()->set_name(member.name);
+    outbox.send(member.control, envelope);
 }
 
 void EntryControl::State::updateWatches(TimePoint now)
@@ -781,6 +810,23 @@
     std::erase_if(lost, [&live](Endpoint endpoint) { return std::find(live.begin(), live.end(), endpoint) != live.end(); });
     if (!lost.empty())
         sendDigests(lost[random.below(lost.size())]);
+    if (Member const* const agent = randomDeadAgent())
+        requestHeartbeat(*agent);
+}
+
+// An agent that was unreachable while all entries it knew were replaced cannot refute the verdict by itself.
+Member const* EntryControl::State::randomDeadAgent()
+{
+    Member const* chosen = nullptr;
+    std::size_t dead = 0;
+    for (std::size_t shard = 0; shard < shardCount; ++shard) {
+        for (auto const& [name, record] : table.shard(shard)) {
+            bool const isCandidate = record.member.role == MemberRole::Agent && record.member.state == MemberState::Dead;
+            if (isCandidate && random.below(++dead) == 0)
+                chosen = &record.member;
+        }
+    }
+    return chosen;
 }
 
 void EntryControl::State::sendDigests(Endpoint to)
@@ -948,6 +994,11 @@
     return views;
 }
 
+std::vector<Detector::Verdict> EntryControl::takeVerdicts()
+{
+    return std::exchange(state_->verdicts, {});
+}
+
 void EntryControl::addChanges(std::span<ConfigurationChange const> changes, TimePoint /*now*/)
 {
     std::vector<ConfigurationChange> applied;
--- a/src/membership/MonitorContacts.cpp
+++ b/src/membership/MonitorContacts.cpp
@@ -56,6 +56,11 @@
     tryRandom(fresh, maximumNamed, now);
 }
 
+MonitorContacts::Due MonitorContacts::addRequester(Endpoint entry, TimePoint now)
+{
+    return send(entry, add(entry, now), now);
+}
+
 void MonitorContacts::tryRandom(std::vector<Endpoint>& entries, std::size_t most, TimePoint now)
 {
     std::size_t const count = std::min(most, entries.size());
@@ -68,6 +73,7 @@
 void MonitorContacts::noteReply(Endpoint from, std::chrono::milliseconds interval, std::span<Endpoint const> monitors, bool needsRecord, TimePoint now)
 {
     lastReply_ = now;
+    rememberAnswer(from);
     auto const found = contacts_.find(from);
     if (found == contacts_.end())
         return;
@@ -84,6 +90,14 @@
         contacts_.erase(found);
 }
 
+void MonitorContacts::rememberAnswer(Endpoint entry)
+{
+    std::erase(answered_, entry);
+    answered_.insert(answered_.begin(), entry);
+    if (answered_.size() > fallbackEntries)
+        answered_.pop_back();
+}
+
 MonitorContacts::Contact& MonitorContacts::add(Endpoint entry, TimePoint now)
 {
     auto const [position, added] = contacts_.try_emplace(entry);
@@ -108,10 +122,13 @@
         longest = std::max(longest, contact.interval);
     bool const answered = lastReply_ && now - *lastReply_ <= silentHeartbeats * longest;
     bool const recent = lastFallBack_ && now - *lastFallBack_ < silentHeartbeats * interval_;
-    if ((answered && !contacts_.empty()) || recent || entries_.empty())
+    if ((answered && !contacts_.empty()) || recent)
         return;
     lastFallBack_ = now;
     tryRandom(entries_, fallbackEntries, now);
+    // The entries of the settings may all be gone by now.
+    for (Endpoint const entry : answered_)
+        add(entry, now);
 }
 
 void MonitorContacts::probe(TimePoint now)
--- a/src/membership/MonitorContacts.h
+++ b/src/membership/MonitorContacts.h
@@ -16,7 +16,7 @@
 ///
 /// It starts with entries of the settings, a few at a time until one answers. Replies name the monitors; an entry
 /// that no reply names any more gets no further heartbeats. If nobody answers, entries of the settings are tried
-/// again.
+/// again, and those that answered last. A monitor that this agent does not know, because it joined while nobody answered, makes itself known.
 class MonitorContacts {
 public:
     /// \brief Entries of the settings tried at once, at the start and after the monitors fell silent.
@@ -50,6 +50,11 @@
     /// \brief Entries found since the start; up to maximumNamed of them are tried at the next takeDue.
     void addEntries(std::span<Endpoint const> entries, TimePoint now);
 
+    /// \brief Adds an entry that requested a heartbeat.
+    ///
+    /// \returns the heartbeat to send to it now; its reply names the monitors
+    [[nodiscard]] Due addRequester(Endpoint entry, TimePoint now);
+
     /// \brief Notes a reply.
     ///
     /// \param monitors  the monitors it names; empty if they are those named before
@@ -71,12 +76,14 @@
     Contact& add(Endpoint entry, TimePoint now);
     /// Adds random entries of a list, which it reorders.
     void tryRandom(std::vector<Endpoint>& entries, std::size_t most, TimePoint now);
+    void rememberAnswer(Endpoint entry);
     void dropUnnamed(TimePoint now);
     void fallBack(TimePoint now);
     void probe(TimePoint now);
     [[nodiscard]] Due send(Endpoint to, Contact& contact, TimePoint now);
 
     std::vector<Endpoint> entries_;
+    std::vector<Endpoint> answered_; ///< the last entries that replied, latest first; at most fallbackEntries
     std::chrono::milliseconds interval_;
     RandomSource random_;
     std::map<Endpoint, Contact> contacts_;
--- a/src/runtime/EntryDaemon.cpp
+++ b/src/runtime/EntryDaemon.cpp
@@ -7,6 +7,7 @@
 #include "plantaindrift/packet/FlowMessage.h"
 #include "runtime/DaemonCore.h"
 #include "runtime/PlatformThread.h"
+#include "runtime/VerdictLog.h"
 
 #include "absl/container/flat_hash_map.h"
 
@@ -167,6 +168,7 @@
         void tick(TimePoint now)
         {
             control_.tick(now);
+            logVerdicts(control_.takeVerdicts());
             applyControl();
             if (platform_)
                 platform_->setState(control_.completePosition(), control_.isWatcher());
@@ -280,6 +282,7 @@
             page.addCounter("plantaindrift_control_bytes_total", "Bytes of control messages by direction.", { { "direction", "received" } }, static_cast<double>(counts.receivedBytes));
             page.addCounter("plantaindrift_control_malformed_total", "Control messages that cannot be decoded.", {}, static_cast<double>(counts.malformed));
             page.addCounter("plantaindrift_control_deferred_total", "Changes that waited for the control budget.", {}, static_cast<double>(counts.deferred));
+            addDetectorMetrics(page, counts);
             addMemberMetrics(page);
         }
 
--- a/src/runtime/RelayEntryDaemon.cpp
+++ b/src/runtime/RelayEntryDaemon.cpp
@@ -7,6 +7,7 @@
 #include "runtime/DecisionLog.h"
 #include "runtime/FleetStoreThread.h"
 #include "runtime/MemberReader.h"
+#include "runtime/VerdictLog.h"
 #include "runtime/ViewLog.h"
 
 #include <asio/steady_timer.hpp>
@@ -165,6 +166,7 @@
             if (now - started_ >= maximumHoldTime)
                 core_.releasePackets();
             control_.tick(now);
+            logVerdicts(control_.takeVerdicts());
             applyControl();
             relay_.setViewsComplete(control_.isCaughtUp(now) || (hasMembers_ && !control_.expectsFullState(now)));
             relay_.tick(now, wallClockSeconds());
@@ -271,6 +273,7 @@
             std::string_view const searchHelp = "Times from the first segment of a flow without a known owner to the end of the search.";
             page.addHistogram("plantaindrift_entry_search_seconds", searchHelp, { { "outcome", "found" } }, relay_.successfulSearchTimes());
             page.addHistogram("plantaindrift_entry_search_seconds", searchHelp, { { "outcome", "lost" } }, relay_.failedSearchTimes());
+            addDetectorMetrics(page, control_.counts());
             if (store_)
                 store_->addMetrics(page);
             if (memberReader_)
--- a/tests/ControlMessageTests.cpp
+++ b/tests/ControlMessageTests.cpp
@@ -63,7 +63,7 @@
     BOOST_REQUIRE((fleet.runUntil([&fleet] { return fleet.isConverged(); }, 60s) <= 60s));
 }
 
-// Messages of every kind as they occur in a fleet that joins, drains, loses a node and changes its configuration.
+// Messages of every kind as they occur in a fleet that joins, drains, loses a node, has one that stands still and changes its configuration.
 std::map<int, std::string> collectMessages()
 {
     ControlFleet fleet({ 51, 0, 0, 1ms, 20ms });
@@ -79,6 +79,9 @@
     fleet.agent("agent-1").setDraining(true, fleet.now());
     fleet.kill("agent-2");
     fleet.addEntry("joiner", "kranj");
+    fleet.pause("agent-3", true);
+    fleet.run(5s);
+    fleet.pause("agent-3", false);
     fleet.run(30s);
     return kinds;
 }
@@ -147,7 +150,7 @@
 
 BOOST_AUTO_TEST_CASE(EveryKindOfMessageOccurs)
 {
-    BOOST_TEST(collectMessages().size() == 7U);
+    BOOST_TEST(collectMessages().size() == 8U);
 }
 
 // A truncated message may still parse; it must then be harmless, and otherwise be counted.
--- a/tests/MembershipConvergenceTests.cpp
+++ b/tests/MembershipConvergenceTests.cpp
@@ -328,6 +328,80 @@
     BOOST_TEST((passed <= 30s));
 }
 
+// Guards against healthy agents that all entries take for dead after the entries were replaced at new addresses, which
+// the agents do not know: they were expected to send heartbeats to entries that never told them their addresses.
+BOOST_AUTO_TEST_CASE(AgentsStayLiveWhenAllEntriesAreReplacedAtNewAddresses)
+{
+    for (std::chrono::seconds const gap : { 1s, 30s }) {
+        ControlFleet fleet({ 27, 0.02, 0, 1ms, 20ms });
+        startFleet(fleet, 4, 11);
+        settle(fleet);
+        std::vector<Member> const records = fleet.entry("entry-0").members();
+        for (std::string const& name : fleet.entryNames())
+            fleet.kill(name);
+        fleet.run(gap);
+        fleet.seeds = { ControlFleet::endpointOf(16) };
+        // As the daemons, new entries start with the records in the store, those of the former entries among them.
+        for (std::uint32_t index = 0; index < 4; ++index)
+            fleet.addEntry("new-entry-" + std::to_string(index), dataCentres[index % dataCentres.size()]).addMembers(records, fleet.now());
+        std::set<std::string> dead;
+        fleet.afterStep = [&fleet, &dead] {
+            for (std::string const& entry : fleet.entryNames()) {
+                for (Member const& member : fleet.entry(entry).members()) {
+                    if (member.role == MemberRole::Agent && member.state == MemberState::Dead)
+                        dead.insert(member.name);
+                }
+            }
+        };
+        fleet.run(60s);
+        BOOST_TEST(dead.empty(), dead.size() << " agents taken for dead, gap " << gap.count() << " s");
+        BOOST_TEST(fleet.isConverged());
+    }
+}
+
+// Guards against an agent that stays dead for ever, because all entries that it knows were replaced while it was cut off.
+BOOST_AUTO_TEST_CASE(AnAgentReturnsAfterACutInWhichAllEntriesWereReplaced)
+{
+    ControlFleet fleet({ 28, 0.02, 0, 1ms, 20ms });
+    startFleet(fleet, 4, 11);
+    settle(fleet);
+    std::vector<Member> const records = fleet.entry("entry-0").members();
+    fleet.cut([](Member const& member) { return member.name == "agent-3"; });
+    for (std::string const& name : fleet.entryNames())
+        fleet.kill(name);
+    fleet.seeds = { ControlFleet::endpointOf(16) };
+    for (std::uint32_t index = 0; index < 4; ++index)
+        fleet.addEntry("new-entry-" + std::to_string(index), dataCentres[index % dataCentres.size()]).addMembers(records, fleet.now());
+    fleet.run(30s);
+    BOOST_TEST(fleet.everyEntryKnows("agent-3", MemberState::Dead));
+    fleet.cut({});
+    BOOST_TEST((fleet.runUntil([&fleet] { return fleet.everyEntryKnows("agent-3", MemberState::Active); }, 20s) <= 20s));
+}
+
+// Guards against an agent that sends no more heartbeats after a cut, because only the entries of its settings were tried
+// again, and these are gone.
+BOOST_AUTO_TEST_CASE(AnAgentReturnsToTheEntriesThatAnsweredLast)
+{
+    ControlFleet fleet({ 29, 0, 0, 1ms, 20ms });
+    startFleet(fleet, 4, 11);
+    settle(fleet);
+    for (std::uint32_t index = 0; index < 4; ++index)
+        fleet.addEntry("new-entry-" + std::to_string(index), dataCentres[index % dataCentres.size()]);
+    settle(fleet);
+    for (int index = 0; index < 4; ++index)
+        fleet.kill("entry-" + std::to_string(index));
+    settle(fleet);
+    fleet.cut([](Member const& member) { return member.name == "agent-3"; });
+    fleet.run(30s);
+    // Without requests of entries, which may be lost as well, the agent has to find the way back by itself.
+    fleet.block([](Member const& from, Member const& to) { return from.role == MemberRole::Entry && to.name == "agent-3"; });
+    fleet.cut({});
+    std::size_t heartbeats = 0;
+    fleet.observe = [&heartbeats](Member const& from, Member const& to, std::string const& /*bytes*/) { heartbeats += from.name == "agent-3" && to.role == MemberRole::Entry ? 1 : 0; };
+    fleet.run(10s);
+    BOOST_TEST(heartbeats > 0U);
+}
+
 // Dead and live records of one member must not replace each other for ever.
 BOOST_AUTO_TEST_CASE(AQuietFleetSendsNoDeltas)
 {
