Count the silence of targets only while the entry hears most of them

Cause: an entry took each target for gone after 7 s without a load report, also while it heard no target at all. When the first late replies arrived, all targets that had not replied yet were gone, and their flows were lost.

Ruled out: a view that lacks targets (79 of 79 members read), a reply of the owner.

Change: silence counts only while three quarters of the targets of all services have reported lately. This covers an entry that stood still as well. Each verdict logs what it follows from (flow_lost).

Tests, each of which failed before: OwnerSearchTests/TargetsAreNotGoneBecauseTheEntryHearsNobody, TargetsAreNotGoneBecauseTheEntryHearsFew, ATargetIsNotConfirmedDeadWhileTheEntryHearsNobody.

--- a/include/plantaindrift/relay/RelayObserver.h
+++ b/include/plantaindrift/relay/RelayObserver.h
@@ -4,6 +4,7 @@
 #include "plantaindrift/relay/RelayMessage.h"
 
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <string_view>
 
@@ -21,11 +22,22 @@
     std::chrono::milliseconds loadAge { 0 };
 };
 
+/// \brief What an entry concluded from that no target holds a flow.
+struct LostFlowEvidence {
+    RelayFlow flow;
+    std::chrono::milliseconds searchTime { 0 }; ///< since the first segment of the flow
+    std::size_t repliedTargets { 0 }; ///< their agents replied that they do not hold the flow
+    std::size_t endedTargets { 0 }; ///< announced their end, and did not reply
+    std::size_t silentTargets { 0 }; ///< silent for so long that they are considered gone
+    std::chrono::milliseconds shortestSilence { 0 }; ///< of the silent targets
+};
+
 /// \brief Receives relay decisions, for logging. Must not block.
 class RelayObserver {
 public:
     virtual ~RelayObserver() = default;
     virtual void onDecision(RelayDecision const& decision) noexcept = 0;
+    virtual void onFlowLost(LostFlowEvidence const& /*evidence*/) noexcept { }
 };
 
 } // namespace plantaindrift
--- a/src/relay/EntryRelay.cpp
+++ b/src/relay/EntryRelay.cpp
@@ -493,6 +493,7 @@
 
 void EntryRelay::tick(TimePoint now, std::uint32_t nowSeconds)
 {
+    state_->directory.tick(now);
     state_->subscribe(now, nowSeconds);
     state_->searches.tick(now, { state_->options.keys, nowSeconds });
     state_->resetLostFlows(now, nowSeconds);
--- a/src/relay/OwnerSearch.h
+++ b/src/relay/OwnerSearch.h
@@ -52,6 +52,9 @@
     /// \brief True if the target's agent has replied.
     [[nodiscard]] bool hasReplied(std::size_t target) const noexcept { return notFound_.contains(target) || possible_.contains(target); }
 
+    /// \brief True if the target's agent has replied that the target does not hold the flow.
+    [[nodiscard]] bool hasReportedNotFound(std::size_t target) const noexcept { return notFound_.contains(target); }
+
     /// \brief Agents whose targets may hold the flow.
     [[nodiscard]] std::vector<Endpoint> possibleOwners() const;
 
--- a/src/relay/OwnerSearches.cpp
+++ b/src/relay/OwnerSearches.cpp
@@ -315,9 +315,32 @@
         return;
     search.isLost = true;
     lostTimes_.observe(now - search.started);
+    notifyLost(search, now);
     lost_.push_back({ search.hash, search.segment });
 }
 
+void OwnerSearches::notifyLost(OwnerSearch const& search, TimePoint now) noexcept
+{
+    LostFlowEvidence evidence;
+    evidence.flow = { search.segment.source, search.segment.destination };
+    evidence.searchTime = std::chrono::duration_cast<std::chrono::milliseconds>(now - search.started);
+    Duration shortest = Duration::max();
+    for (std::size_t index = 0; index < search.group->targets.size(); ++index) {
+        DirectoryTarget const& target = search.group->targets[index];
+        if (search.hasReportedNotFound(index)) {
+            ++evidence.repliedTargets;
+        } else if (target.load.hasEnded) {
+            ++evidence.endedTargets;
+        } else {
+            ++evidence.silentTargets;
+            shortest = std::min<Duration>(shortest, now - (target.hasReported ? target.lastReport : target.added));
+        }
+    }
+    if (evidence.silentTargets > 0)
+        evidence.shortestSilence = std::chrono::duration_cast<std::chrono::milliseconds>(shortest);
+    observer_.onFlowLost(evidence);
+}
+
 bool OwnerSearches::isStarting(TimePoint now) const noexcept
 {
     return now - firstTick_ < startupPeriod;
--- a/src/relay/OwnerSearches.h
+++ b/src/relay/OwnerSearches.h
@@ -133,6 +133,7 @@
     void sendWithSegment(OwnerSearch const& search, Endpoint to, std::size_t headerBytes) noexcept;
     void notifyObserver(OwnerSearch const& search, TimePoint now) noexcept;
     void endIfLost(OwnerSearch& search, TimePoint now);
+    void notifyLost(OwnerSearch const& search, TimePoint now) noexcept;
     [[nodiscard]] bool isStarting(TimePoint now) const noexcept;
     [[nodiscard]] bool isViewCurrent(OwnerSearch const& search) noexcept;
 };
--- a/src/relay/TargetDirectory.cpp
+++ b/src/relay/TargetDirectory.cpp
@@ -34,6 +34,9 @@
     // once. All machines start within 0.3 s after a power loss.
     constexpr std::chrono::milliseconds restartedReportTimeout { 1000 };
 
+    // Targets report several times in this period, also those that start after a power loss.
+    constexpr std::chrono::milliseconds minimumHearingPeriod { 1000 };
+
     constexpr std::chrono::milliseconds minimumLoadInterval { 100 };
     constexpr std::chrono::milliseconds maximumLoadInterval { 2000 };
 
@@ -188,6 +191,7 @@
     target->isWithdrawn = load.isWithdrawn || (load.isAssumed && target->isWithdrawn);
     target->load.isAccepting = load.isAccepting && !target->isWithdrawn;
     target->lastReport = now;
+    target->deafTime = Duration::zero();
     target->hasReported = true;
     target->openingsSinceReport = 0;
     target->oldestUnanswered = {};
@@ -205,17 +209,45 @@
     return std::max<Duration>(silentReportIntervals * loadInterval() + subscriptionInterval, maximumOutage);
 }
 
+bool TargetDirectory::isHearingMostTargets(TimePoint now) const noexcept
+{
+    Duration const period = std::max<Duration>(silentReportIntervals * loadInterval(), minimumHearingPeriod);
+    std::size_t running = 0;
+    std::size_t heard = 0;
+    for (std::pair<std::string const, TargetGroup> const& group : groups_) {
+        for (DirectoryTarget const& target : group.second.targets) {
+            bool const hasEnded = target.hasReported && target.load.hasEnded;
+            running += hasEnded ? 0 : 1;
+            heard += !hasEnded && target.hasReported && now - target.lastReport <= period ? 1 : 0;
+        }
+    }
+    return 4 * heard >= 3 * running;
+}
+
+// What targets send to an entry whose link is cut or overloaded is lost or late, so that their silence shows nothing.
+void TargetDirectory::tick(TimePoint now) noexcept
+{
+    Duration const passed = now - lastTick_.value_or(now);
+    lastTick_ = now;
+    if (isHearingMostTargets(now))
+        return;
+    for (std::pair<std::string const, TargetGroup>& group : groups_) {
+        for (DirectoryTarget& target : group.second.targets)
+            target.deafTime += passed;
+    }
+}
+
 bool TargetDirectory::mayHoldFlows(TargetGroup const& group, DirectoryTarget const& target, TimePoint now) const noexcept
 {
-    if (target.dead && now - target.deadSince > deadConfirmationTime)
+    if (target.dead && now - target.deadSince - target.deafTime > deadConfirmationTime)
         return false;
     if (!target.hasReported)
-        return now - target.added <= (wasPowerLost(group) ? restartedReportTimeout : maximumOutage);
+        return now - target.added - target.deafTime <= (wasPowerLost(group) ? restartedReportTimeout : maximumOutage);
     // An agent that restarted and has admitted nothing knows of no flow; older ones ended with the power.
     TargetLoad const& load = target.load;
     bool const hasAdmittedNothing = load.isAssumed && !load.isAccepting && load.openFlows == 0;
     Duration const timeout = hasAdmittedNothing && wasPowerLost(group) ? Duration(restartedReportTimeout) : goneTimeout();
-    return !load.hasEnded && now - target.lastReport <= timeout;
+    return !load.hasEnded && now - target.lastReport - target.deafTime <= timeout;
 }
 
 // A power loss restarts nearly all machines of a service, so that a silent machine has lost its flows too.
--- a/src/relay/TargetDirectory.h
+++ b/src/relay/TargetDirectory.h
@@ -12,6 +12,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <optional>
 #include <span>
 #include <string>
 #include <string_view>
@@ -33,6 +34,7 @@
     bool isWithdrawn { false }; ///< the target announced that it is draining or leaving, and has not announced itself anew
     TargetLoad load;
     TimePoint lastReport;
+    Duration deafTime { 0 }; ///< part of the time since lastReport in which the entry did not hear most targets
     std::uint32_t openingsSinceReport { 0 }; ///< opening segments sent since the last load report
     TimePoint oldestUnanswered; ///< time of the oldest opening segment without a reply since; the epoch if there is none
     TimePoint lastSubscription;
@@ -75,6 +77,9 @@
     /// \brief Index of an agent's target in its service; the number of targets if it is not there.
     [[nodiscard]] static std::size_t indexOf(TargetGroup const& group, Endpoint agent) noexcept;
 
+    /// \brief Periodic work; call every 100 ms.
+    void tick(TimePoint now) noexcept;
+
     /// \brief Records the reported load of an agent's target.
     void recordLoad(Endpoint agent, TargetLoad const& load, TimePoint now) noexcept;
 
@@ -93,6 +98,8 @@
     [[nodiscard]] std::chrono::milliseconds loadInterval() const noexcept;
 
     /// \brief True unless the target is known to have ended or has been silent for so long that it is considered gone.
+    ///
+    /// Silence counts only while most targets of all services are heard: otherwise the entry is cut off or overloaded itself.
     [[nodiscard]] bool mayHoldFlows(TargetGroup const& group, DirectoryTarget const& target, TimePoint now) const noexcept;
 
     /// \brief True if most targets of the service restarted with their machines a short time ago.
@@ -109,11 +116,13 @@
     RandomSource random_;
     std::map<std::string, TargetGroup, std::less<>> groups_;
     absl::flat_hash_map<std::uint64_t, TargetGroup*> agentGroups_; ///< by agent endpoint
+    std::optional<TimePoint> lastTick_;
     absl::flat_hash_set<std::uint64_t> sharedAgents_; ///< endpoints that several services have listed at the same time
 
     void assignAgents(TargetGroup& group, std::span<DirectoryTarget const> former);
     void assignSharedAgent(Endpoint agent);
     [[nodiscard]] Duration goneTimeout() const noexcept;
+    [[nodiscard]] bool isHearingMostTargets(TimePoint now) const noexcept;
     [[nodiscard]] bool isSilent(DirectoryTarget const& target, TimePoint now) const noexcept;
     [[nodiscard]] double costOf(DirectoryTarget const& target, TimePoint now) noexcept;
     [[nodiscard]] std::size_t drawSample(TargetGroup& group) noexcept;
--- a/tests/OwnerSearchTests.cpp
+++ b/tests/OwnerSearchTests.cpp
@@ -42,6 +42,16 @@
         return search.isNotFoundEverywhere(directory, now);
     }
 
+    // Lets time pass in which some targets report every 100 ms.
+    void run(TimePoint begin, TimePoint end, std::vector<std::size_t> const& reporting)
+    {
+        for (TimePoint time = begin; time <= end; time += 100ms) {
+            for (std::size_t const index : reporting)
+                directory.recordLoad(agent(index), {}, time);
+            directory.tick(time);
+        }
+    }
+
     // All targets but the first report that their machines started a moment ago.
     void reportPowerLoss()
     {
@@ -127,6 +137,43 @@
     BOOST_TEST(service.isLostWithoutTheFirst());
 }
 
+// Guards against resets of open flows by an entry whose own link is overloaded: it heard no target for half a minute,
+// took the owners for gone and reset their flows as soon as the first late replies of other targets arrived.
+BOOST_AUTO_TEST_CASE(TargetsAreNotGoneBecauseTheEntryHearsNobody)
+{
+    Service service(4);
+    DirectoryTarget const& owner = service.group->targets[0];
+    TimePoint const heard = now + 30s;
+    service.run(now, heard, {});
+    BOOST_TEST(service.directory.mayHoldFlows(*service.group, owner, heard));
+    service.run(heard, heard + 4s, { 1, 2, 3 });
+    BOOST_TEST(service.directory.mayHoldFlows(*service.group, owner, heard + 4s));
+    service.run(heard + 4s, heard + 8s, { 1, 2, 3 });
+    BOOST_TEST(!service.directory.mayHoldFlows(*service.group, owner, heard + 8s));
+}
+
+// A part of the replies passes an overloaded link, and each target is silent for many seconds.
+BOOST_AUTO_TEST_CASE(TargetsAreNotGoneBecauseTheEntryHearsFew)
+{
+    Service service(4);
+    DirectoryTarget const& owner = service.group->targets[0];
+    service.run(now, now + 30s, { 1, 2 });
+    BOOST_TEST(service.directory.mayHoldFlows(*service.group, owner, now + 30s));
+}
+
+// The verdict of the monitors follows from silence too.
+BOOST_AUTO_TEST_CASE(ATargetIsNotConfirmedDeadWhileTheEntryHearsNobody)
+{
+    Service service(4);
+    DirectoryTarget& owner = service.group->targets[0];
+    owner.dead = true;
+    owner.deadSince = now + 1s;
+    service.run(now, now + 30s, {});
+    BOOST_TEST(service.directory.mayHoldFlows(*service.group, owner, now + 30s));
+    service.run(now + 30s, now + 42s, { 1, 2, 3 });
+    BOOST_TEST(!service.directory.mayHoldFlows(*service.group, owner, now + 42s));
+}
+
 BOOST_AUTO_TEST_CASE(ATargetThatIsTakenForDeadMayLive)
 {
     Service service(4);
