Let a target's own reports count for more than the verdict of the monitors

Cause: TargetDirectory considered a target gone 10 s after the monitors had taken it for dead, ended the subscription to its load at once, and left it out of choice and searches, whatever arrived from it.

Change: a target that has reported since the verdict is not gone; the subscription goes on until the target may hold no flow. A report of another service at the address of a dead target does not count.

Tests: OwnerSearchTests/ATargetThatReportsIsNotGoneByTheVerdictOfOthers failed before; AReportOfAnotherServiceDoesNotReviveADeadTarget guards the other side. ATargetThatIsTakenForDeadMayLive is replaced: it set up a target that was dead for 11 s and had reported 100 ms before, and expected its flows to be lost, which is the fault. The target now falls silent before the verdict; the bounds are the same.

--- a/src/relay/EntryRelay.cpp
+++ b/src/relay/EntryRelay.cpp
@@ -342,7 +342,7 @@
             recordOwner(from, decoded.flow, now);
             return true;
         case RelayMessageKind::LoadReport:
-            directory.recordLoad(from, decoded.load, now);
+            directory.recordLoad(from, decoded.load, now, decoded.serviceHash);
             return true;
         default:
             return false;
@@ -385,7 +385,7 @@
         for (DirectoryTarget const& target : group->targets) {
             std::pair<std::uint64_t, Endpoint> holder { rankScore(target.nameHash, record.hash), target.agent };
             // An entry that does not know the owner yet queries the next one.
-            if (target.dead || target.agent == record.owner)
+            if (target.isGone() || target.agent == record.owner)
                 continue;
             for (std::pair<std::uint64_t, Endpoint>& best : holders) {
                 if (holder.first > best.first)
--- a/src/relay/TargetDirectory.cpp
+++ b/src/relay/TargetDirectory.cpp
@@ -181,11 +181,14 @@
     return found;
 }
 
-void TargetDirectory::recordLoad(Endpoint agent, TargetLoad const& load, TimePoint now) noexcept
+void TargetDirectory::recordLoad(Endpoint agent, TargetLoad const& load, TimePoint now, std::optional<ServiceHash> service) noexcept
 {
     DirectoryTarget* const target = findTarget(agent);
     if (target == nullptr)
         return;
+    // A target of another service that uses the address of a dead one again does not show that the dead one runs.
+    if (target->dead && service && findServiceOf(agent)->hash != *service)
+        return;
     target->load = load;
     // An agent that restarted beside a draining target takes it for accepting until the target's next announcement.
     target->isWithdrawn = load.isWithdrawn || (load.isAssumed && target->isWithdrawn);
@@ -239,7 +242,7 @@
 
 bool TargetDirectory::mayHoldFlows(TargetGroup const& group, DirectoryTarget const& target, TimePoint now) const noexcept
 {
-    if (target.dead && now - target.deadSince - target.deafTime > deadConfirmationTime)
+    if (target.isGone() && now - target.deadSince - target.deafTime > deadConfirmationTime)
         return false;
     if (!target.hasReported)
         return now - target.added - target.deafTime <= (wasPowerLost(group) ? restartedReportTimeout : maximumOutage);
@@ -288,7 +291,7 @@
     for (std::size_t index = 0; index < all && sampled < sampleSize; ++index) {
         std::swap(group.order[index], group.order[index + random_.below(all - index)]);
         DirectoryTarget const& target = group.targets[group.order[index]];
-        bool const isCandidate = !target.draining && !target.dead && (!target.hasReported || target.load.isAccepting);
+        bool const isCandidate = !target.draining && !target.isGone() && (!target.hasReported || target.load.isAccepting);
         if (isCandidate)
             std::swap(group.order[sampled++], group.order[index]);
     }
@@ -331,7 +334,7 @@
     std::array<std::pair<std::uint64_t, DirectoryTarget const*>, searchRanks> best {};
     std::size_t count = 0;
     for (DirectoryTarget const& target : group.targets) {
-        if (target.dead)
+        if (target.isGone())
             continue;
         bool const isResponsive = target.hasReported && target.load.isAccepting && !isSilent(target, now);
         constexpr std::uint64_t responsiveBit = std::uint64_t { 1 } << 63U;
@@ -351,9 +354,10 @@
     std::vector<Endpoint> due;
     for (std::pair<std::string const, TargetGroup>& group : groups_) {
         for (DirectoryTarget& target : group.second.targets) {
-            // An agent from which no load report has arrived yet is queried at every tick.
-            bool const isDue = !target.hasReported || now - target.lastSubscription >= subscriptionInterval;
-            if (target.dead || !isDue)
+            // An agent from which no load report has arrived yet is queried at every tick. One that is taken for dead may
+            // reply all the same.
+            bool const isDue = (!target.hasReported && !target.dead) || now - target.lastSubscription >= subscriptionInterval;
+            if (!isDue || (target.dead && !mayHoldFlows(group.second, target, now)))
                 continue;
             target.lastSubscription = now;
             due.push_back(target.agent);
@@ -366,7 +370,7 @@
 {
     for (std::pair<std::string const, TargetGroup> const& group : groups_) {
         for (DirectoryTarget const& target : group.second.targets) {
-            if (target.hasReported && !target.dead)
+            if (target.hasReported && !target.isGone())
                 return true;
         }
     }
--- a/src/relay/TargetDirectory.h
+++ b/src/relay/TargetDirectory.h
@@ -27,7 +27,7 @@
     Endpoint agent;
     bool local { false }; ///< in the entry's data centre
     bool draining { false };
-    bool dead { false };
+    bool dead { false }; ///< taken for dead by the monitors; see isGone()
     TimePoint deadSince;
     TimePoint added; ///< when the target was added to this entry's view
     bool hasReported { false };
@@ -38,6 +38,10 @@
     std::uint32_t openingsSinceReport { 0 }; ///< opening segments sent since the last load report
     TimePoint oldestUnanswered; ///< time of the oldest opening segment without a reply since; the epoch if there is none
     TimePoint lastSubscription;
+
+    /// \brief True if the target is taken for dead and has not reported since: what this entry receives itself counts for more
+    /// than the verdict of the monitors.
+    [[nodiscard]] bool isGone() const noexcept { return dead && (!hasReported || lastReport <= deadSince); }
 };
 
 /// \brief The targets of one service.
@@ -81,7 +85,9 @@
     void tick(TimePoint now) noexcept;
 
     /// \brief Records the reported load of an agent's target.
-    void recordLoad(Endpoint agent, TargetLoad const& load, TimePoint now) noexcept;
+    ///
+    /// \param service  service that the report names, if it names one
+    void recordLoad(Endpoint agent, TargetLoad const& load, TimePoint now, std::optional<ServiceHash> service = std::nullopt) noexcept;
 
     /// \brief Writes the cheapest of a random sample of targets that accept new flows into a route, in order of cost.
     ///
--- a/tests/OwnerSearchTests.cpp
+++ b/tests/OwnerSearchTests.cpp
@@ -4,6 +4,8 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <algorithm>
+
 namespace {
 
 using namespace plantaindrift;
@@ -178,10 +180,44 @@
 {
     Service service(4);
     service.group->targets[0].dead = true;
+    service.group->targets[0].lastReport = now - 6s;
     service.group->targets[0].deadSince = now - 3s;
     BOOST_TEST(!service.isLostWithoutTheFirst());
+    service.group->targets[0].lastReport = now - 14s;
+    service.group->targets[0].deadSince = now - 11s;
+    BOOST_TEST(service.isLostWithoutTheFirst());
+}
+
+// Guards against resets of open flows whose owner reports its load all the time: the monitors, which its heartbeats did not
+// reach, took it for dead, and 10 s later the entry counted it as gone.
+BOOST_AUTO_TEST_CASE(ATargetThatReportsIsNotGoneByTheVerdictOfOthers)
+{
+    Service service(4);
+    service.group->targets[0].dead = true;
+    service.group->targets[0].deadSince = now - 11s;
+    BOOST_TEST(!service.isLostWithoutTheFirst());
+    std::vector<Endpoint> const subscribed = service.directory.collectDueSubscriptions(now);
+    BOOST_TEST((std::find(subscribed.begin(), subscribed.end(), Service::agent(0)) != subscribed.end()));
+    TargetLoad accepting;
+    accepting.isAccepting = true;
+    for (std::size_t index = 0; index < 4; ++index)
+        service.directory.recordLoad(Service::agent(index), accepting, now);
+    RelayRoute route;
+    service.directory.chooseTargets(*service.group, {}, now, route);
+    BOOST_TEST(route.candidateCount == 4U);
+}
+
+// The address of a dead target is used again by a target of another service, which the view of the entry lacks.
+BOOST_AUTO_TEST_CASE(AReportOfAnotherServiceDoesNotReviveADeadTarget)
+{
+    Service service(4);
+    service.group->targets[0].dead = true;
+    service.group->targets[0].lastReport = now - 14s;
     service.group->targets[0].deadSince = now - 11s;
+    service.directory.recordLoad(Service::agent(0), {}, now, hashService("mail"));
     BOOST_TEST(service.isLostWithoutTheFirst());
+    service.directory.recordLoad(Service::agent(0), {}, now, hashService("desk"));
+    BOOST_TEST(!service.isLostWithoutTheFirst());
 }
 
 // Replies were discarded whenever a target joined or left, so that searches did not end while many targets were
