--- a/include/plantaindrift/membership/EntryControl.h
+++ b/include/plantaindrift/membership/EntryControl.h
@@ -56,7 +56,7 @@
     /// \brief Services whose view changed since the last call, with their new views.
     [[nodiscard]] std::vector<ServiceView> takeChangedViews();
 
-    /// \brief Members that this entry took for suspect or dead since the last call, and from what.
+    /// \brief Members that this entry took for suspect or dead since the last call, with the evidence.
     [[nodiscard]] std::vector<Detector::Verdict> takeVerdicts();
 
     /// \brief Takes changes read from the platform; also spreads those that are new.
--- a/include/plantaindrift/relay/RelayObserver.h
+++ b/include/plantaindrift/relay/RelayObserver.h
@@ -22,7 +22,7 @@
     std::chrono::milliseconds loadAge { 0 };
 };
 
-/// \brief What an entry concluded from that no target holds a flow.
+/// \brief What led an entry to the conclusion that no target holds a flow.
 struct LostFlowEvidence {
     RelayFlow flow;
     std::chrono::milliseconds searchTime { 0 }; ///< since the first segment of the flow
--- a/src/membership/MonitorContacts.h
+++ b/src/membership/MonitorContacts.h
@@ -16,7 +16,7 @@
 ///
 /// It starts with entries of the settings, a few at a time until one answers. Replies name the monitors; an entry
 /// that no reply names any more gets no further heartbeats. If nobody answers, entries of the settings are tried
-/// again, and those that answered last. A monitor that this agent does not know, because it joined while nobody answered, makes itself known.
+/// again, and those that answered last. A monitor that this agent does not know requests a heartbeat and is added.
 class MonitorContacts {
 public:
     /// \brief Entries of the settings tried at once, at the start and after the monitors fell silent.
