Rename what discounts the silence of targets, and its test cases

Terms of the field in place of hearing: discountedSilence, receivesFromMostTargets, minimumReportingShare (a named constant for the three quarters). No behaviour changes; the bounds of OwnerSearchTests are the same.

--- a/src/relay/TargetDirectory.cpp
+++ b/src/relay/TargetDirectory.cpp
@@ -35,7 +35,10 @@
     constexpr std::chrono::milliseconds restartedReportTimeout { 1000 };
 
     // Targets report several times in this period, also those that start after a power loss.
-    constexpr std::chrono::milliseconds minimumHearingPeriod { 1000 };
+    constexpr std::chrono::milliseconds minimumReceptionPeriod { 1000 };
+
+    // If fewer targets report, the entry's own link is cut or overloaded; the loss of one of four data centres leaves as many.
+    constexpr double minimumReportingShare = 0.75;
 
     constexpr std::chrono::milliseconds minimumLoadInterval { 100 };
     constexpr std::chrono::milliseconds maximumLoadInterval { 2000 };
@@ -194,7 +197,7 @@
     target->isWithdrawn = load.isWithdrawn || (load.isAssumed && target->isWithdrawn);
     target->load.isAccepting = load.isAccepting && !target->isWithdrawn;
     target->lastReport = now;
-    target->deafTime = Duration::zero();
+    target->discountedSilence = Duration::zero();
     target->hasReported = true;
     target->openingsSinceReport = 0;
     target->oldestUnanswered = {};
@@ -212,19 +215,19 @@
     return std::max<Duration>(silentReportIntervals * loadInterval() + subscriptionInterval, maximumOutage);
 }
 
-bool TargetDirectory::isHearingMostTargets(TimePoint now) const noexcept
+bool TargetDirectory::receivesFromMostTargets(TimePoint now) const noexcept
 {
-    Duration const period = std::max<Duration>(silentReportIntervals * loadInterval(), minimumHearingPeriod);
+    Duration const period = std::max<Duration>(silentReportIntervals * loadInterval(), minimumReceptionPeriod);
     std::size_t running = 0;
-    std::size_t heard = 0;
+    std::size_t reporting = 0;
     for (std::pair<std::string const, TargetGroup> const& group : groups_) {
         for (DirectoryTarget const& target : group.second.targets) {
             bool const hasEnded = target.hasReported && target.load.hasEnded;
             running += hasEnded ? 0 : 1;
-            heard += !hasEnded && target.hasReported && now - target.lastReport <= period ? 1 : 0;
+            reporting += !hasEnded && target.hasReported && now - target.lastReport <= period ? 1 : 0;
         }
     }
-    return 4 * heard >= 3 * running;
+    return static_cast<double>(reporting) >= minimumReportingShare * static_cast<double>(running);
 }
 
 // What targets send to an entry whose link is cut or overloaded is lost or late, so that their silence shows nothing.
@@ -232,25 +235,25 @@
 {
     Duration const passed = now - lastTick_.value_or(now);
     lastTick_ = now;
-    if (isHearingMostTargets(now))
+    if (receivesFromMostTargets(now))
         return;
     for (std::pair<std::string const, TargetGroup>& group : groups_) {
         for (DirectoryTarget& target : group.second.targets)
-            target.deafTime += passed;
+            target.discountedSilence += passed;
     }
 }
 
 bool TargetDirectory::mayHoldFlows(TargetGroup const& group, DirectoryTarget const& target, TimePoint now) const noexcept
 {
-    if (target.isGone() && now - target.deadSince - target.deafTime > deadConfirmationTime)
+    if (target.isGone() && now - target.deadSince - target.discountedSilence > deadConfirmationTime)
         return false;
     if (!target.hasReported)
-        return now - target.added - target.deafTime <= (wasPowerLost(group) ? restartedReportTimeout : maximumOutage);
+        return now - target.added - target.discountedSilence <= (wasPowerLost(group) ? restartedReportTimeout : maximumOutage);
     // An agent that restarted and has admitted nothing knows of no flow; older ones ended with the power.
     TargetLoad const& load = target.load;
     bool const hasAdmittedNothing = load.isAssumed && !load.isAccepting && load.openFlows == 0;
     Duration const timeout = hasAdmittedNothing && wasPowerLost(group) ? Duration(restartedReportTimeout) : goneTimeout();
-    return !load.hasEnded && now - target.lastReport - target.deafTime <= timeout;
+    return !load.hasEnded && now - target.lastReport - target.discountedSilence <= timeout;
 }
 
 // A power loss restarts nearly all machines of a service, so that a silent machine has lost its flows too.
--- a/src/relay/TargetDirectory.h
+++ b/src/relay/TargetDirectory.h
@@ -34,7 +34,7 @@
     bool isWithdrawn { false }; ///< the target announced that it is draining or leaving, and has not announced itself anew
     TargetLoad load;
     TimePoint lastReport;
-    Duration deafTime { 0 }; ///< part of the time since lastReport in which the entry did not hear most targets
+    Duration discountedSilence { 0 }; ///< part of the time since lastReport in which most targets were silent
     std::uint32_t openingsSinceReport { 0 }; ///< opening segments sent since the last load report
     TimePoint oldestUnanswered; ///< time of the oldest opening segment without a reply since; the epoch if there is none
     TimePoint lastSubscription;
@@ -105,7 +105,7 @@
 
     /// \brief True unless the target is known to have ended or has been silent for so long that it is considered gone.
     ///
-    /// Silence counts only while most targets of all services are heard: otherwise the entry is cut off or overloaded itself.
+    /// Silence counts only while most targets of all services report: otherwise the entry is cut off or overloaded itself.
     [[nodiscard]] bool mayHoldFlows(TargetGroup const& group, DirectoryTarget const& target, TimePoint now) const noexcept;
 
     /// \brief True if most targets of the service restarted with their machines a short time ago.
@@ -128,7 +128,7 @@
     void assignAgents(TargetGroup& group, std::span<DirectoryTarget const> former);
     void assignSharedAgent(Endpoint agent);
     [[nodiscard]] Duration goneTimeout() const noexcept;
-    [[nodiscard]] bool isHearingMostTargets(TimePoint now) const noexcept;
+    [[nodiscard]] bool receivesFromMostTargets(TimePoint now) const noexcept;
     [[nodiscard]] bool isSilent(DirectoryTarget const& target, TimePoint now) const noexcept;
     [[nodiscard]] double costOf(DirectoryTarget const& target, TimePoint now) noexcept;
     [[nodiscard]] std::size_t drawSample(TargetGroup& group) noexcept;
--- a/tests/OwnerSearchTests.cpp
+++ b/tests/OwnerSearchTests.cpp
@@ -139,23 +139,23 @@
     BOOST_TEST(service.isLostWithoutTheFirst());
 }
 
-// Guards against resets of open flows by an entry whose own link is overloaded: it heard no target for half a minute,
+// Guards against resets of open flows by an entry whose own link is overloaded: it received nothing for half a minute,
 // took the owners for gone and reset their flows as soon as the first late replies of other targets arrived.
-BOOST_AUTO_TEST_CASE(TargetsAreNotGoneBecauseTheEntryHearsNobody)
+BOOST_AUTO_TEST_CASE(TargetsAreNotGoneWhileNoneReports)
 {
     Service service(4);
     DirectoryTarget const& owner = service.group->targets[0];
-    TimePoint const heard = now + 30s;
-    service.run(now, heard, {});
-    BOOST_TEST(service.directory.mayHoldFlows(*service.group, owner, heard));
-    service.run(heard, heard + 4s, { 1, 2, 3 });
-    BOOST_TEST(service.directory.mayHoldFlows(*service.group, owner, heard + 4s));
-    service.run(heard + 4s, heard + 8s, { 1, 2, 3 });
-    BOOST_TEST(!service.directory.mayHoldFlows(*service.group, owner, heard + 8s));
+    TimePoint const resumed = now + 30s;
+    service.run(now, resumed, {});
+    BOOST_TEST(service.directory.mayHoldFlows(*service.group, owner, resumed));
+    service.run(resumed, resumed + 4s, { 1, 2, 3 });
+    BOOST_TEST(service.directory.mayHoldFlows(*service.group, owner, resumed + 4s));
+    service.run(resumed + 4s, resumed + 8s, { 1, 2, 3 });
+    BOOST_TEST(!service.directory.mayHoldFlows(*service.group, owner, resumed + 8s));
 }
 
 // A part of the replies passes an overloaded link, and each target is silent for many seconds.
-BOOST_AUTO_TEST_CASE(TargetsAreNotGoneBecauseTheEntryHearsFew)
+BOOST_AUTO_TEST_CASE(TargetsAreNotGoneWhileFewReport)
 {
     Service service(4);
     DirectoryTarget const& owner = service.group->targets[0];
@@ -164,7 +164,7 @@
 }
 
 // The verdict of the monitors follows from silence too.
-BOOST_AUTO_TEST_CASE(ATargetIsNotConfirmedDeadWhileTheEntryHearsNobody)
+BOOST_AUTO_TEST_CASE(ATargetIsNotConfirmedDeadWhileNoneReports)
 {
     Service service(4);
     DirectoryTarget& owner = service.group->targets[0];
