Gather decisions under load in src/balancing; state their requirements

Change: TargetCost, AdmissionLimit, FailureShare and RequestCount move to src/balancing; OpeningPolicy (what an agent does with an opening, with the reason) and TargetChoice (cost and order of offers) are taken out of AgentRelay and TargetDirectory without a change of behaviour. Tests: AgentRelayTests, EntryRelayTests, TargetDirectoryTests, AdmissionLimitTests, RequestCountTests and FailureShareTests pass unchanged but for include paths; lint is clean for the changed files.

--- a/include/plantaindrift/relay/AgentRelay.h
+++ b/include/plantaindrift/relay/AgentRelay.h
@@ -2,6 +2,7 @@
 
 #include "plantaindrift/base/LatencyHistogram.h"
 #include "plantaindrift/base/Types.h"
+#include "plantaindrift/membership/EvacuationSet.h"
 #include "plantaindrift/membership/ServiceView.h"
 #include "plantaindrift/packet/Encapsulation.h"
 #include "plantaindrift/packet/PacketVerdict.h"
@@ -85,6 +86,9 @@
     /// \brief Replaces the targets of the agent's service.
     void setView(ServiceView const& view);
 
+    /// \brief Replaces the data centres whose targets take no new flows.
+    void setEvacuations(EvacuationSet const& evacuations, TimePoint now);
+
     /// \brief Replaces the state of the target; takes effect with the next segment.
     void setTargetState(TargetState const& target, TimePoint now);
 
--- a/include/plantaindrift/relay/EntryRelay.h
+++ b/include/plantaindrift/relay/EntryRelay.h
@@ -3,6 +3,7 @@
 #include "plantaindrift/base/LatencyHistogram.h"
 #include "plantaindrift/base/Types.h"
 #include "plantaindrift/configuration/Configuration.h"
+#include "plantaindrift/membership/EvacuationSet.h"
 #include "plantaindrift/membership/ServiceView.h"
 #include "plantaindrift/packet/Encapsulation.h"
 #include "plantaindrift/packet/PacketVerdict.h"
@@ -74,6 +75,9 @@
     /// \brief Replaces the targets of one service; load reports received so far are kept.
     void setView(ServiceView const& view, TimePoint now);
 
+    /// \brief Replaces the data centres whose targets take no new flows; open flows stay where they are.
+    void setEvacuations(EvacuationSet const& evacuations, TimePoint now);
+
     /// \brief Sets whether the views contain every target that the store or a peer knows of.
     ///
     /// A caller is told that its flow is lost only after all targets of a complete view have been queried.
--- a/src/relay/AdmissionLimit.cpp
+++ b/src/balancing/AdmissionLimit.cpp
@@ -1,6 +1,6 @@
-#include "relay/AdmissionLimit.h"
+#include "balancing/AdmissionLimit.h"
 
-#include "relay/TargetCost.h"
+#include "balancing/TargetCost.h"
 
 #include <cmath>
 
--- a/src/relay/FailureShare.cpp
+++ b/src/balancing/FailureShare.cpp
@@ -1,4 +1,4 @@
-#include "relay/FailureShare.h"
+#include "balancing/FailureShare.h"
 
 #include <algorithm>
 #include <chrono>
--- a/src/relay/RequestCount.cpp
+++ b/src/balancing/RequestCount.cpp
@@ -1,4 +1,4 @@
-#include "relay/RequestCount.h"
+#include "balancing/RequestCount.h"
 
 #include <algorithm>
 #include <chrono>
--- a/src/relay/RequestCount.h
+++ b/src/balancing/RequestCount.h
@@ -1,8 +1,8 @@
 #pragma once
 
+#include "balancing/FailureShare.h"
 #include "plantaindrift/base/LatencyHistogram.h"
 #include "plantaindrift/base/Types.h"
-#include "relay/FailureShare.h"
 
 #include <cstddef>
 #include <cstdint>
--- a/src/relay/TargetCost.cpp
+++ b/src/balancing/TargetCost.cpp
@@ -1,4 +1,4 @@
-#include "relay/TargetCost.h"
+#include "balancing/TargetCost.h"
 
 #include "plantaindrift/base/Hash.h"
 
--- a/src/relay/AddressRoutes.cpp
+++ b/src/relay/AddressRoutes.cpp
@@ -1,6 +1,6 @@
 #include "relay/AddressRoutes.h"
 
-#include "relay/AdmissionLimit.h"
+#include "balancing/AdmissionLimit.h"
 
 #include <chrono>
 #include <iterator>
--- a/src/relay/EntryRelay.cpp
+++ b/src/relay/EntryRelay.cpp
@@ -1,11 +1,11 @@
 #include "plantaindrift/relay/EntryRelay.h"
 
+#include "balancing/TargetCost.h"
 #include "plantaindrift/base/Hash.h"
 #include "relay/AddressRoutes.h"
 #include "relay/HashTable.h"
 #include "relay/OwnerSearches.h"
 #include "relay/RelayTimes.h"
-#include "relay/TargetCost.h"
 #include "relay/TargetDirectory.h"
 
 #include <algorithm>
@@ -94,6 +94,7 @@
     OwnerSearches searches;
     HashTable<FlowRecord> flows;
     AddressRoutes routes;
+    EvacuationSet evacuations;
     std::array<std::uint64_t, entryRelayOutcomeCount> outcomes {};
     std::array<std::byte, maximumRelayHeaderBytes> header {};
     std::array<std::byte, 64> resetBuffer {};
@@ -442,6 +443,11 @@
     state_->searches.renumberTargets(state_->directory.findOrAddService(view.service), newIndices);
 }
 
+void EntryRelay::setEvacuations(EvacuationSet const& evacuations, TimePoint /*now*/)
+{
+    state_->evacuations = evacuations;
+}
+
 void EntryRelay::setViewsComplete(bool complete) noexcept
 {
     state_->searches.setViewsComplete(complete);
--- a/src/relay/TargetDirectory.cpp
+++ b/src/relay/TargetDirectory.cpp
@@ -1,7 +1,8 @@
 #include "relay/TargetDirectory.h"
 
+#include "balancing/TargetChoice.h"
+#include "balancing/TargetCost.h"
 #include "plantaindrift/base/Hash.h"
-#include "relay/TargetCost.h"
 #include "relay/TargetSet.h"
 
 #include <algorithm>
@@ -47,15 +48,6 @@
     constexpr double loadBytesPerSecond = 1500;
     constexpr double loadMessageBytes = 42;
 
-    // Round trip between data centres, in 0.1 ms; keeps traffic within a data centre while that costs no wait.
-    constexpr double remoteCostTenthMs = 20;
-
-    // Spreads the choices of entries that have received the same load reports.
-    constexpr std::uint64_t jitterTenthMs = 20;
-
-    constexpr double silentCostTenthMs = 2000;
-    constexpr double repeatedOfferCostTenthMs = 20000;
-
     // Number of targets compared for a new flow. Entries that compare all targets by load reports of the same age
     // would choose the same ones.
     constexpr std::size_t sampleSize = 5;
@@ -276,14 +268,15 @@
     return now - target.lastReport > silentReportIntervals * loadInterval() + noticeTimeout;
 }
 
-double TargetDirectory::costOf(DirectoryTarget const& target, TimePoint now) noexcept
+TargetOffer TargetDirectory::offerOf(DirectoryTarget const& target, std::span<Endpoint const> asked, TimePoint now) const noexcept
 {
-    double cost = targetCost(target.load, target.openingsSinceReport);
-    cost += target.local ? 0 : remoteCostTenthMs;
-    cost += static_cast<double>(random_.below(jitterTenthMs));
-    if (!target.hasReported || isSilent(target, now))
-        cost += silentCostTenthMs;
-    return cost;
+    TargetOffer offer;
+    offer.load = target.load;
+    offer.pendingOpenings = target.openingsSinceReport;
+    offer.isLocal = target.local;
+    offer.isResponsive = target.hasReported && !isSilent(target, now);
+    offer.wasOffered = std::find(asked.begin(), asked.end(), target.agent) != asked.end();
+    return offer;
 }
 
 // Moves random targets that accept new flows to the front of the order. \returns their number
@@ -303,30 +296,18 @@
 
 void TargetDirectory::chooseTargets(TargetGroup& group, std::span<Endpoint const> asked, TimePoint now, RelayRoute& route) noexcept
 {
-    struct Choice {
-        double cost { 0 };
-        DirectoryTarget* target { nullptr };
-    };
-    std::array<Choice, maximumRelayCandidates> best;
-    std::size_t count = 0;
+    CheapestOffers best;
     std::size_t const sampled = drawSample(group);
     for (std::size_t index = 0; index < sampled; ++index) {
-        DirectoryTarget& target = group.targets[group.order[index]];
-        bool const wasOffered = std::find(asked.begin(), asked.end(), target.agent) != asked.end();
-        Choice choice { costOf(target, now) + (wasOffered ? repeatedOfferCostTenthMs : 0), &target };
-        for (std::size_t rank = 0; rank < count; ++rank) {
-            if (choice.cost < best[rank].cost)
-                std::swap(choice, best[rank]);
-        }
-        if (count < best.size())
-            best[count++] = choice;
+        std::size_t const target = group.order[index];
+        best.add(offerCost(offerOf(group.targets[target], asked, now), random_.below(maximumJitterTenthMs)), target);
     }
-    route.candidateCount = static_cast<std::uint8_t>(count);
-    for (std::size_t index = 0; index < count; ++index)
-        route.candidates[index] = { best[index].target->agent, toCostTenthMs(best[index].cost) };
-    if (count == 0)
+    route.candidateCount = 0;
+    for (CheapestOffers::Ranked const& ranked : best.ranked())
+        route.candidates[route.candidateCount++] = { group.targets[ranked.target].agent, toCostTenthMs(ranked.costTenthMs) };
+    if (best.ranked().empty())
         return;
-    DirectoryTarget& chosen = *best[0].target;
+    DirectoryTarget& chosen = group.targets[best.ranked().front().target];
     ++chosen.openingsSinceReport;
     if (chosen.oldestUnanswered == TimePoint {})
         chosen.oldestUnanswered = now;
--- a/src/relay/TargetDirectory.h
+++ b/src/relay/TargetDirectory.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "balancing/TargetChoice.h"
 #include "membership/RandomSource.h"
 #include "plantaindrift/membership/ServiceView.h"
 #include "plantaindrift/relay/RelayMessage.h"
@@ -130,7 +131,7 @@
     [[nodiscard]] Duration goneTimeout() const noexcept;
     [[nodiscard]] bool receivesFromMostTargets(TimePoint now) const noexcept;
     [[nodiscard]] bool isSilent(DirectoryTarget const& target, TimePoint now) const noexcept;
-    [[nodiscard]] double costOf(DirectoryTarget const& target, TimePoint now) noexcept;
+    [[nodiscard]] TargetOffer offerOf(DirectoryTarget const& target, std::span<Endpoint const> asked, TimePoint now) const noexcept;
     [[nodiscard]] std::size_t drawSample(TargetGroup& group) noexcept;
 };
 
--- a/src/relay/TargetFlows.h
+++ b/src/relay/TargetFlows.h
@@ -1,9 +1,9 @@
 #pragma once
 
+#include "balancing/RequestCount.h"
 #include "plantaindrift/base/Types.h"
 #include "plantaindrift/relay/Segment.h"
 #include "relay/HashTable.h"
-#include "relay/RequestCount.h"
 
 #include <cstddef>
 #include <cstdint>
--- a/tests/AdmissionLimitTests.cpp
+++ b/tests/AdmissionLimitTests.cpp
@@ -1,6 +1,6 @@
 // Guards against overloads in which every request is answered, but all of them too late: in the seconds after all
 // targets restarted, while they are slow, and in bursts above a service's capacity.
-#include "relay/AdmissionLimit.h"
+#include "balancing/AdmissionLimit.h"
 
 #include <boost/test/unit_test.hpp>
 
--- a/tests/FailureShareTests.cpp
+++ b/tests/FailureShareTests.cpp
@@ -1,7 +1,7 @@
 // Guards against targets that fail requests and therefore look idle, and against targets that receive no requests any
 // more after a fault.
 #include "RelayScene.h"
-#include "relay/FailureShare.h"
+#include "balancing/FailureShare.h"
 
 #include <boost/test/unit_test.hpp>
 
--- a/tests/RequestCountTests.cpp
+++ b/tests/RequestCountTests.cpp
@@ -1,6 +1,6 @@
 // Guards against waits that are counted as service time: an overloaded target then looks many times slower than it is,
 // and decisions by expected time are wrong for seconds after the overload.
-#include "relay/RequestCount.h"
+#include "balancing/RequestCount.h"
 
 #include <boost/test/unit_test.hpp>
 
