Read and watch evacuations in the platform's store

Cause: operators evacuate a data centre by an object of kind `evacuations`, and nothing reads that kind. Change: FleetStore gets readEvacuations and awaitEvacuations, with defaults for stores that hold none. A removal event whose name cannot be read fails the watch, so that the list is read again. Ruled out: spec as a condition. The name alone says which data centre is meant, so an odd spec does not void an evacuation. Tests: five cases in DivisionStoreTests (set and versions, refused and malformed answers, restored store, odd objects, pages).

--- a/include/plantaindrift/store/FleetStore.h
+++ b/include/plantaindrift/store/FleetStore.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "plantaindrift/configuration/Configuration.h"
+#include "plantaindrift/membership/EvacuationSet.h"
 #include "plantaindrift/membership/Member.h"
 
 #include "absl/status/status.h"
@@ -9,6 +10,7 @@
 #include <chrono>
 #include <cstdint>
 #include <optional>
+#include <string>
 #include <string_view>
 #include <vector>
 
@@ -20,6 +22,12 @@
     Configuration configuration;
 };
 
+/// \brief Evacuations as a store reported them.
+struct StoredEvacuations {
+    EvacuationSet set;
+    std::vector<std::string> removed; ///< data centres whose removal an event reported since the last read or wait
+};
+
 /// \brief What a fleet keeps in a store that others own: the whole configuration as one object, and its members.
 ///
 /// Calls block. Errors: PlatformUnreachable, OutcomeUnknown, Refused (asked too often), InvalidMessage.
@@ -35,7 +43,18 @@
     /// \returns the newest configuration; nothing if the time passed without a change
     [[nodiscard]] virtual absl::StatusOr<std::optional<VersionedConfiguration>> awaitConfiguration(std::chrono::milliseconds time) = 0;
 
-    /// \brief Makes awaitConfiguration fail soon, now and from then on. May be called on any thread.
+    /// \brief True if operators may evacuate data centres by objects in this store.
+    [[nodiscard]] virtual bool holdsEvacuations() const noexcept { return false; }
+
+    /// \brief The data centres that are evacuated now.
+    [[nodiscard]] virtual absl::StatusOr<StoredEvacuations> readEvacuations() { return StoredEvacuations {}; }
+
+    /// \brief Waits for a change after the last read or wait. After an error, the evacuations are to be read again.
+    ///
+    /// \returns all evacuations after the change; nothing if the time passed without a change
+    [[nodiscard]] virtual absl::StatusOr<std::optional<StoredEvacuations>> awaitEvacuations(std::chrono::milliseconds /*time*/) { return std::nullopt; }
+
+    /// \brief Makes awaitConfiguration and awaitEvacuations fail soon, now and from then on. May be called on any thread.
     virtual void cancelWait() noexcept { }
 
     /// \brief The newest generation of the store that an answer named; 0 until one did. May be called on any thread.
--- a/tests/DivisionStoreTests.cpp
+++ b/tests/DivisionStoreTests.cpp
@@ -433,3 +433,122 @@
     BOOST_TEST(store.writeMember(someMember()).ok());
     BOOST_TEST(standIn.calls().size() == 3U);
 }
+
+namespace {
+
+using Names = std::vector<std::string>;
+
+std::string evacuation(std::string const& name)
+{
+    return R"({"meta":{"name":")" + name + R"(","revision":3},"spec":{}})";
+}
+
+std::string event(std::string const& object, bool isDeleted)
+{
+    return std::string(R"({"deleted":)") + (isDeleted ? "true" : "false") + R"(,"object":)" + object + '}';
+}
+
+std::string events(std::string const& list, int revision)
+{
+    return R"({"events":[)" + list + R"(],"store-revision":)" + std::to_string(revision) + '}';
+}
+
+} // namespace
+
+// Guards against an evacuation, or its end, that a watch does not take over into the set.
+BOOST_AUTO_TEST_CASE(EvacuationsAreReadAndWatched)
+{
+    StandInStore standIn;
+    division::DivisionStore store(url);
+    BOOST_TEST(store.holdsEvacuations());
+    standIn.prepare(200, list(evacuation("south") + ',' + evacuation("north"), 530), 1);
+    standIn.prepare(200, events(event(evacuation("west"), false) + ',' + event(evacuation("north"), true), 533), 1);
+    standIn.prepare(200, events("", 540), 1);
+    standIn.prepare(200, events(event(evacuation("west"), true), 541), 1);
+    StoredEvacuations found = store.readEvacuations().value();
+    BOOST_TEST(found.set.dataCentres == (Names { "north", "south" }), boost::test_tools::per_element());
+    BOOST_TEST((found.set.version == EvacuationVersion { 2, 530 }));
+    found = store.awaitEvacuations(100ms).value().value();
+    BOOST_TEST(found.set.dataCentres == (Names { "south", "west" }), boost::test_tools::per_element());
+    BOOST_TEST(found.removed == Names { "north" }, boost::test_tools::per_element());
+    BOOST_TEST((found.set.version == EvacuationVersion { 2, 533 }));
+    BOOST_TEST(!store.awaitEvacuations(100ms).value().has_value());
+    found = store.awaitEvacuations(100ms).value().value();
+    BOOST_TEST(found.set.dataCentres == Names { "south" }, boost::test_tools::per_element());
+    BOOST_TEST((found.set.version == EvacuationVersion { 2, 541 }));
+    BOOST_TEST(standIn.calls()[1] == "GET /plantaindrift/objects/evacuations?watch=530&wait-ms=100");
+    BOOST_TEST(standIn.calls()[3] == "GET /plantaindrift/objects/evacuations?watch=540&wait-ms=100");
+}
+
+// Guards against failures of the store that are taken for the end of all evacuations.
+BOOST_AUTO_TEST_CASE(RefusedAndMalformedAnswersAreNoEvacuations)
+{
+    StandInStore standIn;
+    division::DivisionStore store(url);
+    std::vector<std::pair<int, std::string>> const answers { { 503, "{}" }, { 410, "{}" }, { 404, "{}" }, { 200, "" }, { 200, "[]" }, { 200, "{}" }, { 200, R"({"items":7,"more":false,"store-revision":1})" } };
+    for (auto const& [status, body] : answers) {
+        standIn.prepare(status, body);
+        BOOST_TEST(!store.readEvacuations().ok(), status << ' ' << body);
+    }
+    standIn.prepare(200, list(evacuation("north"), 530));
+    BOOST_TEST(store.readEvacuations().ok());
+    // The last one: a removed object whose name cannot be read may be any of them.
+    std::vector<std::pair<int, std::string>> const watches { { 410, "{}" }, { 503, "{}" }, { 200, "{}" }, { 200, R"({"events":null,"store-revision":531})" }, { 200, R"({"events":[]})" }, { 200, events(event("{}", true), 531) } };
+    for (auto const& [status, body] : watches) {
+        standIn.prepare(status, body);
+        BOOST_TEST(!store.awaitEvacuations(100ms).ok(), status << ' ' << body);
+    }
+}
+
+// Guards against a watch that misses changes because a restored store gives out its revision again.
+BOOST_AUTO_TEST_CASE(EvacuationsAreReadAgainAfterARestore)
+{
+    StandInStore standIn;
+    division::DivisionStore store(url);
+    standIn.prepare(200, list(evacuation("north"), 530), 1);
+    standIn.prepare(200, events("", 531), 2);
+    standIn.prepare(200, list("", 520), 2);
+    BOOST_TEST(store.readEvacuations().ok());
+    BOOST_TEST(!store.awaitEvacuations(100ms).ok());
+    // Without a new read, no watch is sent.
+    BOOST_TEST(!store.awaitEvacuations(100ms).ok());
+    BOOST_TEST(standIn.calls().size() == 2U);
+    StoredEvacuations const found = store.readEvacuations().value();
+    BOOST_TEST(found.set.dataCentres.empty());
+    BOOST_TEST(found.removed.empty());
+    BOOST_TEST((found.set.version == EvacuationVersion { 3, 520 }));
+}
+
+// Guards against one unusable object that hides the other evacuations.
+BOOST_AUTO_TEST_CASE(AnOddObjectHidesNoEvacuation)
+{
+    StandInStore standIn;
+    division::DivisionStore store(url);
+    for (std::string const& odd : oddObjects()) {
+        std::string const shown = odd.substr(0, 80);
+        standIn.prepare(200, list(between(odd, evacuation("north")), 530));
+        absl::StatusOr<StoredEvacuations> const found = store.readEvacuations();
+        BOOST_TEST_REQUIRE(found.ok(), shown);
+        BOOST_TEST(found->set.contains("north"), shown);
+        standIn.prepare(200, events(between(event(odd, false), event(evacuation("south"), false)), 533));
+        absl::StatusOr<std::optional<StoredEvacuations>> const changed = store.awaitEvacuations(100ms);
+        BOOST_TEST_REQUIRE((changed.ok() && changed->has_value()), shown);
+        BOOST_TEST((*changed)->set.contains("south"), shown);
+    }
+    BOOST_TEST(store.skippedObjects() > 0U);
+    standIn.prepare(200, list(evacuation("a b") + ',' + evacuation(""), 530));
+    BOOST_TEST(store.readEvacuations().value().set.dataCentres.empty());
+}
+
+// Guards against evacuations on later pages of the list that are not read.
+BOOST_AUTO_TEST_CASE(AllPagesOfEvacuationsAreRead)
+{
+    StandInStore standIn;
+    division::DivisionStore store(url);
+    standIn.prepare(200, "{\"items\":[" + evacuation("a") + "],\"more\":true,\"store-revision\":9}");
+    standIn.prepare(200, list(evacuation("b"), 11));
+    StoredEvacuations const found = store.readEvacuations().value();
+    BOOST_TEST(found.set.dataCentres == (Names { "a", "b" }), boost::test_tools::per_element());
+    // What changed between the pages is found by a watch from the first one.
+    BOOST_TEST(found.set.version.revision == 9U);
+}
