Spread evacuations among entries and agents

Cause: an entry whose watch hangs, an agent, and an entry that starts while the store is unavailable learn of evacuations only from peers. Change: EvacuationSpread holds and merges what a process knows: the listed data centres with their version, those that an earlier generation of the store evacuated (retained for 10 s after the generation was first seen) and those that the new generation reported. Entries forward a changed set at once to their gossip neighbours; heartbeats carry its hash, replies the set if it differs, and a process that is ahead of a reply sends its own. The age of the generation is part of the message, so that all processes end the retention together. EntryControl and AgentControl only call it; comparisons of members move to MemberComparison.h so that EntryControl.cpp does not grow. Nothing is sent unless enabled. Ruled out: a hash without the revision, since an older set then overrides equal contents of a newer version; the queue of Gossip, whose rounds of 200 ms and budget would delay the set. Tests: EvacuationSpreadTests (order, restore, restart, malformed messages, 200 random histories) and EvacuationConvergenceTests (12 entries and 40 agents with loss, cuts and restarts).

--- a/include/plantaindrift/membership/AgentControl.h
+++ b/include/plantaindrift/membership/AgentControl.h
@@ -14,6 +14,7 @@
     std::chrono::milliseconds listPeriod { 0 }; ///< shortest time between two lists of the service's members
     bool sharesLoad { true }; ///< tells peers its load; off where entries hear it directly
     std::chrono::milliseconds heartbeat { 1000 };
+    bool handlesEvacuations { false };
 };
 
 /// \brief Heartbeats to monitors, refutation, the service's view and load sharing at an agent.
@@ -41,6 +42,9 @@
     /// \brief The service's declaration if it changed since the last call.
     [[nodiscard]] std::optional<Service> takeChangedService();
 
+    /// \brief The evacuations in force if they changed since the last call; never unless they are handled.
+    [[nodiscard]] std::optional<EvacuationChange> takeChangedEvacuations();
+
     /// \brief Load that peers shared since the last call.
     struct PeerLoad {
         std::string peer;
--- a/include/plantaindrift/membership/EntryControl.h
+++ b/include/plantaindrift/membership/EntryControl.h
@@ -3,6 +3,7 @@
 #include "plantaindrift/base/Types.h"
 #include "plantaindrift/configuration/ChangeLog.h"
 #include "plantaindrift/membership/Detector.h"
+#include "plantaindrift/membership/EvacuationSet.h"
 #include "plantaindrift/membership/Member.h"
 #include "plantaindrift/membership/ServiceView.h"
 
@@ -10,6 +11,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <span>
 #include <string>
 #include <string_view>
@@ -17,6 +19,8 @@
 
 namespace plantaindrift {
 
+struct StoredEvacuations;
+
 /// \brief A control message to send; `bytes` is an encoded control.Envelope.
 struct ControlMessage {
     Endpoint to; ///< control endpoint
@@ -30,6 +34,7 @@
     std::uint64_t randomSeed { 1 };
     std::chrono::milliseconds heartbeat { 1000 };
     std::uint32_t bytesPerSecond { 3000 }; ///< control budget of this node
+    bool handlesEvacuations { false };
 };
 
 /// \brief Membership, gossip, anti-entropy and spread of configuration at an entry.
@@ -93,6 +98,12 @@
     /// \brief Sets the store's generation, which the replies to heartbeats name; it does not fall.
     void setStoreGeneration(std::uint64_t generation) noexcept;
 
+    /// \brief Takes the evacuations read from the store; spreads those that are new at once.
+    void addEvacuations(StoredEvacuations const& stored, TimePoint now);
+
+    /// \brief The evacuations in force if they changed since the last call; never unless they are handled.
+    [[nodiscard]] std::optional<EvacuationChange> takeChangedEvacuations();
+
     /// \brief Spreads that this entry leaves; call before the process ends.
     void leave(TimePoint now);
 
--- a/include/plantaindrift/membership/EvacuationSet.h
+++ b/include/plantaindrift/membership/EvacuationSet.h
@@ -28,4 +28,17 @@
     friend bool operator==(EvacuationSet const&, EvacuationSet const&) = default;
 };
 
+/// \brief How a process learned of evacuations.
+enum class EvacuationSource : std::uint8_t {
+    Store, ///< its own read or watch
+    Peer, ///< a message of an entry or an agent
+    Absence ///< a restored store did not list a data centre again in time
+};
+
+/// \brief The evacuations in force after a change, and where the change came from.
+struct EvacuationChange {
+    EvacuationSet set;
+    EvacuationSource source { EvacuationSource::Store };
+};
+
 } // namespace plantaindrift
--- a/src/membership/AgentControl.cpp
+++ b/src/membership/AgentControl.cpp
@@ -1,6 +1,7 @@
 #include "plantaindrift/membership/AgentControl.h"
 
 #include "configuration/ProtobufConversion.h"
+#include "membership/EvacuationSpread.h"
 #include "membership/Message.h"
 #include "membership/MonitorContacts.h"
 #include "membership/RandomSource.h"
@@ -51,6 +52,7 @@
     RandomSource random;
     MonitorContacts contacts;
     MemberTable table;
+    EvacuationSpread evacuations;
     std::map<std::string, TimePoint, std::less<>> lastNamed;
     ServiceView view;
     std::uint32_t viewHashValue { 0 };
@@ -73,6 +75,7 @@
     , outbox(counts)
     , random(mixHash(given.randomSeed, hashText(given.self.name)))
     , contacts(given.entries, given.heartbeat, random.next())
+    , evacuations(given.handlesEvacuations)
 {
     self.role = MemberRole::Agent;
     if (self.state == MemberState::Draining)
@@ -99,11 +102,12 @@
     sendsService = reply.need_service();
     bool const members = takeMembers(reply, now);
     bool const declaration = takeService(reply);
+    bool const known = evacuations.takeReply(reply, from, outbox, now);
     if (reply.refute_incarnation() >= std::max<std::uint64_t>(self.incarnation, 1))
         raiseIncarnation(reply.refute_incarnation(), now);
     else if (reply.need_record())
         sendHeartbeats({ { from, true, 0 } }, now);
-    return members && declaration;
+    return members && declaration && known;
 }
 
 // The name is that of another member if the address was used before; the sender learns of this one by the heartbeat.
@@ -231,6 +235,7 @@
         heartbeat.set_state(static_cast<control::State>(self.state));
         heartbeat.set_monitors_hash(one.monitorsHash);
         heartbeat.set_service_hash(serviceHashValue);
+        heartbeat.set_evacuations_hash(evacuations.fingerprint());
         if (sendsService && service)
             toProtobuf(*service, *heartbeat.mutable_service());
         if (one.withRecord)
@@ -288,6 +293,7 @@
         state_->storeSelf(now);
     if (!state_->table.expire(now).empty())
         state_->updateView();
+    state_->evacuations.tick(now);
     state_->sendHeartbeats(state_->contacts.takeDue(now), now);
     if (state_->options.sharesLoad)
         state_->shareLoad(now, busyFraction);
@@ -310,6 +316,11 @@
     return state_->service;
 }
 
+std::optional<EvacuationChange> AgentControl::takeChangedEvacuations()
+{
+    return state_->evacuations.takeChange();
+}
+
 std::vector<AgentControl::PeerLoad> AgentControl::takePeerLoads()
 {
     std::vector<PeerLoad> loads;
--- a/src/membership/EntryControl.cpp
+++ b/src/membership/EntryControl.cpp
@@ -5,7 +5,9 @@
 #include "membership/BudgetGovernor.h"
 #include "membership/CatchUp.h"
 #include "membership/ConfigurationSpread.h"
+#include "membership/EvacuationSpread.h"
 #include "membership/Gossip.h"
+#include "membership/MemberComparison.h"
 #include "membership/Message.h"
 #include "membership/NeighbourSelection.h"
 #include "membership/ShardExchange.h"
@@ -44,37 +46,6 @@
 
     constexpr std::chrono::seconds expiryPeriod { 1 };
 
-    [[nodiscard]] bool isLive(Member const& member) noexcept
-    {
-        return member.state < MemberState::Dead;
-    }
-
-    [[nodiscard]] bool canMonitor(Member const& member) noexcept
-    {
-        bool const stays = member.state == MemberState::Active || member.state == MemberState::Suspect;
-        return member.role == MemberRole::Entry && stays && !member.draining;
-    }
-
-    // What a view shows of a record; a suspicion does not show.
-    [[nodiscard]] bool viewsAlike(Member const& first, Member const& second)
-    {
-        bool const gone = isLive(first) == isLive(second) && (isLive(first) || first.state == second.state);
-        bool const flags = first.draining == second.draining && first.weight == second.weight;
-        return gone && flags && first.service == second.service && first.data == second.data && first.dataCentre == second.dataCentre;
-    }
-
-    // True if the records differ in incarnation and state alone.
-    [[nodiscard]] bool isSameMember(std::optional<Member> const& before, Member const& after)
-    {
-        if (!before)
-            return false;
-        Member same = *before;
-        same.incarnation = after.incarnation;
-        same.state = after.state;
-        same.draining = after.draining;
-        return same == after;
-    }
-
     [[nodiscard]] Service const* findService(Configuration const& configuration, std::string_view name)
     {
         std::vector<Service> const& services = configuration.services;
@@ -145,6 +116,7 @@
     void sendHeartbeats(TimePoint now);
     void sendHeartbeat(Endpoint to, bool withRecord);
     void sendGossip(TimePoint now);
+    void spreadEvacuations(TimePoint now);
     void compare(TimePoint now);
     void reconnect();
     [[nodiscard]] Member const* randomDeadAgent();
@@ -183,6 +155,7 @@
     AntiEntropy antiEntropy;
     CatchUp catchUp;
     ConfigurationSpread spread;
+    EvacuationSpread evacuations;
     std::map<Endpoint, Contact> heartbeats;
     std::map<std::string, std::uint32_t, std::less<>> reportedViews; ///< of agents whose view differed
     std::set<std::string> changedServices;
@@ -204,6 +177,7 @@
     , answers(given.bytesPerSecond * answerShare, given.bytesPerSecond * answerShare * std::chrono::duration<double>(answerBurst).count())
     , governor(given.bytesPerSecond)
     , antiEntropy(random.next())
+    , evacuations(given.handlesEvacuations)
 {
     self.role = MemberRole::Entry;
     self.service.clear();
@@ -283,6 +257,7 @@
     reply.set_interval_ms(static_cast<std::uint32_t>(interval.count()));
     reply.set_position(spread.log().position());
     reply.set_store_generation(storeGeneration);
+    evacuations.answer(heartbeat, reply, now);
     addMonitors(heartbeat, reply);
     MemberTable::Record const* const record = table.find(heartbeat.name());
     if (record == nullptr || record->member.incarnation < heartbeat.incarnation()) {
@@ -376,7 +351,7 @@
 bool EntryControl::State::onHeartbeatReply(Endpoint from, control::Envelope const& envelope, TimePoint now)
 {
     control::HeartbeatReply const& reply = envelope.heartbeat_reply();
-    if (reply.refute_incarnation() > maximumIncarnation)
+    if (reply.refute_incarnation() > maximumIncarnation || !evacuations.takeReply(reply, from, outbox, now))
         return false;
     spread.notePosition(reply.position(), from);
     if (reply.refute_incarnation() >= std::max<std::uint64_t>(self.incarnation, 1))
@@ -403,7 +378,7 @@
 
 bool EntryControl::State::onGossip(Endpoint from, control::Envelope const& envelope, TimePoint now)
 {
-    bool valid = true;
+    bool valid = !envelope.gossip().has_evacuations() || evacuations.take(envelope.gossip().evacuations(), now);
     for (control::Member const& message : envelope.gossip().members()) {
         std::optional<MemberTable::Outcome> const outcome = acceptMessage(message, Spread::Yes, now);
         valid = valid && outcome.has_value();
@@ -771,6 +746,7 @@
     heartbeat.set_position(spread.log().position());
     heartbeat.set_state(static_cast<control::State>(self.state));
     heartbeat.set_monitors_hash(monitorsHash(monitorEndpoints(self.name)));
+    heartbeat.set_evacuations_hash(evacuations.fingerprint());
     if (withRecord)
         toProtobuf(self, std::chrono::seconds { 0 }, *heartbeat.mutable_record());
     outbox.send(to, envelope);
@@ -788,6 +764,14 @@
     counts.deferred = gossip.deferred();
 }
 
+void EntryControl::State::spreadEvacuations(TimePoint now)
+{
+    if (!evacuations.takePendingSpread())
+        return;
+    refreshNeighbours();
+    evacuations.send(neighbours.choose(random), outbox, now);
+}
+
 void EntryControl::State::compare(TimePoint now)
 {
     refreshNeighbours();
@@ -962,6 +946,7 @@
     State::Handler const handler = State::handlerOf(*envelope);
     if (!((*state_).*handler)(from, *envelope, now))
         ++state_->counts.malformed;
+    state_->spreadEvacuations(now);
 }
 
 void EntryControl::tick(TimePoint now)
@@ -979,6 +964,8 @@
     state_->fetchChanges(now);
     state_->compare(now);
     state_->sendGossip(now);
+    state_->evacuations.tick(now);
+    state_->spreadEvacuations(now);
 }
 
 std::vector<ControlMessage> EntryControl::takeMessages()
@@ -1056,6 +1043,17 @@
     state_->storeGeneration = std::max(state_->storeGeneration, generation);
 }
 
+void EntryControl::addEvacuations(StoredEvacuations const& stored, TimePoint now)
+{
+    state_->evacuations.takeStored(stored, now);
+    state_->spreadEvacuations(now);
+}
+
+std::optional<EvacuationChange> EntryControl::takeChangedEvacuations()
+{
+    return state_->evacuations.takeChange();
+}
+
 void EntryControl::leave(TimePoint now)
 {
     state_->self.state = MemberState::Left;
--- a/tests/ControlFleet.h
+++ b/tests/ControlFleet.h
@@ -46,6 +46,7 @@
     /// \brief Number of entries given to new nodes as settings: the first ones ever started, or these.
     std::vector<Endpoint> seeds;
     std::uint32_t bytesPerSecond { 3000 };
+    bool handlesEvacuations { false };
 
     EntryControl& addEntry(std::string const& name, std::string const& dataCentre, std::uint64_t incarnation = 1)
     {
@@ -54,6 +55,7 @@
         options.seeds = seeds;
         options.randomSeed = options_.seed;
         options.bytesPerSecond = bytesPerSecond;
+        options.handlesEvacuations = handlesEvacuations;
         Node& node = addNode(name, options.self);
         node.entry = std::make_unique<EntryControl>(options);
         return *node.entry;
@@ -66,6 +68,7 @@
         options.self.service = service;
         options.entries = seeds;
         options.randomSeed = options_.seed;
+        options.handlesEvacuations = handlesEvacuations;
         Node& node = addNode(name, options.self);
         node.agent = std::make_unique<AgentControl>(options);
         return *node.agent;
@@ -82,6 +85,7 @@
             options.seeds = seeds;
             options.randomSeed = options_.seed;
             options.bytesPerSecond = bytesPerSecond;
+            options.handlesEvacuations = handlesEvacuations;
             addNode(options.self.name, options.self).entry = std::make_unique<EntryControl>(options);
         }
     }
