Let the relay daemons take evacuations from store and peers

Cause: neither daemon passes an evacuation to its relay. EvacuationLog logs starts and ends and reports those in force. `[evacuation] enabled` turns both on; the templates set it if the platform has bounds.evacuate-ms. An entry holds callers' segments until its first read has ended, within the time that it waits for the configuration. Ruled out: FleetStoreThread for both kinds, since it waits for the configuration most of the time.

--- a/src/runtime/RelayAgentDaemon.cpp
+++ b/src/runtime/RelayAgentDaemon.cpp
@@ -5,6 +5,7 @@
 #include "plantaindrift/relay/AgentRelay.h"
 #include "runtime/DaemonCore.h"
 #include "runtime/DecisionLog.h"
+#include "runtime/EvacuationLog.h"
 #include "runtime/FleetStoreThread.h"
 
 #include <asio/steady_timer.hpp>
@@ -43,6 +44,7 @@
         options.entries = settings.entries;
         options.sharesLoad = false;
         options.listPeriod = listPeriod;
+        options.handlesEvacuations = settings.handlesEvacuations;
         options.randomSeed = mixHash(hashText(self.name), self.incarnation);
         return options;
     }
@@ -112,6 +114,7 @@
         RelayPlatform const& platform_;
         Member self_;
         DecisionLog decisions_;
+        EvacuationLog evacuationLog_;
         AgentRelay relay_;
         TargetAnnouncementTracker announcements_;
         AgentControl control_;
@@ -203,6 +206,11 @@
 
         void applyControl()
         {
+            std::optional<EvacuationChange> const change = control_.takeChangedEvacuations();
+            if (change) {
+                relay_.setEvacuations(change->set, std::chrono::steady_clock::now());
+                evacuationLog_.record(*change, std::chrono::system_clock::now());
+            }
             std::optional<ServiceView> const view = control_.takeChangedView();
             if (view) {
                 relay_.setView(*view);
@@ -271,6 +279,8 @@
             page.addHistogram("plantaindrift_agent_request_seconds", "Times from a request's last segment to its answer's first, with the wait at the target.", service, relay_.requestTimes());
             if (store_)
                 store_->addMetrics(page);
+            if (settings_.handlesEvacuations)
+                evacuationLog_.addMetrics(page);
             page.addCounter("plantaindrift_agent_announcements_refused_total", "Announcements that could not be read.", {}, static_cast<double>(refusedAnnouncements_));
         }
     };
--- a/src/runtime/RelayEntryDaemon.cpp
+++ b/src/runtime/RelayEntryDaemon.cpp
@@ -5,13 +5,18 @@
 #include "plantaindrift/relay/EntryRelay.h"
 #include "runtime/DaemonCore.h"
 #include "runtime/DecisionLog.h"
+#include "runtime/EvacuationLog.h"
+#include "runtime/EvacuationReader.h"
 #include "runtime/FleetStoreThread.h"
 #include "runtime/MemberReader.h"
 #include "runtime/VerdictLog.h"
 #include "runtime/ViewLog.h"
 
+#include <algorithm>
 #include <asio/steady_timer.hpp>
+#include <memory>
 #include <optional>
+#include <utility>
 
 namespace plantaindrift {
 
@@ -43,6 +48,7 @@
         options.seeds = settings.seeds;
         options.randomSeed = mixHash(hashText(self.name), self.incarnation);
         options.bytesPerSecond = settings.controlBytesPerSecond;
+        options.handlesEvacuations = settings.handlesEvacuations;
         return options;
     }
 
@@ -86,6 +92,7 @@
                     addMembers(members);
                     relay_.recordMemberRead(started);
                 });
+                startEvacuationReader();
             }
             return core_.run();
         }
@@ -122,6 +129,7 @@
         Member self_;
         DecisionLog decisions_;
         ViewLog viewLog_;
+        EvacuationLog evacuationLog_;
         EntryRelay relay_;
         EntryControl control_;
         MessageFilter messages_;
@@ -129,12 +137,14 @@
         asio::steady_timer stopTimer_;
         std::optional<FleetStoreThread> store_;
         std::optional<MemberReader> memberReader_;
+        std::optional<EvacuationReader> evacuationReader_;
         TimePoint started_ { std::chrono::steady_clock::now() };
         std::uint64_t configurationVersion_ { 0 };
         std::uint64_t refusedMessages_ { 0 };
         std::uint64_t discardedConfigurations_ { 0 };
         bool wasReady_ { false };
         bool hasMembers_ { false };
+        bool awaitsEvacuations_ { false }; ///< the first read of the evacuations has not ended
 
         void send(Endpoint to, std::span<std::byte const> datagram) noexcept override { core_.sendData(to, datagram, relayPortIndex); }
 
@@ -174,6 +184,24 @@
             logReadinessChange();
         }
 
+        void startEvacuationReader()
+        {
+            std::unique_ptr<FleetStore> store = platform_.openStore(settings_.common.platformUrl);
+            if (!settings_.handlesEvacuations || !store->holdsEvacuations())
+                return;
+            awaitsEvacuations_ = true;
+            EvacuationReader::Handlers handlers;
+            handlers.evacuations = [this](StoredEvacuations const& stored) {
+                control_.addEvacuations(stored, std::chrono::steady_clock::now());
+                applyControl();
+            };
+            handlers.attempted = [this] {
+                awaitsEvacuations_ = false;
+                logReadinessChange();
+            };
+            evacuationReader_.emplace(core_.loop(), std::move(store), mixHash(hashText(self_.name), self_.incarnation), std::move(handlers));
+        }
+
         void requestMembers()
         {
             if (memberReader_ && relay_.needsMemberRead())
@@ -183,7 +211,7 @@
         void logReadinessChange()
         {
             bool const ready = isReady();
-            if (ready)
+            if (ready && !awaitsEvacuations_)
                 core_.releasePackets();
             if (ready == wasReady_)
                 return;
@@ -206,6 +234,8 @@
         {
             hasMembers_ = true;
             logEvent(LogLevel::Info, "members_read", { { "members", members.size() } });
+            if (evacuationReader_)
+                evacuationReader_->setEntryCount(static_cast<std::size_t>(std::count_if(members.begin(), members.end(), [](Member const& member) { return member.role == MemberRole::Entry; })));
             TimePoint const now = std::chrono::steady_clock::now();
             control_.addMembers(members, now);
             applyControl();
@@ -215,6 +245,7 @@
         // Applies new configuration and views to the packet path and sends the pending control messages.
         void applyControl()
         {
+            applyEvacuations();
             if (control_.configurationVersion() != configurationVersion_)
                 applyConfiguration();
             for (ServiceView const& view : control_.takeChangedViews())
@@ -222,6 +253,15 @@
             core_.sendControl(control_.takeMessages());
         }
 
+        void applyEvacuations()
+        {
+            std::optional<EvacuationChange> const change = control_.takeChangedEvacuations();
+            if (!change)
+                return;
+            relay_.setEvacuations(change->set, std::chrono::steady_clock::now());
+            evacuationLog_.record(*change, std::chrono::system_clock::now());
+        }
+
         void applyConfiguration()
         {
             configurationVersion_ = control_.configurationVersion();
@@ -244,6 +284,8 @@
             logReadinessChange();
             if (store_)
                 store_->requestStop();
+            if (evacuationReader_)
+                evacuationReader_->requestStop();
             stopTimer_.expires_after(settings_.stopDelay);
             stopTimer_.async_wait([this](asio::error_code const& error) {
                 if (!error)
@@ -278,6 +320,10 @@
                 store_->addMetrics(page);
             if (memberReader_)
                 memberReader_->addMetrics(page);
+            if (evacuationReader_)
+                evacuationReader_->addMetrics(page);
+            if (settings_.handlesEvacuations)
+                evacuationLog_.addMetrics(page);
         }
     };
 
--- a/src/runtime/Settings.cpp
+++ b/src/runtime/Settings.cpp
@@ -372,6 +372,7 @@
     bindings.push_back(bindUnsigned("limits.control_bytes_per_second", 500, 1U << 30U, settings.controlBytesPerSecond));
     bindings.push_back(bindUnsigned("limits.remembered_flows", 1024, 1U << 24U, settings.maximumRememberedFlows));
     bindings.push_back(bindDuration("forward_after_stop_ms", 0, 600000, settings.stopDelay));
+    bindings.push_back(bindBoolean("evacuation.enabled", settings.handlesEvacuations));
     absl::Status const status = readSettingsFile(file, settings.common, std::move(bindings));
     if (!status.ok())
         return status;
@@ -389,6 +390,7 @@
     bindings.push_back(bindEndpoint("target.announcements", true, settings.announcements));
     bindings.push_back(bindDuration("target.announcement_interval_ms", 10, 60000, settings.announcementInterval));
     bindings.push_back(bindDuration("quiet_wait_ms", 0, 60000, settings.stopTimeout));
+    bindings.push_back(bindBoolean("evacuation.enabled", settings.handlesEvacuations));
     absl::Status const status = readSettingsFile(file, settings.common, std::move(bindings));
     if (!status.ok())
         return status;
--- a/src/runtime/Settings.h
+++ b/src/runtime/Settings.h
@@ -98,6 +98,7 @@
     std::uint32_t controlBytesPerSecond { 3000 };
     std::uint32_t maximumRememberedFlows { 1U << 17U };
     std::chrono::milliseconds stopDelay { 2500 };
+    bool handlesEvacuations { false };
 };
 
 /// \brief Settings of an agent that relays segments.
@@ -110,6 +111,7 @@
     Endpoint announcements; ///< HTTP endpoint at which the target announces itself
     std::chrono::milliseconds announcementInterval { 1200 }; ///< expected interval between the target's announcements
     std::chrono::milliseconds stopTimeout { 1500 }; ///< at a stop, maximum wait until no request is in progress
+    bool handlesEvacuations { false };
 };
 
 /// \brief Reads and checks the settings of an entry.
--- a/tests/SettingsTests.cpp
+++ b/tests/SettingsTests.cpp
@@ -9,6 +9,7 @@
 #include <cstdlib>
 #include <filesystem>
 #include <fstream>
+#include <iterator>
 #include <string>
 #include <unistd.h>
 #include <vector>
@@ -176,6 +177,77 @@
     BOOST_TEST(message.find(":8:1: ") != std::string::npos);
 }
 
+namespace {
+
+std::string const relayEntryText = entryText + "relay = \"127.0.0.1:6084\"\n";
+std::string const relayAgentText = entryText
+    + "service = \"rota-desk\"\n"
+      "[target]\n"
+      "address = \"127.0.0.1:7001\"\n"
+      "output = \"127.0.0.1:7002\"\n"
+      "announcements = \"127.0.0.1:7003\"\n";
+
+// Text of a template with its placeholders replaced; of its sections, only that of the evacuations has a value, if it is bound.
+std::string render(std::string const& role, bool hasEvacuationBound)
+{
+    std::vector<std::pair<std::string, std::string>> const values {
+        { "node", "node-1" }, { "zone", "north" }, { "service", "desk" }, { "listen.data-addr", "127.0.0.1:1" }, { "ip", "127.0.0.1" }, { "internal-port-range.0", "2" },
+        { "internal-port-range.1", "3" }, { "listen.ready", "127.0.0.1:4" }, { "app", "127.0.0.1:5" }, { "listen.outbound", "127.0.0.1:6" },
+        { "listen.control", "127.0.0.1:7" }, { "heartbeat-ms", "1200" }, { "platform.address", "127.0.0.1:8" }
+    };
+    std::ifstream file(std::string(PLANTAINDRIFT_SOURCE_DIR) + "/deploy/" + role + ".toml.template");
+    std::string text((std::istreambuf_iterator<char>(file)), std::istreambuf_iterator<char>());
+    for (std::size_t open = text.find("{{#"); open != std::string::npos; open = text.find("{{#")) {
+        std::size_t const contents = text.find("}}", open) + 2;
+        std::string const name = text.substr(open + 3, contents - open - 5);
+        std::size_t const close = text.find("{{/" + name + "}}", contents);
+        BOOST_TEST_REQUIRE(close != std::string::npos);
+        bool const hasValue = name == "bounds.evacuate-ms" && hasEvacuationBound;
+        text.replace(open, close + name.size() + 5 - open, hasValue ? text.substr(contents, close - contents) : "");
+    }
+    for (auto const& [name, value] : values) {
+        std::string const placeholder = "{{" + name + "}}";
+        while (text.find(placeholder) != std::string::npos)
+            text = replaced(text, placeholder, value);
+    }
+    return text;
+}
+
+} // namespace
+
+// Guards against the feature being on where nobody asked for it.
+BOOST_AUTO_TEST_CASE(EvacuationsAreHandledOnlyIfEnabled)
+{
+    for (bool const isEnabled : { false, true }) {
+        std::string const section = "[evacuation]\nenabled = " + std::string(isEnabled ? "true" : "false") + '\n';
+        TemporaryFile const entry(relayEntryText + section);
+        TemporaryFile const agent(relayAgentText + section);
+        BOOST_TEST(readRelayEntrySettings(entry.path())->handlesEvacuations == isEnabled);
+        BOOST_TEST(readRelayAgentSettings(agent.path())->handlesEvacuations == isEnabled);
+    }
+    TemporaryFile const entry(relayEntryText);
+    TemporaryFile const agent(relayAgentText);
+    BOOST_TEST(!readRelayEntrySettings(entry.path())->handlesEvacuations);
+    BOOST_TEST(!readRelayAgentSettings(agent.path())->handlesEvacuations);
+    TemporaryFile const wrong(relayEntryText + "[evacuation]\nenabled = 1\n");
+    BOOST_TEST(std::string(readRelayEntrySettings(wrong.path()).status().message()).find("key 'evacuation.enabled' has a wrong value; give true or false") != std::string::npos);
+}
+
+// Guards against templates whose section is not valid, or that enable evacuations without the platform's bound.
+BOOST_AUTO_TEST_CASE(TemplatesEnableEvacuationsWithThePlatformsBound)
+{
+    for (bool const hasBound : { false, true }) {
+        TemporaryFile const entry(render("entry", hasBound));
+        TemporaryFile const agent(render("agent", hasBound));
+        absl::StatusOr<RelayEntrySettings> const entrySettings = readRelayEntrySettings(entry.path());
+        absl::StatusOr<RelayAgentSettings> const agentSettings = readRelayAgentSettings(agent.path());
+        BOOST_TEST_REQUIRE(entrySettings.ok(), entrySettings.status().message());
+        BOOST_TEST_REQUIRE(agentSettings.ok(), agentSettings.status().message());
+        BOOST_TEST(entrySettings->handlesEvacuations == hasBound);
+        BOOST_TEST(agentSettings->handlesEvacuations == hasBound);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(MissingFileIsNamed)
 {
     std::string const message(readEntrySettings("/nonexistent/settings.toml").status().message());
