Keep new flows out of evacuated data centres at entries and agents

Cause: EntryRelay and AgentRelay kept the evacuated set without using it. Ruled out: a refusal by the agents alone (callers would fail while other data centres have room), and the choice of the entries alone (an entry that has not received the set would go on). Change: TargetDirectory leaves targets of evacuated data centres out of the choice, also for retransmitted openings; if all are out, the entry refuses the original with the outcome refused_evacuated. An agent of an evacuated data centre reports that it does not accept flows and forwards openings to candidates and peers outside, else refuses the original. OpeningPolicy decides with the reason evacuated; reasons of agents reach the decision log and counters by action and reason. Entries count the flows that opened in a data centre after its evacuation. An entry marks an opening whose flow it knows (RelayRoute::mayBeOpen): an agent refused a duplicate of the original that another target had been offered, and the reset broke the open flow.

--- a/include/plantaindrift/relay/AgentRelay.h
+++ b/include/plantaindrift/relay/AgentRelay.h
@@ -15,6 +15,7 @@
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <span>
 #include <string>
@@ -49,6 +50,7 @@
 /// \brief Settings of an agent's relay.
 struct AgentRelayOptions {
     std::string targetName;
+    std::string dataCentre; ///< of the target
     Endpoint ownEndpoint; ///< receives segments from entries and other agents
     Endpoint targetEndpoint; ///< receives segments at the local target
     std::string serviceName;
@@ -124,6 +126,14 @@
     /// \brief Number of segments for each outcome since start.
     [[nodiscard]] std::array<std::uint64_t, agentRelayOutcomeCount> const& outcomeCounts() const noexcept;
 
+    /// \brief Number of openings of new flows that arrived while the data centre of the target was evacuated, since start.
+    [[nodiscard]] std::uint64_t evacuatedOpeningCount() const noexcept;
+
+    using OpeningCountVisitor = std::function<void(std::string_view action, std::string_view reason, std::uint64_t count)>;
+
+    /// \brief Visits the numbers of decisions about opening segments since start.
+    void visitOpeningCounts(OpeningCountVisitor const& visit) const;
+
     /// \brief Times from a request's last segment to the first segment of its answer, since start.
     [[nodiscard]] LatencyHistogram const& requestTimes() const noexcept;
 
--- a/include/plantaindrift/relay/EntryRelay.h
+++ b/include/plantaindrift/relay/EntryRelay.h
@@ -34,10 +34,12 @@
     DroppedMalformed,
     DroppedNoRoute,
     DroppedNoTarget,
-    DroppedStaleOpening ///< request to open a flow that waited while this process stood still
+    DroppedStaleOpening, ///< request to open a flow that waited while this process stood still
+    RefusedEvacuated, ///< all data centres with targets of the service are evacuated
+    DroppedEvacuated ///< as RefusedEvacuated, but an earlier copy may have opened the flow
 };
 
-inline constexpr std::size_t entryRelayOutcomeCount = 11;
+inline constexpr std::size_t entryRelayOutcomeCount = 13;
 
 /// \brief Lower-case name of an outcome, as in logs and metrics.
 [[nodiscard]] std::string_view entryRelayOutcomeName(EntryRelayOutcome outcome) noexcept;
@@ -116,6 +118,10 @@
 
     [[nodiscard]] std::size_t flowCount() const noexcept;
 
+    /// \brief Number of flows that this entry offered elsewhere and that reached a target of an evacuated data centre, since
+    /// start.
+    [[nodiscard]] std::uint64_t evacuatedFlowCount() const noexcept;
+
     /// \brief Number of messages that searches sent to agents since start.
     [[nodiscard]] std::uint64_t searchMessageCount() const noexcept;
 
--- a/include/plantaindrift/relay/RelayMessage.h
+++ b/include/plantaindrift/relay/RelayMessage.h
@@ -67,6 +67,7 @@
     std::uint8_t hops { 0 }; ///< number of times that agents forwarded the packet to another agent
     RelaySearchMode searchMode { RelaySearchMode::Start };
     std::uint16_t latencyLimitTenthMs { 0 }; ///< expected time above which no target admits the new flow, in 0.1 ms; 0 for no limit
+    bool mayBeOpen { false }; ///< an earlier copy of the opening segment may have opened the flow, so that no agent refuses this one
     std::uint8_t candidateCount { 0 };
     std::array<RelayCandidate, maximumRelayCandidates> candidates {}; ///< agents that have not received the packet yet
 
--- a/include/plantaindrift/relay/RelayObserver.h
+++ b/include/plantaindrift/relay/RelayObserver.h
@@ -13,6 +13,7 @@
 /// \brief A relay's decision about a segment, with its inputs.
 struct RelayDecision {
     std::string_view outcome;
+    std::string_view reason; ///< why; empty if the outcome says it
     RelayFlow flow;
     std::uint32_t openAttempt { 0 }; ///< number of the caller's attempt to open the flow; 0 for the first attempt and for later segments
     Endpoint destination; ///< receiver of the segment; unset if the segment was dropped
--- a/src/balancing/OpeningPolicy.cpp
+++ b/src/balancing/OpeningPolicy.cpp
@@ -3,6 +3,7 @@
 #include "balancing/TargetCost.h"
 
 #include <algorithm>
+#include <array>
 #include <optional>
 
 namespace plantaindrift {
@@ -13,6 +14,16 @@
     constexpr double minimumForwardGainShare = 0.5;
     constexpr double minimumForwardGainTenthMs = 30;
 
+    constexpr std::array<std::string_view, openingReasonCount> reasonNames { "known_flow", "has_room", "cheaper_candidate", "not_accepting", "over_limit", "evacuated", "target_full" };
+
+    constexpr std::array<std::string_view, openingActionCount> actionNames { "admit", "forward_candidate", "forward_peer", "refuse", "drop" };
+
+    // Why the target takes no new flows; only for a target that takes none.
+    OpeningReason closedReason(OpeningInputs const& inputs) noexcept
+    {
+        return inputs.isEvacuated ? OpeningReason::Evacuated : OpeningReason::NotAccepting;
+    }
+
     // The candidate to which the segment is to be forwarded; empty if the local target is not worse by a margin.
     std::optional<std::size_t> findCheaperCandidate(OpeningInputs const& inputs) noexcept
     {
@@ -20,7 +31,7 @@
             return std::nullopt;
         auto const cheapest = std::min_element(inputs.candidates.begin(), inputs.candidates.end(), [](RelayCandidate const& left, RelayCandidate const& right) { return left.costTenthMs < right.costTenthMs; });
         std::size_t const index = static_cast<std::size_t>(cheapest - inputs.candidates.begin());
-        if (!inputs.load.isAccepting)
+        if (!inputs.load.isAccepting || inputs.isEvacuated)
             return index;
         double const own = targetCost(inputs.load, 0);
         double const service = std::max<double>(inputs.load.serviceTimeTenthMs, minimumForwardGainTenthMs);
@@ -30,22 +41,36 @@
 
 } // namespace
 
+std::string_view openingReasonName(OpeningReason reason) noexcept
+{
+    return reasonNames[static_cast<std::size_t>(reason)];
+}
+
+std::string_view openingActionName(OpeningAction action) noexcept
+{
+    return actionNames[static_cast<std::size_t>(action)];
+}
+
 OpeningDecision OpeningPolicy::decide(OpeningInputs const& inputs) noexcept
 {
     if (inputs.isKnownFlow)
         return { OpeningAction::Admit, OpeningReason::KnownFlow };
+    bool const isOpen = inputs.load.isAccepting && !inputs.isEvacuated;
     if (std::optional<std::size_t> const cheaper = findCheaperCandidate(inputs))
-        return { OpeningAction::ForwardToCandidate, inputs.load.isAccepting ? OpeningReason::CheaperCandidate : OpeningReason::NotAccepting, *cheaper };
+        return { OpeningAction::ForwardToCandidate, isOpen ? OpeningReason::CheaperCandidate : closedReason(inputs), *cheaper };
+    // The load of a target that is idle because of the evacuation says nothing about the others.
+    if (inputs.isEvacuated)
+        return { OpeningAction::ForwardToPeer, OpeningReason::Evacuated };
     bool const isOverLimit = !isWithinLimit(inputs.load, inputs.latencyLimitTenthMs, inputs.copy);
     if (inputs.copy == 0)
         lateShare_.record(isOverLimit);
     // A retransmission is not refused, because an earlier copy may have opened the flow. A dropped original is followed by
     // retransmissions.
-    if (isOverLimit && (inputs.copy != 0 || !lateShare_.isRetryUseful()))
+    if (isOverLimit && (inputs.mayBeOpen || !lateShare_.isRetryUseful()))
         return { OpeningAction::Drop, OpeningReason::OverLimit };
     if (isOverLimit)
         return { OpeningAction::Refuse, OpeningReason::OverLimit };
-    if (inputs.load.isAccepting)
+    if (isOpen)
         return { OpeningAction::Admit, OpeningReason::HasRoom };
     return { OpeningAction::ForwardToPeer, OpeningReason::NotAccepting };
 }
--- a/src/balancing/OpeningPolicy.h
+++ b/src/balancing/OpeningPolicy.h
@@ -3,9 +3,11 @@
 #include "balancing/AdmissionLimit.h"
 #include "plantaindrift/relay/RelayMessage.h"
 
+#include <array>
 #include <cstddef>
 #include <cstdint>
 #include <span>
+#include <string_view>
 
 namespace plantaindrift {
 
@@ -21,21 +23,36 @@
     Drop ///< the caller retransmits the segment
 };
 
+inline constexpr std::size_t openingActionCount = 5;
+
 /// \brief Why an agent decided so.
 enum class OpeningReason : std::uint8_t {
     KnownFlow, ///< the target has been offered the flow before
     HasRoom, ///< the expected time is within the latency limit
     CheaperCandidate, ///< another target is expected to answer sooner by a margin
     NotAccepting, ///< the local target takes no new flows
-    OverLimit ///< the expected time exceeds the latency limit
+    OverLimit, ///< the expected time exceeds the latency limit
+    Evacuated, ///< the data centre of the local target is evacuated
+    TargetFull ///< the local target returned the segment
 };
 
-inline constexpr std::size_t openingReasonCount = 5;
+inline constexpr std::size_t openingReasonCount = 7;
+
+/// \brief Lower-case name of a reason, as in logs and metrics.
+[[nodiscard]] std::string_view openingReasonName(OpeningReason reason) noexcept;
+
+/// \brief Lower-case name of an action, as in metrics.
+[[nodiscard]] std::string_view openingActionName(OpeningAction action) noexcept;
+
+/// \brief Number of decisions about opening segments, by action and reason.
+using OpeningCounts = std::array<std::array<std::uint64_t, openingReasonCount>, openingActionCount>;
 
 /// \brief What the decision about an opening segment depends on.
 struct OpeningInputs {
     TargetLoad load; ///< of the local target
     bool isKnownFlow { false }; ///< the target was offered the flow before and has not ended it
+    bool isEvacuated { false }; ///< the data centre of the target is evacuated
+    bool mayBeOpen { false }; ///< an earlier copy may have opened the flow, which a reset would break
     std::uint16_t latencyLimitTenthMs { 0 }; ///< in 0.1 ms; 0 for no limit
     std::uint32_t copy { 0 }; ///< number of the retransmission, 0 for the original
     std::uint8_t hops { 0 }; ///< number of times that agents forwarded the segment
@@ -51,7 +68,7 @@
 
 /// \brief Decides at an agent what becomes of opening segments.
 ///
-/// Answers surges in which entries that know the same old load reports choose the same targets, and overload in which no
+/// Keeps new flows out of an evacuated data centre whose entries have not all received the evacuation. Answers surges in which entries that know the same old load reports choose the same targets, and overload in which no
 /// target can answer in time.
 class OpeningPolicy {
 public:
--- a/src/relay/AgentOpenings.cpp
+++ b/src/relay/AgentOpenings.cpp
@@ -15,17 +15,37 @@
 
 } // namespace
 
-PacketVerdict AgentRelay::State::processOpening(SegmentContext& context) noexcept
+OpeningDecision AgentRelay::State::decideOpening(SegmentContext& context) noexcept
 {
     TargetFlow const* const known = flows.find(context.hash);
+    bool const isHeld = known != nullptr && !known->isOver();
+    removeEvacuatedCandidates(context.route);
     OpeningInputs inputs;
     inputs.load = load();
-    inputs.isKnownFlow = known != nullptr && !known->isOver();
+    inputs.isEvacuated = isEvacuated;
+    // What the target was only offered before its data centre was evacuated opens elsewhere.
+    inputs.isKnownFlow = isHeld && (!isEvacuated || known->isEstablished);
     inputs.latencyLimitTenthMs = context.route.latencyLimitTenthMs;
     inputs.copy = context.segment.acknowledgement;
+    // The network may duplicate the original that the target was offered.
+    context.mayBeOpen = inputs.copy != 0 || isHeld || context.route.mayBeOpen;
+    inputs.mayBeOpen = context.mayBeOpen;
     inputs.hops = context.route.hops;
     inputs.candidates = context.route.usedCandidates();
     OpeningDecision const decision = openingPolicy.decide(inputs);
+    countOpening(context, decision);
+    return decision;
+}
+
+void AgentRelay::State::countOpening(SegmentContext& context, OpeningDecision const& decision) noexcept
+{
+    context.openingReason = decision.reason;
+    ++openingCounts[static_cast<std::size_t>(decision.action)][static_cast<std::size_t>(decision.reason)];
+}
+
+PacketVerdict AgentRelay::State::processOpening(SegmentContext& context) noexcept
+{
+    OpeningDecision const decision = decideOpening(context);
     switch (decision.action) {
     case OpeningAction::Admit:
         return admit(context);
@@ -41,6 +61,23 @@
     return drop(context, AgentRelayOutcome::DroppedOverLimit);
 }
 
+void AgentRelay::State::markEvacuatedPeers() noexcept
+{
+    for (Peer& peer : peers)
+        peer.isEvacuated = evacuations.contains(peer.dataCentre);
+}
+
+void AgentRelay::State::removeEvacuatedCandidates(RelayRoute& route) const noexcept
+{
+    if (evacuations.dataCentres.empty())
+        return;
+    auto const isExcluded = [this](RelayCandidate const& candidate) {
+        return std::any_of(peers.begin(), peers.end(), [&candidate](Peer const& peer) { return peer.agent == candidate.agent && peer.isEvacuated && !peer.dead; });
+    };
+    auto const end = std::remove_if(route.candidates.begin(), route.candidates.begin() + route.candidateCount, isExcluded);
+    route.candidateCount = static_cast<std::uint8_t>(end - route.candidates.begin());
+}
+
 PacketVerdict AgentRelay::State::forwardOpening(SegmentContext& context, RelayCandidate& candidate) noexcept
 {
     Endpoint const to = candidate.agent;
@@ -58,7 +95,7 @@
     std::uint64_t best = 0;
     for (Peer const& peer : peers) {
         std::uint64_t const score = rankScore(peer.nameHash, context.hash + context.route.hops);
-        if (!peer.draining && !peer.dead && (chosen == nullptr || score > best)) {
+        if (!peer.draining && !peer.dead && !peer.isEvacuated && (chosen == nullptr || score > best)) {
             chosen = &peer;
             best = score;
         }
@@ -73,7 +110,8 @@
 {
     // An earlier copy may have opened the flow at another target, and a reset would break it. A target that is
     // still starting may admit a retransmission.
-    if (context.segment.acknowledgement != 0 || !target.isAnnounced)
+    bool const mayAdmitLater = !target.isAnnounced && !isEvacuated;
+    if (context.mayBeOpen || mayAdmitLater)
         return drop(context, AgentRelayOutcome::DroppedUnknownFlow);
     return resetCaller(context, AgentRelayOutcome::Refused);
 }
--- a/src/relay/AgentRelay.cpp
+++ b/src/relay/AgentRelay.cpp
@@ -52,7 +52,7 @@
 bool AgentRelay::State::isAccepting() const noexcept
 {
     bool const isAdmissionPaused = currentTime < admissionPausedUntil || (!target.isAnnounced && hasReturnedOpening);
-    return target.isAccepting && !isStopping && !isAdmissionPaused && flows.size() < target.maximumConnections;
+    return target.isAccepting && !isEvacuated && !isStopping && !isAdmissionPaused && flows.size() < target.maximumConnections;
 }
 
 bool AgentRelay::State::isTargetUnresponsive(TimePoint now) const noexcept
@@ -96,6 +96,8 @@
     decision.hops = context.route.hops;
     decision.load = load();
     decision.costTenthMs = targetCost(decision.load, 0);
+    if (context.segment.isOpenRequest())
+        decision.reason = openingReasonName(context.openingReason);
     observer.onDecision(decision);
 }
 
@@ -171,15 +173,18 @@
     std::vector<State::Peer> peers;
     for (ViewTarget const& target : view.targets) {
         if (target.name != state_->options.targetName)
-            peers.push_back({ hashText(target.name), target.data, target.draining, target.dead });
+            peers.push_back({ hashText(target.name), target.data, target.dataCentre, target.draining, target.dead, false });
     }
     state_->peers = std::move(peers);
+    state_->markEvacuatedPeers();
 }
 
 void AgentRelay::setEvacuations(EvacuationSet const& evacuations, TimePoint now)
 {
     state_->currentTime = now;
     state_->evacuations = evacuations;
+    state_->isEvacuated = evacuations.contains(state_->options.dataCentre);
+    state_->markEvacuatedPeers();
 }
 
 void AgentRelay::setTargetState(TargetState const& target, TimePoint now)
@@ -278,6 +283,22 @@
     return state_->outcomes;
 }
 
+std::uint64_t AgentRelay::evacuatedOpeningCount() const noexcept
+{
+    std::uint64_t count = 0;
+    for (std::array<std::uint64_t, openingReasonCount> const& counts : state_->openingCounts)
+        count += counts[static_cast<std::size_t>(OpeningReason::Evacuated)];
+    return count;
+}
+
+void AgentRelay::visitOpeningCounts(OpeningCountVisitor const& visit) const
+{
+    for (std::size_t action = 0; action < openingActionCount; ++action) {
+        for (std::size_t reason = 0; reason < openingReasonCount; ++reason)
+            visit(openingActionName(static_cast<OpeningAction>(action)), openingReasonName(static_cast<OpeningReason>(reason)), state_->openingCounts[action][reason]);
+    }
+}
+
 LatencyHistogram const& AgentRelay::requestTimes() const noexcept
 {
     return state_->flows.requests().times();
--- a/src/relay/AgentRelayState.h
+++ b/src/relay/AgentRelayState.h
@@ -12,6 +12,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <span>
+#include <string>
 #include <vector>
 
 namespace plantaindrift {
@@ -24,8 +25,10 @@
     struct Peer {
         std::uint64_t nameHash { 0 };
         Endpoint agent;
+        std::string dataCentre;
         bool draining { false };
         bool dead { false };
+        bool isEvacuated { false }; ///< its data centre takes no new flows
     };
 
     /// A segment being processed.
@@ -37,6 +40,8 @@
         RelayRoute route;
         TimePoint now;
         std::uint32_t nowSeconds { 0 };
+        OpeningReason openingReason { OpeningReason::HasRoom }; ///< of an opening segment, once decided
+        bool mayBeOpen { false }; ///< an earlier copy of an opening segment may have opened the flow
     };
 
     State(AgentRelayOptions const& given, SegmentCodec const& segmentCodec, RelaySender& messageSender, RelayObserver& decisionObserver, TimePoint now);
@@ -62,6 +67,8 @@
     LoadSubscribers subscribers;
     std::vector<Peer> peers; ///< all other targets of the service
     EvacuationSet evacuations;
+    bool isEvacuated { false }; ///< the own data centre takes no new flows
+    OpeningCounts openingCounts {};
     TimePoint lastSweep;
     std::array<std::uint64_t, agentRelayOutcomeCount> outcomes {};
     std::array<std::byte, maximumRelayHeaderBytes + 64> header {};
@@ -91,6 +98,12 @@
     // ---- first segments ----
 
     PacketVerdict processOpening(SegmentContext& context) noexcept;
+    /// Decides what becomes of an opening segment, and counts the decision.
+    [[nodiscard]] OpeningDecision decideOpening(SegmentContext& context) noexcept;
+    void countOpening(SegmentContext& context, OpeningDecision const& decision) noexcept;
+    void markEvacuatedPeers() noexcept;
+    /// Removes the agents of evacuated data centres from the candidates of an opening segment.
+    void removeEvacuatedCandidates(RelayRoute& route) const noexcept;
     PacketVerdict forwardOpening(SegmentContext& context, RelayCandidate& candidate) noexcept;
     PacketVerdict forwardToAnyPeer(SegmentContext& context) noexcept;
     PacketVerdict refuse(SegmentContext const& context) noexcept;
--- a/src/relay/AgentSegments.cpp
+++ b/src/relay/AgentSegments.cpp
@@ -208,11 +208,13 @@
         if (record != nullptr && !record->isEstablished)
             flows.erase(*record);
         pauseAdmission(context);
+        removeEvacuatedCandidates(context.route);
+        context.mayBeOpen = context.segment.acknowledgement != 0 || context.route.mayBeOpen;
         if (delivery != nullptr && context.now - delivery->delivered >= openingLifetime(context.segment.acknowledgement))
             return drop(context, AgentRelayOutcome::DroppedStaleOpening);
-        if (context.route.candidateCount > 0 && context.route.hops < maximumOpeningForwards)
-            return forwardOpening(context, context.route.candidates.front());
-        return forwardToAnyPeer(context);
+        bool const hasCandidate = context.route.candidateCount > 0 && context.route.hops < maximumOpeningForwards;
+        countOpening(context, { hasCandidate ? OpeningAction::ForwardToCandidate : OpeningAction::ForwardToPeer, OpeningReason::TargetFull });
+        return hasCandidate ? forwardOpening(context, context.route.candidates.front()) : forwardToAnyPeer(context);
     }
     if (record != nullptr && record->isEstablished)
         return handleLostFlow(*record, context);
--- a/src/relay/EntryRelay.cpp
+++ b/src/relay/EntryRelay.cpp
@@ -20,7 +20,8 @@
 
     constexpr std::array<std::string_view, entryRelayOutcomeCount> outcomeNames {
         "first_forwarded", "copy_forwarded", "owner_forwarded", "search_forwarded", "refused_no_route",
-        "refused_no_target", "reset_lost", "dropped_malformed", "dropped_no_route", "dropped_no_target", "dropped_stale"
+        "refused_no_target", "reset_lost", "dropped_malformed", "dropped_no_route", "dropped_no_target", "dropped_stale",
+        "refused_evacuated", "dropped_evacuated"
     };
 
     // A caller keeps a flow open for at most 60 s without a packet.
@@ -94,7 +95,8 @@
     OwnerSearches searches;
     HashTable<FlowRecord> flows;
     AddressRoutes routes;
-    EvacuationSet evacuations;
+    TimePoint evacuationChanged; ///< when the evacuated data centres last changed
+    std::uint64_t evacuatedFlows { 0 }; ///< new flows that reached an evacuated data centre
     std::array<std::uint64_t, entryRelayOutcomeCount> outcomes {};
     std::array<std::byte, maximumRelayHeaderBytes> header {};
     std::array<std::byte, 64> resetBuffer {};
@@ -183,8 +185,11 @@
         RelayRoute route;
         route.serviceHash = service->hash;
         route.latencyLimitTenthMs = routes.latencyLimit(context.segment.destination, context.now);
+        route.mayBeOpen = context.segment.acknowledgement != 0 || record != nullptr;
         std::array<Endpoint, 2> const asked { record != nullptr ? record->owner : Endpoint {}, record != nullptr ? record->previousOwner : Endpoint {} };
         directory.chooseTargets(*service, asked, context.now, route);
+        if (route.candidateCount == 0 && TargetDirectory::isWhollyEvacuated(*service))
+            return refuse(context, EntryRelayOutcome::RefusedEvacuated, EntryRelayOutcome::DroppedEvacuated);
         if (route.candidateCount == 0)
             return service->targets.empty() ? drop(context, EntryRelayOutcome::DroppedNoTarget) : refuse(context, EntryRelayOutcome::RefusedNoTarget, EntryRelayOutcome::DroppedNoTarget);
         bool const isCopy = record != nullptr;
@@ -317,6 +322,7 @@
         FlowRecord* const record = insertFlow(hash, flow, now);
         if (record == nullptr)
             return;
+        countEvacuated(*record, from);
         if (record->owner.isSet() && record->owner != from) {
             record->previousOwner = record->owner;
             notifyOwnerReport("owner_changed", flow, from);
@@ -329,6 +335,14 @@
         record->isConfirmed = record->isInUse || !record->previousOwner.isSet();
     }
 
+    /// Counts a flow that opened after the evacuation of its target's data centre.
+    void countEvacuated(FlowRecord const& record, Endpoint agent) noexcept
+    {
+        DirectoryTarget const* const target = directory.findTarget(agent);
+        bool const isNew = !record.isInUse && record.opened > evacuationChanged;
+        evacuatedFlows += target != nullptr && target->isEvacuated && isNew ? 1 : 0;
+    }
+
     /// \returns false if the message is not meant for an entry
     bool processDecodedMessage(Endpoint from, DecodedRelayMessage const& decoded, TimePoint now, std::uint32_t nowSeconds)
     {
@@ -443,9 +457,10 @@
     state_->searches.renumberTargets(state_->directory.findOrAddService(view.service), newIndices);
 }
 
-void EntryRelay::setEvacuations(EvacuationSet const& evacuations, TimePoint /*now*/)
+void EntryRelay::setEvacuations(EvacuationSet const& evacuations, TimePoint now)
 {
-    state_->evacuations = evacuations;
+    state_->directory.setEvacuations(evacuations);
+    state_->evacuationChanged = now;
 }
 
 void EntryRelay::setViewsComplete(bool complete) noexcept
@@ -522,6 +537,11 @@
     return state_->flows.size();
 }
 
+std::uint64_t EntryRelay::evacuatedFlowCount() const noexcept
+{
+    return state_->evacuatedFlows;
+}
+
 std::uint64_t EntryRelay::searchMessageCount() const noexcept
 {
     return state_->searches.messageCount();
--- a/src/relay/RelayMessage.cpp
+++ b/src/relay/RelayMessage.cpp
@@ -62,8 +62,13 @@
         wire::big_uint8_buf_t hops;
         wire::big_uint8_buf_t search;
         wire::big_uint16_buf_t limitTenths;
+        wire::big_uint8_buf_t flags;
     };
-    static_assert(sizeof(RouteFields) == 18);
+    static_assert(sizeof(RouteFields) == 19);
+
+    // Bits of RouteFields::flags.
+    constexpr std::uint8_t mayBeOpenFlag = 1;
+    constexpr std::uint8_t knownRouteFlags = mayBeOpenFlag;
 
     struct CandidateField {
         EndpointField agent;
@@ -230,6 +235,9 @@
             return false;
         decoded.route.searchMode = static_cast<RelaySearchMode>(fields.search.value());
         decoded.route.latencyLimitTenthMs = fields.limitTenths.value();
+        if ((fields.flags.value() & ~knownRouteFlags) != 0)
+            return false;
+        decoded.route.mayBeOpen = (fields.flags.value() & mayBeOpenFlag) != 0;
         decoded.route.candidateCount = static_cast<std::uint8_t>(count);
         for (std::size_t index = 0; index < count; ++index) {
             CandidateField candidate;
@@ -393,6 +401,7 @@
     fields.hops = route.hops;
     fields.search = static_cast<std::uint8_t>(route.searchMode);
     fields.limitTenths = route.latencyLimitTenthMs;
+    fields.flags = static_cast<std::uint8_t>(route.mayBeOpen ? mayBeOpenFlag : 0U);
     writer.add(fields);
     for (RelayCandidate const& candidate : route.usedCandidates()) {
         CandidateField field;
--- a/src/relay/TargetDirectory.cpp
+++ b/src/relay/TargetDirectory.cpp
@@ -93,6 +93,8 @@
         target.name = seen.name;
         target.nameHash = hashText(seen.name);
         target.agent = seen.data;
+        target.dataCentre = seen.dataCentre;
+        target.isEvacuated = evacuations_.contains(seen.dataCentre);
         target.local = seen.dataCentre == dataCentre_;
         target.draining = seen.draining;
         target.deadSince = seen.dead && !target.dead ? now : target.deadSince;
@@ -108,6 +110,27 @@
     return newIndices;
 }
 
+void TargetDirectory::setEvacuations(EvacuationSet const& evacuations)
+{
+    evacuations_ = evacuations;
+    for (std::pair<std::string const, TargetGroup>& group : groups_) {
+        for (DirectoryTarget& target : group.second.targets)
+            target.isEvacuated = evacuations_.contains(target.dataCentre);
+    }
+}
+
+bool TargetDirectory::isWhollyEvacuated(TargetGroup const& group) noexcept
+{
+    bool isAnyRunning = false;
+    for (DirectoryTarget const& target : group.targets) {
+        bool const isRunning = !target.draining && !target.isGone() && !(target.hasReported && target.load.hasEnded);
+        if (isRunning && !target.isEvacuated)
+            return false;
+        isAnyRunning = isAnyRunning || isRunning;
+    }
+    return isAnyRunning;
+}
+
 void TargetDirectory::assignAgents(TargetGroup& group, std::span<DirectoryTarget const> former)
 {
     for (DirectoryTarget const& target : former) {
@@ -287,7 +310,7 @@
     for (std::size_t index = 0; index < all && sampled < sampleSize; ++index) {
         std::swap(group.order[index], group.order[index + random_.below(all - index)]);
         DirectoryTarget const& target = group.targets[group.order[index]];
-        bool const isCandidate = !target.draining && !target.isGone() && (!target.hasReported || target.load.isAccepting);
+        bool const isCandidate = !target.isEvacuated && !target.draining && !target.isGone() && (!target.hasReported || target.load.isAccepting);
         if (isCandidate)
             std::swap(group.order[sampled++], group.order[index]);
     }
--- a/src/relay/TargetDirectory.h
+++ b/src/relay/TargetDirectory.h
@@ -2,6 +2,7 @@
 
 #include "balancing/TargetChoice.h"
 #include "membership/RandomSource.h"
+#include "plantaindrift/membership/EvacuationSet.h"
 #include "plantaindrift/membership/ServiceView.h"
 #include "plantaindrift/relay/RelayMessage.h"
 
@@ -26,6 +27,8 @@
     std::string name;
     std::uint64_t nameHash { 0 };
     Endpoint agent;
+    std::string dataCentre;
+    bool isEvacuated { false }; ///< its data centre takes no new flows
     bool local { false }; ///< in the entry's data centre
     bool draining { false };
     bool dead { false }; ///< taken for dead by the monitors; see isGone()
@@ -74,6 +77,12 @@
     /// \returns new index of each target of the old list, or removedTarget
     std::vector<std::uint32_t> setView(ServiceView const& view, TimePoint now);
 
+    /// \brief Replaces the data centres whose targets are left out of the choice for new flows.
+    void setEvacuations(EvacuationSet const& evacuations);
+
+    /// \brief True if targets of the service would take new flows, but for the evacuation of their data centres.
+    [[nodiscard]] static bool isWhollyEvacuated(TargetGroup const& group) noexcept;
+
     /// \brief The service of an agent; null if the agent is unknown.
     [[nodiscard]] TargetGroup* findServiceOf(Endpoint agent) noexcept;
 
@@ -120,6 +129,7 @@
 
 private:
     std::string dataCentre_;
+    EvacuationSet evacuations_;
     RandomSource random_;
     std::map<std::string, TargetGroup, std::less<>> groups_;
     absl::flat_hash_map<std::uint64_t, TargetGroup*> agentGroups_; ///< by agent endpoint
--- a/src/runtime/RelayAgentDaemon.cpp
+++ b/src/runtime/RelayAgentDaemon.cpp
@@ -51,6 +51,7 @@
     {
         AgentRelayOptions options;
         options.targetName = self.name;
+        options.dataCentre = self.dataCentre;
         options.ownEndpoint = self.data;
         options.targetEndpoint = settings.target;
         options.serviceName = settings.service;
@@ -262,6 +263,10 @@
                 std::string const name(agentRelayOutcomeName(static_cast<AgentRelayOutcome>(outcome)));
                 page.addCounter("plantaindrift_agent_segments_total", "Segments by outcome.", { { "service", self_.service }, { "outcome", name } }, static_cast<double>(relay_.outcomeCounts()[outcome]));
             }
+            relay_.visitOpeningCounts([&page, this](std::string_view action, std::string_view reason, std::uint64_t count) {
+                page.addCounter("plantaindrift_agent_openings_total", "Opening segments by what became of them and why.", { { "service", self_.service }, { "action", std::string(action) }, { "reason", std::string(reason) } }, static_cast<double>(count));
+            });
+            page.addCounter("plantaindrift_evacuated_openings_total", "Openings of new flows that reached an evacuated data centre.", service, static_cast<double>(relay_.evacuatedOpeningCount()));
             TargetLoad const load = relay_.load();
             page.addGauge("plantaindrift_agent_open_flows", "Flows in the flow table.", service, load.openFlows);
             page.addGauge("plantaindrift_agent_busy", "Requests in progress or queued at the target.", service, load.activeRequests);
--- a/tests/RelayScene.h
+++ b/tests/RelayScene.h
@@ -128,6 +128,7 @@
 
 struct Agent {
     std::string name;
+    std::string dataCentre { "north" };
     Endpoint data;
     Endpoint targetEndpoint;
     std::unique_ptr<SceneSender> sender;
@@ -234,6 +235,7 @@
         Agent& agent = *agents[index];
         AgentRelayOptions options;
         options.targetName = agent.name;
+        options.dataCentre = agent.dataCentre;
         options.ownEndpoint = agent.data;
         options.targetEndpoint = agent.targetEndpoint;
         options.serviceName = "desk";
@@ -257,7 +259,7 @@
         for (std::unique_ptr<Agent> const& agent : agents) {
             ViewTarget target;
             target.name = agent->name;
-            target.dataCentre = "north";
+            target.dataCentre = agent->dataCentre;
             target.data = agent->data;
             view_.targets.push_back(target);
         }
