Let a narrow entry leave the rotation while others have room

Cause: the fabric gives each entry of a data centre the same share. A link of 10 Mbit/s fills in a surge, segments wait in it, and retransmissions after 200 ms multiply the load. No component knew the link of an entry or counted what it carries. Change: [limits] link_mbps, cpu_share, descriptors and memory_mb in the settings of the entry. LinkBudget counts bytes with IP and UDP headers, models the outbound queue and measures the excess round trip of openings; ProcessorBudget relates processor time to the share. RotationRule decides by the utilisation and by statuses of the other entries (relay message EntryStatus, 500 ms to two entries, and to all at the beginning of an overload, a departure and a return). /readyz answers 503 while out; owners of new flows are sent to agents at once then, because these flows move to other entries. Ruled out: deciding by statuses alone (up to 3 s old, too optimistic at the beginning of a surge): other entries count with at least what this one receives. A departure that moves more traffic to overloaded links than it relieves is held back.

--- a/include/plantaindrift/relay/EntryRelay.h
+++ b/include/plantaindrift/relay/EntryRelay.h
@@ -7,6 +7,7 @@
 #include "plantaindrift/membership/ServiceView.h"
 #include "plantaindrift/packet/Encapsulation.h"
 #include "plantaindrift/packet/PacketVerdict.h"
+#include "plantaindrift/relay/EntryResources.h"
 #include "plantaindrift/relay/RelayMessage.h"
 #include "plantaindrift/relay/RelayObserver.h"
 #include "plantaindrift/relay/RelaySender.h"
@@ -19,6 +20,7 @@
 #include <span>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace plantaindrift {
 
@@ -50,6 +52,8 @@
     std::uint64_t randomSeed { 1 };
     std::size_t maximumFlows { 1U << 17U }; ///< maximum number of flows whose owner is remembered
     std::uint16_t callerPort { 0 }; ///< UDP port at which callers receive segments
+    std::string name; ///< of the entry; identifies it to the entries of its data centre
+    EntryResources resources; ///< limits of the instance
 };
 
 /// \brief Chooses a target for each new flow by expected time, and sends segments of known flows to the owner.
@@ -108,6 +112,21 @@
     /// and discards idle flows.
     void tick(TimePoint now, std::uint32_t nowSeconds);
 
+    /// \brief Replaces the other running entries of the own data centre.
+    void setEntryPeers(std::vector<EntryPeer> peers);
+
+    /// \brief Records the use of the processor; called before each tick.
+    ///
+    /// \param used  processor time of the process since its start
+    /// \param lateness  time by which the periodic timer was late
+    void recordProcess(Duration used, Duration lateness, TimePoint now) noexcept;
+
+    /// \brief True if the fabric should send new flows to the other entries of the data centre. Segments that arrive are
+    /// still forwarded.
+    [[nodiscard]] bool shouldLeaveRotation() const noexcept;
+
+    [[nodiscard]] EntryResourceReport resourceReport(TimePoint now) const noexcept;
+
     /// \brief True if there is a route and a target whose load report was received and that is not dead.
     [[nodiscard]] bool canServe() const noexcept;
 
--- a/include/plantaindrift/relay/RelayMessage.h
+++ b/include/plantaindrift/relay/RelayMessage.h
@@ -22,7 +22,8 @@
     FlowNotFound = 6, ///< agent to entry: the sender's target does not hold this flow
     SearchRequest = 7, ///< entry to agent: a segment of an unknown flow, and the agents to forward it to
     FlowQuery = 8, ///< entry to agent: which of these flows may the target hold?
-    FlowQueryReply = 9 ///< agent to entry: the flows of a query that the target may hold
+    FlowQueryReply = 9, ///< agent to entry: the flows of a query that the target may hold
+    EntryStatus = 10 ///< entry to entry: load of the entries of a data centre
 };
 
 /// \brief What an agent does with a packet of a flow that it does not know.
@@ -89,6 +90,22 @@
     friend constexpr bool operator==(OwnedFlow const&, OwnedFlow const&) noexcept = default;
 };
 
+/// \brief Load of an entry, as the entries of a data centre share it.
+struct EntryLoad {
+    std::uint32_t nameHash { 0 }; ///< identifies the entry
+    double linkBytesPerSecond { 0 }; ///< rate of its link; sent in units of 10 kbit/s
+    double offeredBytesPerSecond { 0 }; ///< what it carries in the direction that is used more; sent in units of 1,000 bytes
+    double utilisation { 0 }; ///< larger one of link and processor, 0 to 2.55; sent in units of 0.01
+    bool isInRotation { true };
+    std::chrono::milliseconds age { 0 }; ///< since it was measured; sent in units of 20 ms
+};
+
+/// \brief A status that is older does not count.
+inline constexpr std::chrono::milliseconds maximumEntryStatusAge { 3000 };
+
+/// \brief Maximum number of statuses in one EntryStatus message.
+inline constexpr std::size_t maximumEntryStatuses = 16;
+
 /// \brief Hash of a relayed flow; the same in every process.
 [[nodiscard]] std::uint64_t hashRelayFlow(RelayFlow const& flow) noexcept;
 
@@ -122,6 +139,10 @@
     std::uint32_t queryNumber { 0 }; ///< FlowQuery, FlowQueryReply: number that the entry gave to the query
     std::span<std::byte const> queriedFlowBytes; ///< FlowQuery: encoded flow hashes; points into the datagram
     std::span<std::byte const> possibleFlowBytes; ///< FlowQueryReply: indices into the query's flows; points into the datagram
+    std::span<std::byte const> entryStatusBytes; ///< EntryStatus: encoded statuses; points into the datagram
+
+    /// \brief Statuses that an EntryStatus message contains; the first is the sender's.
+    [[nodiscard]] std::vector<EntryLoad> entryStatuses() const;
 
     /// \brief Number of flows in a FlowOwners message.
     [[nodiscard]] std::size_t flowOwnerCount() const noexcept;
@@ -181,6 +202,10 @@
 /// \param output  at least maximumRelayMessageBytes
 [[nodiscard]] std::size_t writeRelayFlowQueryReply(ServiceHash service, std::uint32_t number, std::span<std::uint8_t const> possible, RelaySigningContext const& seal, std::span<std::byte> output) noexcept;
 
+/// \param statuses  at most maximumEntryStatuses, the sender's first
+/// \param output  at least maximumRelayMessageBytes
+[[nodiscard]] std::size_t writeRelayEntryStatus(std::span<EntryLoad const> statuses, RelaySigningContext const& seal, std::span<std::byte> output) noexcept;
+
 /// \brief Decodes and authenticates a relay datagram.
 ///
 /// \param datagram    the whole UDP payload
--- /dev/null
+++ b/src/balancing/LinkBudget.cpp
@@ -0,0 +1,132 @@
+#include "balancing/LinkBudget.h"
+
+#include <algorithm>
+
+namespace plantaindrift {
+
+namespace {
+
+    constexpr double bytesPerMegabit = 125'000;
+
+    // With fewer round trips, one slow target could pass for a full link.
+    constexpr std::uint32_t minimumRoundTrips = 5;
+
+    // Half of the time after which callers retransmit. A longer delay leads to copies that fill the link further.
+    constexpr std::chrono::milliseconds fullLinkDelay { 100 };
+
+    constexpr std::chrono::milliseconds heldBackLateness { 50 };
+    constexpr double heldBackUse = 0.5;
+
+    double toSeconds(Duration time) noexcept
+    {
+        return std::chrono::duration<double>(time).count();
+    }
+
+} // namespace
+
+LinkBudget::LinkBudget(double megabitsPerSecond) noexcept
+    : bytesPerSecond_(megabitsPerSecond * bytesPerMegabit)
+{
+}
+
+void LinkBudget::recordSent(std::size_t bytes, TimePoint now) noexcept
+{
+    std::size_t const linkBytes = bytes + datagramHeaderBytes;
+    current_.sent += linkBytes;
+    if (bytesPerSecond_ <= 0)
+        return;
+    queuedBytes_ = toSeconds(modelledQueue(now)) * bytesPerSecond_ + static_cast<double>(linkBytes);
+    lastSent_ = std::max(lastSent_, now);
+}
+
+void LinkBudget::recordRoundTrip(Duration time) noexcept
+{
+    smallestRoundTrip_ = std::min(smallestRoundTrip_, time);
+    current_.smallestRoundTrip = std::min(current_.smallestRoundTrip, time);
+    ++current_.roundTrips;
+}
+
+void LinkBudget::tick(TimePoint now) noexcept
+{
+    // The length of the first period is not known.
+    if (lastTick_ != TimePoint {})
+        current_.length = now - lastTick_;
+    lastTick_ = now;
+    receivedBytes_ += current_.received;
+    sentBytes_ += current_.sent;
+    periods_[nextPeriod_] = current_;
+    nextPeriod_ = (nextPeriod_ + 1) % periods_.size();
+    current_ = {};
+}
+
+double LinkBudget::offeredBytesPerSecond() const noexcept
+{
+    std::uint64_t received = 0;
+    std::uint64_t sent = 0;
+    Duration length {};
+    for (Period const& period : periods_) {
+        if (period.length <= Duration::zero())
+            continue;
+        received += period.received;
+        sent += period.sent;
+        length += period.length;
+    }
+    return length > Duration::zero() ? static_cast<double>(std::max(received, sent)) / toSeconds(length) : 0;
+}
+
+double LinkBudget::utilisation() const noexcept
+{
+    if (bytesPerSecond_ <= 0)
+        return 0;
+    double const share = std::min(1.0, offeredBytesPerSecond() / bytesPerSecond_);
+    return measuredDelay() >= fullLinkDelay ? 1 : share;
+}
+
+Duration LinkBudget::modelledQueue(TimePoint now) const noexcept
+{
+    if (bytesPerSecond_ <= 0)
+        return {};
+    double const drained = toSeconds(std::max(Duration::zero(), now - lastSent_)) * bytesPerSecond_;
+    double const left = std::max(0.0, queuedBytes_ - drained);
+    return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(left / bytesPerSecond_));
+}
+
+Duration LinkBudget::measuredDelay() const noexcept
+{
+    Duration smallest = Duration::max();
+    std::uint32_t roundTrips = 0;
+    for (Period const& period : periods_) {
+        smallest = std::min(smallest, period.smallestRoundTrip);
+        roundTrips += period.roundTrips;
+    }
+    return roundTrips >= minimumRoundTrips ? smallest - smallestRoundTrip_ : Duration::zero();
+}
+
+ProcessorBudget::ProcessorBudget(double share) noexcept
+    : share_(share)
+{
+}
+
+void ProcessorBudget::tick(Duration used, Duration lateness, TimePoint now) noexcept
+{
+    if (share_ <= 0)
+        return;
+    if (count_ == samples_.size())
+        std::rotate(samples_.begin(), samples_.begin() + 1, samples_.end());
+    else
+        ++count_;
+    Sample& newest = samples_[count_ - 1];
+    newest = { used, lateness, now };
+    Sample const& oldest = samples_.front();
+    if (newest.time <= oldest.time)
+        return;
+    utilisation_ = toSeconds(newest.used - oldest.used) / (toSeconds(newest.time - oldest.time) * share_);
+    Duration totalLateness {};
+    for (std::size_t index = 1; index < count_; ++index)
+        totalLateness += samples_[index].lateness;
+    bool const isHeldBack = totalLateness >= heldBackLateness * static_cast<int>(count_ - 1) && utilisation_ > heldBackUse;
+    if (isHeldBack)
+        utilisation_ = std::max(utilisation_, 1.0);
+}
+
+} // namespace plantaindrift
--- a/src/relay/EntryRelay.cpp
+++ b/src/relay/EntryRelay.cpp
@@ -3,14 +3,16 @@
 #include "balancing/TargetCost.h"
 #include "plantaindrift/base/Hash.h"
 #include "relay/AddressRoutes.h"
+#include "relay/CountingSender.h"
+#include "relay/EntryResourceControl.h"
 #include "relay/HashTable.h"
+#include "relay/OwnerBatches.h"
 #include "relay/OwnerSearches.h"
 #include "relay/RelayTimes.h"
 #include "relay/TargetDirectory.h"
 
 #include <algorithm>
 #include <chrono>
-#include <map>
 #include <utility>
 #include <vector>
 
@@ -47,6 +49,7 @@
         bool used { false };
         bool isConfirmed { false }; ///< the owner sent a notice, and no other target may have answered the opening segment
         bool isUnlisted { false }; ///< the owner sent its last notice while the view of the service lacked it
+        bool isTimed { false }; ///< the first copy of the opening segment was forwarded, and no notice has answered it
         bool isInUse { false }; ///< the caller has sent later segments, so that one of the answers is acknowledged
         Endpoint owner;
         Endpoint previousOwner; ///< previous target, which was offered an earlier copy of the opening segment
@@ -70,11 +73,13 @@
         : options(given)
         , codec(segmentCodec)
         , sender(messageSender)
+        , resources(given.resources, entryNameHash(given.name), given.randomSeed, sender)
         , observer(decisionObserver)
         , directory(given.dataCentre, given.randomSeed)
-        , searches(given.ownEndpoint, static_cast<std::uint32_t>(mixHash(given.randomSeed, querySeed)), directory, messageSender, decisionObserver)
+        , searches(given.ownEndpoint, static_cast<std::uint32_t>(mixHash(given.randomSeed, querySeed)), directory, sender, decisionObserver)
         , flows(given.maximumFlows)
     {
+        sender.setLink(resources.link());
     }
 
     /// A segment being processed.
@@ -88,7 +93,8 @@
 
     EntryRelayOptions options;
     SegmentCodec const& codec;
-    RelaySender& sender;
+    CountingSender sender;
+    EntryResourceControl resources;
     RelayObserver& observer;
     TargetDirectory directory;
     OwnerSearches searches;
@@ -100,6 +106,9 @@
     std::array<std::byte, 64> resetBuffer {};
     TimePoint lastSweep;
 
+    /// Each call from outside starts with this.
+    void beginTurn(TimePoint now) noexcept { sender.setTime(now); }
+
     PacketVerdict countOutcome(EntryRelayOutcome outcome) noexcept
     {
         ++outcomes[static_cast<std::size_t>(outcome)];
@@ -192,6 +201,7 @@
         if (!isCopy)
             record = insertFlow(context.hash, { context.segment.source, context.segment.destination }, context.now);
         if (record != nullptr) {
+            record->isTimed = !isCopy && context.segment.acknowledgement == 0;
             if (isCopy && record->owner != chosen)
                 record->previousOwner = record->owner;
             record->owner = chosen;
@@ -308,6 +318,19 @@
         sender.send({ context.segment.source.address, options.callerPort }, std::span<std::byte const>(resetBuffer).first(codec.headerBytes()));
     }
 
+    PacketVerdict processCallerDatagram(std::span<std::byte const> datagram, TimePoint now, std::uint32_t nowSeconds, Duration maximumWait) noexcept
+    {
+        std::optional<Segment> const segment = codec.decode(datagram);
+        if (!segment || segment->isReturned)
+            return countOutcome(EntryRelayOutcome::DroppedMalformed);
+        SegmentContext const context { datagram, *segment, hashRelayFlow({ segment->source, segment->destination }), now, nowSeconds };
+        if (!segment->isOpenRequest())
+            return processLater(context);
+        if (maximumWait >= openingLifetime(segment->acknowledgement))
+            return drop(context, EntryRelayOutcome::DroppedStaleOpening);
+        return processOpening(context);
+    }
+
     // ---- messages of agents ----
 
     void recordOwner(Endpoint from, RelayFlow const& flow, TimePoint now)
@@ -317,6 +340,8 @@
         FlowRecord* const record = insertFlow(hash, flow, now);
         if (record == nullptr)
             return;
+        if (std::exchange(record->isTimed, false))
+            resources.link().recordRoundTrip(now - record->opened);
         if (record->owner.isSet() && record->owner != from) {
             record->previousOwner = record->owner;
             notifyOwnerReport("owner_changed", flow, from);
@@ -345,6 +370,9 @@
         case RelayMessageKind::LoadReport:
             directory.recordLoad(from, decoded.load, now, decoded.serviceHash);
             return true;
+        case RelayMessageKind::EntryStatus:
+            resources.recordStatuses(decoded, now);
+            return true;
         default:
             return false;
         }
@@ -363,21 +391,18 @@
     /// Sends owners of flows to agents, so that another entry finds an owner at once.
     void sendFlowOwners(TimePoint now, std::uint32_t nowSeconds)
     {
-        Batches batches;
+        OwnerBatches batches;
+        // The flows of an entry that leaves the rotation move to other entries within a second, also the newest ones.
+        Duration const minimumAge = resources.shouldLeaveRotation() ? Duration::zero() : Duration(minimumSharedFlowAge);
         flows.visitNextPart(ownerShareTicks, [&](FlowRecord& record) {
-            bool const isShared = record.isConfirmed && now - record.opened >= minimumSharedFlowAge && now - record.last < ownerShareInterval;
+            bool const isShared = record.isConfirmed && now - record.opened >= minimumAge && now - record.last < ownerShareInterval;
             if (isShared)
                 addFlowOwners(record, now, batches);
         });
-        for (Batches::value_type const& batch : batches)
-            sendBatch(batch.first, batch.second, nowSeconds);
+        batches.send(sender, { options.keys, nowSeconds });
     }
 
-    /// An agent, and the service for which it holds owner records. The directory may know its address by another service.
-    using OwnerHolder = std::pair<Endpoint, ServiceHash>;
-    using Batches = std::map<OwnerHolder, std::vector<OwnedFlow>>; ///< by receiving agent
-
-    void addFlowOwners(FlowRecord& record, TimePoint now, Batches& batches)
+    void addFlowOwners(FlowRecord& record, TimePoint now, OwnerBatches& batches)
     {
         TargetGroup const* const group = directory.findServiceOf(record.owner);
         if (group == nullptr)
@@ -400,18 +425,7 @@
         record.ownerSent = now;
         for (std::pair<std::uint64_t, Endpoint> const& holder : holders) {
             if (holder.second.isSet())
-                batches[{ holder.second, group->hash }].push_back({ record.flow, record.owner });
-        }
-    }
-
-    void sendBatch(OwnerHolder const& to, std::span<OwnedFlow const> owned, std::uint32_t nowSeconds)
-    {
-        std::array<std::byte, maximumRelayMessageBytes> message;
-        while (!owned.empty()) {
-            std::size_t const named = std::min(owned.size(), maximumFlowOwners);
-            std::size_t const bytes = writeRelayFlowOwners(to.second, owned.first(named), { options.keys, nowSeconds }, message);
-            sender.send(to.first, std::span<std::byte const>(message).first(bytes));
-            owned = owned.subspan(named);
+                batches.add(holder.second, group->hash, { record.flow, record.owner });
         }
     }
 
@@ -475,19 +489,19 @@
 
 PacketVerdict EntryRelay::processCallerDatagram(std::span<std::byte const> datagram, TimePoint now, std::uint32_t nowSeconds, Duration maximumWait) noexcept
 {
-    std::optional<Segment> const segment = state_->codec.decode(datagram);
-    if (!segment || segment->isReturned)
-        return state_->countOutcome(EntryRelayOutcome::DroppedMalformed);
-    State::SegmentContext const context { datagram, *segment, hashRelayFlow({ segment->source, segment->destination }), now, nowSeconds };
-    if (!segment->isOpenRequest())
-        return state_->processLater(context);
-    if (maximumWait >= openingLifetime(segment->acknowledgement))
-        return state_->drop(context, EntryRelayOutcome::DroppedStaleOpening);
-    return state_->processOpening(context);
+    state_->beginTurn(now);
+    LinkBudget& link = state_->resources.link();
+    link.recordReceived(datagram.size());
+    PacketVerdict const verdict = state_->processCallerDatagram(datagram, now, nowSeconds, maximumWait);
+    if (verdict.to.isSet())
+        link.recordSent(verdict.header.size() + verdict.payload.size(), now);
+    return verdict;
 }
 
 bool EntryRelay::processAgentMessage(Endpoint from, std::span<std::byte const> datagram, TimePoint now, std::uint32_t nowSeconds) noexcept
 {
+    state_->beginTurn(now);
+    state_->resources.link().recordReceived(datagram.size());
     DecodedRelayMessage const decoded = decodeRelayMessage(datagram, state_->options.keys, nowSeconds);
     if (decoded.error != DatagramError::None)
         return false;
@@ -499,6 +513,8 @@
 
 void EntryRelay::tick(TimePoint now, std::uint32_t nowSeconds)
 {
+    state_->beginTurn(now);
+    state_->resources.tick(canServe(), now, { state_->options.keys, nowSeconds });
     state_->directory.tick(now);
     state_->subscribe(now, nowSeconds);
     state_->searches.tick(now, { state_->options.keys, nowSeconds });
@@ -507,6 +523,26 @@
     state_->sweep(now);
 }
 
+void EntryRelay::setEntryPeers(std::vector<EntryPeer> peers)
+{
+    state_->resources.setPeers(std::move(peers));
+}
+
+void EntryRelay::recordProcess(Duration used, Duration lateness, TimePoint now) noexcept
+{
+    state_->resources.recordProcess(used, lateness, now);
+}
+
+bool EntryRelay::shouldLeaveRotation() const noexcept
+{
+    return state_->resources.shouldLeaveRotation();
+}
+
+EntryResourceReport EntryRelay::resourceReport(TimePoint now) const noexcept
+{
+    return state_->resources.report(now);
+}
+
 bool EntryRelay::canServe() const noexcept
 {
     return !state_->routes.empty() && state_->directory.hasLiveTarget();
--- /dev/null
+++ b/src/relay/EntryResourceControl.cpp
@@ -0,0 +1,124 @@
+#include "relay/EntryResourceControl.h"
+
+#include "plantaindrift/base/Hash.h"
+
+#include <algorithm>
+#include <array>
+#include <chrono>
+
+namespace plantaindrift {
+
+namespace {
+
+    constexpr std::chrono::milliseconds gossipInterval { 500 };
+    constexpr std::size_t gossipReceivers = 2;
+
+    // Minimum interval between messages to all entries about an overload that begins: the utilisation may fluctuate
+    // around the limit.
+    constexpr std::chrono::seconds overloadNoticeInterval { 1 };
+
+} // namespace
+
+EntryResourceControl::EntryResourceControl(EntryResources const& resources, std::uint32_t nameHash, std::uint64_t randomSeed, RelaySender& sender)
+    : isActive_(resources.hasLimit())
+    , nameHash_(nameHash)
+    , randomSeed_(randomSeed)
+    , sender_(sender)
+    , link_(resources.linkMbps)
+    , processor_(resources.processorShare)
+    , rule_(mixHash(randomSeed, nameHash))
+{
+}
+
+void EntryResourceControl::recordProcess(Duration used, Duration lateness, TimePoint now) noexcept
+{
+    processor_.tick(used, lateness, now);
+}
+
+void EntryResourceControl::recordStatuses(DecodedRelayMessage const& message, TimePoint now)
+{
+    for (EntryLoad const& status : message.entryStatuses())
+        statuses_.record(status, now);
+}
+
+void EntryResourceControl::tick(bool canServe, TimePoint now, RelaySigningContext const& signing)
+{
+    link_.tick(now);
+    if (!isActive_)
+        return;
+    canServe_ = canServe;
+    bool const wasInRotation = rule_.decision().isInRotation;
+    bool const wasOverloaded = rule_.isOverloaded();
+    std::vector<EntryLoad> const others = statuses_.recent(now);
+    rule_.tick({ ownStatus(), others, statuses_.peers().size() + 1 }, now);
+    // Entries that become overloaded at the same time must know of each other before they may leave.
+    bool const isOverloadNew = rule_.isOverloaded() && !wasOverloaded && now - sentToAll_ >= overloadNoticeInterval;
+    if (rule_.decision().isInRotation != wasInRotation || isOverloadNew) {
+        sentToAll_ = now;
+        sendToAll(signing);
+    }
+    if (now - gossiped_ >= gossipInterval) {
+        gossiped_ = now;
+        sendStatuses(now, signing);
+    }
+}
+
+double EntryResourceControl::utilisation() const noexcept
+{
+    return std::max(link_.utilisation(), processor_.utilisation());
+}
+
+EntryLoad EntryResourceControl::ownStatus() const noexcept
+{
+    EntryLoad status;
+    status.nameHash = nameHash_;
+    status.linkBytesPerSecond = link_.bytesPerSecond();
+    status.offeredBytesPerSecond = link_.offeredBytesPerSecond();
+    status.utilisation = utilisation();
+    status.isInRotation = canServe_ && rule_.decision().isInRotation;
+    return status;
+}
+
+void EntryResourceControl::sendToAll(RelaySigningContext const& signing)
+{
+    std::array<std::byte, maximumRelayMessageBytes> message;
+    std::array<EntryLoad, 1> const own { ownStatus() };
+    std::size_t const bytes = writeRelayEntryStatus(own, signing, message);
+    for (EntryPeer const& peer : statuses_.peers())
+        sender_.send(peer.relay, std::span<std::byte const>(message).first(bytes));
+}
+
+void EntryResourceControl::sendStatuses(TimePoint now, RelaySigningContext const& signing)
+{
+    std::span<EntryPeer const> const peers = statuses_.peers();
+    if (peers.empty())
+        return;
+    std::vector<EntryLoad> statuses { ownStatus() };
+    for (EntryLoad const& status : statuses_.recent(now)) {
+        if (statuses.size() < maximumEntryStatuses)
+            statuses.push_back(status);
+    }
+    std::array<std::byte, maximumRelayMessageBytes> message;
+    std::size_t const bytes = writeRelayEntryStatus(statuses, signing, message);
+    std::size_t const first = mixHash(randomSeed_, ++gossipCount_) % peers.size();
+    std::size_t const receivers = std::min(gossipReceivers, peers.size());
+    // A random distance between the receivers, so that every pair of them occurs.
+    std::size_t const distance = peers.size() > 1 ? 1 + mixHash(gossipCount_, randomSeed_) % (peers.size() - 1) : 1;
+    for (std::size_t receiver = 0; receiver < receivers; ++receiver)
+        sender_.send(peers[(first + receiver * distance) % peers.size()].relay, std::span<std::byte const>(message).first(bytes));
+}
+
+EntryResourceReport EntryResourceControl::report(TimePoint now) const noexcept
+{
+    EntryResourceReport report;
+    report.receivedBytes = link_.receivedBytes();
+    report.sentBytes = link_.sentBytes();
+    report.linkUtilisation = link_.utilisation();
+    report.processorUtilisation = processor_.utilisation();
+    report.modelledQueue = link_.modelledQueue(now);
+    report.measuredDelay = link_.measuredDelay();
+    report.rotation = rule_.decision();
+    return report;
+}
+
+} // namespace plantaindrift
--- /dev/null
+++ b/src/relay/EntryResourceControl.h
@@ -0,0 +1,70 @@
+#pragma once
+
+#include "balancing/EntryStatuses.h"
+#include "balancing/LinkBudget.h"
+#include "balancing/RotationRule.h"
+#include "plantaindrift/relay/EntryResources.h"
+#include "plantaindrift/relay/RelayMessage.h"
+#include "plantaindrift/relay/RelaySender.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <span>
+#include <vector>
+
+namespace plantaindrift {
+
+/// \brief Measures the load of an entry, shares it with the entries of its data centre and applies the rotation rule.
+///
+/// Without declared limits, it only counts bytes.
+class EntryResourceControl {
+public:
+    /// \param nameHash  of this entry
+    /// \param sender  sends statuses to other entries
+    EntryResourceControl(EntryResources const& resources, std::uint32_t nameHash, std::uint64_t randomSeed, RelaySender& sender);
+
+    /// \brief True if a limit is declared.
+    [[nodiscard]] bool isActive() const noexcept { return isActive_; }
+
+    [[nodiscard]] LinkBudget& link() noexcept { return link_; }
+
+    /// \brief Replaces the other running entries of the data centre.
+    void setPeers(std::vector<EntryPeer> peers) { statuses_.setPeers(std::move(peers)); }
+
+    /// \brief Records processor time since the start of the process and the lateness of the periodic timer.
+    void recordProcess(Duration used, Duration lateness, TimePoint now) noexcept;
+
+    void recordStatuses(DecodedRelayMessage const& message, TimePoint now);
+
+    /// \brief Periodic work, every 100 ms.
+    ///
+    /// \param canServe  false keeps the entry out of rotation for another reason
+    void tick(bool canServe, TimePoint now, RelaySigningContext const& signing);
+
+    [[nodiscard]] bool shouldLeaveRotation() const noexcept { return !rule_.decision().isInRotation; }
+
+    [[nodiscard]] EntryResourceReport report(TimePoint now) const noexcept;
+
+private:
+    /// \brief Larger utilisation of link and processor; mean of 300 ms.
+    [[nodiscard]] double utilisation() const noexcept;
+
+    [[nodiscard]] EntryLoad ownStatus() const noexcept;
+    void sendStatuses(TimePoint now, RelaySigningContext const& signing);
+    void sendToAll(RelaySigningContext const& signing);
+
+    bool isActive_;
+    std::uint32_t nameHash_;
+    std::uint64_t randomSeed_;
+    RelaySender& sender_;
+    LinkBudget link_;
+    ProcessorBudget processor_;
+    EntryStatuses statuses_;
+    RotationRule rule_;
+    bool canServe_ { false };
+    TimePoint gossiped_;
+    TimePoint sentToAll_;
+    std::uint64_t gossipCount_ { 0 };
+};
+
+} // namespace plantaindrift
--- a/src/relay/RelayMessage.cpp
+++ b/src/relay/RelayMessage.cpp
@@ -56,6 +56,27 @@
     constexpr std::uint8_t withdrawnFlag = 8;
     constexpr std::uint8_t assumedFlag = 16;
 
+    struct EntryStatusField {
+        wire::big_uint32_buf_t name;
+        wire::big_uint24_buf_t link;
+        wire::big_uint24_buf_t offered;
+        wire::big_uint8_buf_t utilisation;
+        wire::big_uint8_buf_t flags;
+        wire::big_uint8_buf_t age;
+    };
+    static_assert(sizeof(EntryStatusField) == 13);
+
+    // Units of EntryStatusField, in bytes a second.
+    constexpr double linkUnit = 1'250;
+    constexpr double offeredUnit = 1'000;
+    constexpr double utilisationUnit = 0.01;
+    constexpr std::chrono::milliseconds ageUnit { 20 };
+    constexpr double maximumUint24 = 0xFFFFFF;
+    constexpr double maximumUint8 = 0xFF;
+
+    // Bits of EntryStatusField::flags.
+    constexpr std::uint8_t inRotationFlag = 1;
+
     struct RouteFields {
         wire::big_uint64_buf_t service;
         EndpointField entry;
@@ -120,6 +141,35 @@
         return load;
     }
 
+    std::uint32_t toUnits(double value, double unit, double maximum) noexcept
+    {
+        return static_cast<std::uint32_t>(std::clamp(value / unit + 0.5, 0.0, maximum));
+    }
+
+    EntryStatusField toField(EntryLoad const& status) noexcept
+    {
+        EntryStatusField field;
+        field.name = status.nameHash;
+        field.link = toUnits(status.linkBytesPerSecond, linkUnit, maximumUint24);
+        field.offered = toUnits(status.offeredBytesPerSecond, offeredUnit, maximumUint24);
+        field.utilisation = static_cast<std::uint8_t>(toUnits(status.utilisation, utilisationUnit, maximumUint8));
+        field.flags = status.isInRotation ? inRotationFlag : std::uint8_t { 0 };
+        field.age = static_cast<std::uint8_t>(std::clamp<std::int64_t>((status.age + ageUnit / 2) / ageUnit, 0, 0xFF));
+        return field;
+    }
+
+    EntryLoad fromField(EntryStatusField const& field) noexcept
+    {
+        EntryLoad status;
+        status.nameHash = field.name.value();
+        status.linkBytesPerSecond = field.link.value() * linkUnit;
+        status.offeredBytesPerSecond = field.offered.value() * offeredUnit;
+        status.utilisation = field.utilisation.value() * utilisationUnit;
+        status.isInRotation = (field.flags.value() & inRotationFlag) != 0;
+        status.age = field.age.value() * ageUnit;
+        return status;
+    }
+
     /// A relayed segment, whose header may differ from the one in the received datagram.
     struct SegmentParts {
         std::span<std::byte const> header;
@@ -326,8 +376,13 @@
         return count <= maximumQueriedFlows && readQueryHeader(reader, decoded) && reader.readBytes(count, decoded.possibleFlowBytes);
     }
 
+    bool readEntryStatus(Reader& reader, std::size_t count, DecodedRelayMessage& decoded) noexcept
+    {
+        return count > 0 && count <= maximumEntryStatuses && reader.readBytes(count * sizeof(EntryStatusField), decoded.entryStatusBytes);
+    }
+
     using BodyReader = bool (*)(Reader&, std::size_t, DecodedRelayMessage&) noexcept;
-    constexpr std::array<BodyReader, 10> bodyReaders { nullptr, readPacket, readOwnerNotice, readLoadReport, readLoadSubscription, readFlowOwners, readFlowNotFound, readSearchRequest, readFlowQuery, readFlowQueryReply };
+    constexpr std::array<BodyReader, 11> bodyReaders { nullptr, readPacket, readOwnerNotice, readLoadReport, readLoadSubscription, readFlowOwners, readFlowNotFound, readSearchRequest, readFlowQuery, readFlowQueryReply, readEntryStatus };
 
     DecodedRelayMessage decodingError(DatagramError error) noexcept
     {
@@ -365,6 +420,14 @@
     return agents;
 }
 
+std::vector<EntryLoad> DecodedRelayMessage::entryStatuses() const
+{
+    std::vector<EntryLoad> statuses(entryStatusBytes.size() / sizeof(EntryStatusField));
+    for (std::size_t index = 0; index < statuses.size(); ++index)
+        statuses[index] = fromField(wire::read<EntryStatusField>(entryStatusBytes.subspan(index * sizeof(EntryStatusField))));
+    return statuses;
+}
+
 std::vector<std::uint64_t> DecodedRelayMessage::queriedFlows() const
 {
     std::vector<std::uint64_t> flows(queriedFlowBytes.size() / sizeof(wire::big_uint64_buf_t));
@@ -479,6 +542,15 @@
     return writer.finish({});
 }
 
+std::size_t writeRelayEntryStatus(std::span<EntryLoad const> statuses, RelaySigningContext const& seal, std::span<std::byte> output) noexcept
+{
+    std::span<EntryLoad const> const listed = statuses.first(std::min(statuses.size(), maximumEntryStatuses));
+    Writer writer(RelayMessageKind::EntryStatus, listed.size(), seal, output);
+    for (EntryLoad const& status : listed)
+        writer.add(toField(status));
+    return writer.finish({});
+}
+
 DecodedRelayMessage decodeRelayMessage(std::span<std::byte const> datagram, KeyRing const& keys, std::uint32_t nowSeconds) noexcept
 {
     Reader reader(datagram);
--- a/src/runtime/RelayEntryDaemon.cpp
+++ b/src/runtime/RelayEntryDaemon.cpp
@@ -5,6 +5,7 @@
 #include "plantaindrift/relay/EntryRelay.h"
 #include "runtime/DaemonCore.h"
 #include "runtime/DecisionLog.h"
+#include "runtime/EntryResourcePage.h"
 #include "runtime/FleetStoreThread.h"
 #include "runtime/MemberReader.h"
 #include "runtime/VerdictLog.h"
@@ -24,6 +25,9 @@
     // retransmits after 200 ms.
     constexpr std::chrono::milliseconds maximumHoldTime { 500 };
 
+    // Listing all members takes noticeable time on a small share of a core.
+    constexpr std::chrono::seconds peerUpdateInterval { 1 };
+
     Member entryMember(RelayEntrySettings const& settings)
     {
         Member self;
@@ -53,8 +57,10 @@
         options.dataCentre = self.dataCentre;
         options.keys = keys;
         options.randomSeed = mixHash(hashText(self.name), self.incarnation);
-        options.maximumFlows = settings.maximumRememberedFlows;
+        options.maximumFlows = limitRememberedFlows(settings.maximumRememberedFlows, settings.resources);
         options.callerPort = settings.common.data.port;
+        options.name = settings.common.name;
+        options.resources = settings.resources;
         return options;
     }
 
@@ -74,6 +80,8 @@
 
         absl::Status run()
         {
+            if (settings_.resources.hasLimit())
+                logResources(self_.name, settings_.resources, limitRememberedFlows(settings_.maximumRememberedFlows, settings_.resources));
             if (!settings_.common.platformUrl.empty()) {
                 FleetStoreThread::Handlers handlers;
                 handlers.configuration = [this](VersionedConfiguration const& found) { addConfiguration(found); };
@@ -133,7 +141,10 @@
         std::uint64_t configurationVersion_ { 0 };
         std::uint64_t refusedMessages_ { 0 };
         std::uint64_t discardedConfigurations_ { 0 };
+        ProcessUse processUse_;
+        TimePoint peersUpdated_;
         bool wasReady_ { false };
+        bool wasOutOfRotation_ { false };
         bool hasMembers_ { false };
 
         void send(Endpoint to, std::span<std::byte const> datagram) noexcept override { core_.sendData(to, datagram, relayPortIndex); }
@@ -153,7 +164,7 @@
             return handlers;
         }
 
-        [[nodiscard]] bool isReady() const { return !core_.isStopping() && relay_.canServe(); }
+        [[nodiscard]] bool isReady() const { return !core_.isStopping() && relay_.canServe() && !relay_.shouldLeaveRotation(); }
 
         void receiveControl(Endpoint from, std::span<std::byte const> bytes)
         {
@@ -169,9 +180,30 @@
             logVerdicts(control_.takeVerdicts());
             applyControl();
             relay_.setViewsComplete(control_.isCaughtUp(now) || (hasMembers_ && !control_.expectsFullState(now)));
+            updateResources(now);
             relay_.tick(now, wallClockSeconds());
             requestMembers();
             logReadinessChange();
+            logRotationChange(now);
+        }
+
+        void updateResources(TimePoint now)
+        {
+            if (!settings_.resources.hasLimit())
+                return;
+            relay_.recordProcess(processUse_.processorTime(), processUse_.recordTick(now), now);
+            if (now - peersUpdated_ < peerUpdateInterval)
+                return;
+            peersUpdated_ = now;
+            relay_.setEntryPeers(runningPeers(control_.members(), self_));
+        }
+
+        void logRotationChange(TimePoint now)
+        {
+            if (relay_.shouldLeaveRotation() == wasOutOfRotation_)
+                return;
+            wasOutOfRotation_ = relay_.shouldLeaveRotation();
+            logRotation(self_.name, relay_.resourceReport(now));
         }
 
         void requestMembers()
@@ -273,6 +305,7 @@
             std::string_view const searchHelp = "Times from the first segment of a flow without a known owner to the end of the search.";
             page.addHistogram("plantaindrift_entry_search_seconds", searchHelp, { { "outcome", "found" } }, relay_.successfulSearchTimes());
             page.addHistogram("plantaindrift_entry_search_seconds", searchHelp, { { "outcome", "lost" } }, relay_.failedSearchTimes());
+            addResourceMetrics(page, settings_.resources, relay_.resourceReport(std::chrono::steady_clock::now()));
             addDetectorMetrics(page, control_.counts());
             if (store_)
                 store_->addMetrics(page);
--- a/src/runtime/Settings.cpp
+++ b/src/runtime/Settings.cpp
@@ -103,6 +103,19 @@
         return bindNumber(std::move(path), minimum, maximum, [&target](std::int64_t value) { target = static_cast<std::uint32_t>(value); });
     }
 
+    KeyBinding bindReal(std::string path, double minimum, double maximum, double& target)
+    {
+        std::ostringstream remedy;
+        remedy << "give a number from " << minimum << " to " << maximum;
+        return { std::move(path), false, remedy.str(), [minimum, maximum, &target](toml::node const& node) {
+                    std::optional<double> const value = node.is_number() ? node.value<double>() : std::nullopt;
+                    // Written so that "not a number" fails.
+                    bool const isInRange = value && *value >= minimum && *value <= maximum;
+                    target = isInRange ? *value : target;
+                    return isInRange;
+                } };
+    }
+
     template <typename Period>
     KeyBinding bindDuration(std::string path, std::int64_t minimum, std::int64_t maximum, std::chrono::duration<std::int64_t, Period>& target)
     {
@@ -371,6 +384,10 @@
     bindings.push_back(bindEndpoints("seeds", settings.seeds));
     bindings.push_back(bindUnsigned("limits.control_bytes_per_second", 500, 1U << 30U, settings.controlBytesPerSecond));
     bindings.push_back(bindUnsigned("limits.remembered_flows", 1024, 1U << 24U, settings.maximumRememberedFlows));
+    bindings.push_back(bindReal("limits.link_mbps", 0.1, 1e6, settings.resources.linkMbps));
+    bindings.push_back(bindReal("limits.cpu_share", 0.01, 1024, settings.resources.processorShare));
+    bindings.push_back(bindUnsigned("limits.descriptors", 16, 1U << 30U, settings.resources.descriptors));
+    bindings.push_back(bindUnsigned("limits.memory_mb", 8, 1U << 24U, settings.resources.memoryMb));
     bindings.push_back(bindDuration("forward_after_stop_ms", 0, 600000, settings.stopDelay));
     absl::Status const status = readSettingsFile(file, settings.common, std::move(bindings));
     if (!status.ok())
--- a/tests/RelayMessageTests.cpp
+++ b/tests/RelayMessageTests.cpp
@@ -26,6 +26,8 @@
 OwnedFlow const owned { flow, { 0x0A02000CU, 8172 } };
 TargetLoad const load { true, 7, 5, 40, 553, 12 };
 
+EntryLoad const narrowStatus { 0xCAFE1234U, 1'250'000, 1'100'000, 0.88, false, std::chrono::milliseconds { 420 } };
+
 Bytes packetOf(RelayRoute const& route, Bytes const& segment)
 {
     Bytes datagram(maximumRelayHeaderBytes);
@@ -68,6 +70,8 @@
     datagrams.emplace_back(buffer.begin(), buffer.begin() + static_cast<std::ptrdiff_t>(writeRelayFlowQuery(ServiceHash { 5 }, 77, hashes, seal, buffer)));
     std::vector<std::uint8_t> const possible { 1 };
     datagrams.emplace_back(buffer.begin(), buffer.begin() + static_cast<std::ptrdiff_t>(writeRelayFlowQueryReply(ServiceHash { 5 }, 77, possible, seal, buffer)));
+    std::vector<EntryLoad> const statuses(2, narrowStatus);
+    datagrams.emplace_back(buffer.begin(), buffer.begin() + static_cast<std::ptrdiff_t>(writeRelayEntryStatus(statuses, seal, buffer)));
     return datagrams;
 }
 
@@ -114,6 +118,35 @@
     BOOST_TEST((reply.possibleFlowBytes.size() == 1U && reply.possibleFlowBytes[0] == std::byte { 1 }));
 }
 
+BOOST_AUTO_TEST_CASE(AnEntryStatusKeepsItsFieldsWithinTheirUnits)
+{
+    DecodedRelayMessage const decoded = decodeRelayMessage(allKinds()[9], keys, wallSeconds);
+    BOOST_TEST((decoded.error == DatagramError::None && decoded.kind == RelayMessageKind::EntryStatus));
+    std::vector<EntryLoad> const statuses = decoded.entryStatuses();
+    BOOST_REQUIRE(statuses.size() == 2U);
+    EntryLoad const& status = statuses[1];
+    BOOST_TEST(status.nameHash == narrowStatus.nameHash);
+    BOOST_TEST(status.linkBytesPerSecond == 1'250'000, boost::test_tools::tolerance(0.001));
+    BOOST_TEST(status.offeredBytesPerSecond == 1'100'000, boost::test_tools::tolerance(0.001));
+    BOOST_TEST(status.utilisation == 0.88, boost::test_tools::tolerance(0.001));
+    BOOST_TEST(!status.isInRotation);
+    BOOST_TEST(status.age.count() == 420);
+}
+
+// A value beyond a field's range must not wrap around to a small one.
+BOOST_AUTO_TEST_CASE(AnEntryStatusIsLimitedToTheRangesOfItsFields)
+{
+    Bytes buffer(maximumRelayMessageBytes);
+    std::vector<EntryLoad> const statuses(maximumEntryStatuses + 4, EntryLoad { 1, 1e12, 1e12, 40, true, std::chrono::hours { 1 } });
+    std::size_t const bytes = writeRelayEntryStatus(statuses, { keys, wallSeconds }, buffer);
+    std::vector<EntryLoad> const decoded = decodeRelayMessage(std::span(buffer).first(bytes), keys, wallSeconds).entryStatuses();
+    BOOST_REQUIRE(decoded.size() == maximumEntryStatuses);
+    BOOST_TEST(decoded[0].linkBytesPerSecond > 1e10);
+    BOOST_TEST(decoded[0].offeredBytesPerSecond > 1e10);
+    BOOST_TEST(decoded[0].utilisation > 2.5);
+    BOOST_TEST((decoded[0].age > maximumEntryStatusAge));
+}
+
 BOOST_AUTO_TEST_CASE(EveryStatementOfALoadReportIsKept)
 {
     Bytes buffer(maximumRelayMessageBytes);
--- a/tests/SettingsTests.cpp
+++ b/tests/SettingsTests.cpp
@@ -229,3 +229,53 @@
     TemporaryFile const agent(agentText);
     BOOST_TEST(exitCode(runAgent(agent.path(), true)) == 0);
 }
+
+namespace {
+
+std::string const relayEntryText = entryText + "relay = \"127.0.0.1:6084\"\n";
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(LimitsOfAnEntryAreRead)
+{
+    TemporaryFile const file(relayEntryText + "[limits]\nlink_mbps = 10.5\ncpu_share = 0.09\ndescriptors = 256\nmemory_mb = 64\n");
+    absl::StatusOr<RelayEntrySettings> const settings = readRelayEntrySettings(file.path());
+    BOOST_REQUIRE_MESSAGE(settings.ok(), settings.status().message());
+    BOOST_TEST((settings->resources == EntryResources { 10.5, 0.09, 256, 64 }));
+    BOOST_TEST(settings->resources.hasLimit());
+}
+
+// Without limits, an entry must behave as before.
+BOOST_AUTO_TEST_CASE(AnEntryWithoutLimitsHasNone)
+{
+    TemporaryFile const file(relayEntryText);
+    absl::StatusOr<RelayEntrySettings> const settings = readRelayEntrySettings(file.path());
+    BOOST_REQUIRE_MESSAGE(settings.ok(), settings.status().message());
+    BOOST_TEST((settings->resources == EntryResources {}));
+    BOOST_TEST(!settings->resources.hasLimit());
+}
+
+// A platform writes whole shares and rates without a fraction.
+BOOST_AUTO_TEST_CASE(LimitsMayBeWholeNumbers)
+{
+    TemporaryFile const file(relayEntryText + "[limits]\nlink_mbps = 200\ncpu_share = 1\n");
+    absl::StatusOr<RelayEntrySettings> const settings = readRelayEntrySettings(file.path());
+    BOOST_REQUIRE_MESSAGE(settings.ok(), settings.status().message());
+    BOOST_TEST((settings->resources == EntryResources { 200, 1, 0, 0 }));
+}
+
+BOOST_AUTO_TEST_CASE(WrongLimitsAreRefused)
+{
+    std::vector<ErrorRow> const rows {
+        { "[limits]\nlink_mbps = 0\n", ":9:13: ", "key 'limits.link_mbps'", "give a number from 0.1 to" },
+        { "[limits]\nlink_mbps = nan\n", ":9:13: ", "key 'limits.link_mbps'", "give a number from 0.1 to" },
+        { "[limits]\nlink_mbps = \"10\"\n", ":9:13: ", "key 'limits.link_mbps'", "give a number from 0.1 to" },
+        { "[limits]\ncpu_share = -1\n", ":9:13: ", "key 'limits.cpu_share'", "give a number from 0.01 to 1024" },
+        { "[limits]\nmemory_mb = 1.5\n", ":9:13: ", "key 'limits.memory_mb'", "whole number from 8" },
+        { "[limits]\ndescriptors = 0\n", ":9:15: ", "key 'limits.descriptors'", "whole number from 16" },
+    };
+    for (ErrorRow const& row : rows) {
+        TemporaryFile const file(relayEntryText + row.appended);
+        checkError(readRelayEntrySettings(file.path()).status(), file.path(), row);
+    }
+}
