Judge evacuations in the division stand-in

Cause: nothing reports a flow that opens at a target of an evacuated data centre. Change: the stand-in's store tells the judge of evacuations that the operator writes and removes. Targets report each opening of a flow that is not open, and the judge reports it if the data centre was evacuated more than 5 s before and nothing happened to the target's agent. Tests: a row in EachBrokenPromiseIsSeen, OnlyLateOpeningsBreakAnEvacuation, EvacuationsAreRepeatedSomeSecondsAfterARestore.

--- a/standins/division/Judge.cpp
+++ b/standins/division/Judge.cpp
@@ -11,6 +11,7 @@
     // Figures of the platform's pages.
     constexpr std::chrono::seconds drainBound { 3 };
     constexpr std::chrono::seconds flowSlack { 2 };
+    constexpr std::chrono::seconds evacuationBound { 5 };
     constexpr std::uint32_t foreignPackets = 3;
 
     constexpr std::size_t mostViolations = 100;
@@ -125,6 +126,16 @@
         report("DRAIN: " + target + " took an opening packet after its draining was acknowledged");
 }
 
+// An agent in touch refuses whatever an entry sends, so that disturbed entries excuse nothing.
+void Judge::openingReached(FlowEnds const& flow, std::string const& dataCentre, std::uint32_t target, TimePoint now)
+{
+    std::map<std::string, TimePoint>::const_iterator const evacuation = evacuated_.find(dataCentre);
+    if (evacuation == evacuated_.end() || now - evacuation->second <= evacuationBound || !isInTouch(target, now))
+        return;
+    std::chrono::milliseconds const late = std::chrono::duration_cast<std::chrono::milliseconds>(now - evacuation->second);
+    report("EVACUATED: the opening of " + describe(flow) + " reached " + formatAddress(target) + " in " + dataCentre + ", which was evacuated " + std::to_string(late.count()) + " ms before");
+}
+
 void Judge::packetForged(std::string_view where)
 {
     report("UNASKED: a packet that its sender did not write reached " + std::string(where));
--- a/standins/division/Judge.h
+++ b/standins/division/Judge.h
@@ -49,6 +49,15 @@
     /// \brief A target took an opening packet. `drainedAt` is when its draining was acknowledged; the epoch if it was not.
     void openingTaken(std::string const& target, TimePoint drainedAt, TimePoint now);
 
+    /// \brief The store confirmed that a data centre is evacuated.
+    void evacuate(std::string const& dataCentre, TimePoint now) { evacuated_.try_emplace(dataCentre, now); }
+
+    /// \brief The store confirmed that a data centre is no longer evacuated.
+    void withdrawEvacuation(std::string const& dataCentre) { evacuated_.erase(dataCentre); }
+
+    /// \brief The opening packet of a flow that is not open reached a target.
+    void openingReached(FlowEnds const& flow, std::string const& dataCentre, std::uint32_t target, TimePoint now);
+
     void packetForged(std::string_view where);
 
     /// \brief A target runs a request.
@@ -78,6 +87,7 @@
     std::map<std::uint32_t, TimePoint> disturbed_; ///< by address of the process; 0 for all
     std::map<FlowEnds, OpenFlow> flows_;
     std::set<std::string> ran_;
+    std::map<std::string, TimePoint> evacuated_; ///< confirmation by data centre
     std::vector<std::string> violations_;
 
     void report(std::string const& text);
--- a/standins/division/Store.cpp
+++ b/standins/division/Store.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <utility>
 
 namespace plantaindrift::standins {
 
@@ -12,14 +13,17 @@
     constexpr std::string_view objectsPath = "/plantaindrift/objects/";
     constexpr std::chrono::milliseconds longestWatch { 30'000 };
     constexpr std::string_view operatorKind = "config";
+    constexpr std::string_view evacuationKind = "evacuations";
 
     using standin::FaultyServer;
 
 } // namespace
 
-Store::Store(asio::io_context& loop, Endpoint listen, ConfigurationObserver configured)
+Store::Store(asio::io_context& loop, Endpoint listen, ConfigurationObserver configured, EvacuationObserver evacuated)
     : loop_(loop)
     , configured_(std::move(configured))
+    , evacuated_(std::move(evacuated))
+    , repeatTimer_(loop)
     , server_(
           loop, listen, [](std::uint16_t) {}, [this](Request const& request, std::string const& path) { handle(request, path); })
 {
@@ -111,13 +115,10 @@
     if (request->header().method() == restinio::http_method_post() && !isNew)
         return { 409, found->second.dump(), 0 };
     if (request->header().method() == restinio::http_method_delete()) {
-        if (isNew)
-            return { 404, "{}", 0 };
-        nlohmann::json const removed = found->second;
-        objects.erase(found);
-        note(kind, removed, true, removed);
-        return { 200, "{}", 0 };
+        noteEvacuation(kind == evacuationKind ? name : "", false);
+        return removeObject(kind, name) ? Reply { 200, "{}", 0 } : Reply { 404, "{}", 0 };
     }
+    noteEvacuation(kind == evacuationKind ? name : "", true);
     nlohmann::json const contents = body.value("spec", nlohmann::json::object());
     if (!isNew && found->second["spec"] == contents)
         return { 200, found->second.dump(), 0 };
@@ -127,6 +128,25 @@
     return { 200, objects[name].dump(), 0 };
 }
 
+// The operator's own write, which needs no repetition any more.
+void Store::noteEvacuation(std::string const& name, bool isEvacuated)
+{
+    if (name.empty())
+        return;
+    owedEvacuations_.erase(name);
+    if (evacuated_)
+        evacuated_(name, isEvacuated);
+}
+
+bool Store::removeObject(std::string const& kind, std::string const& name)
+{
+    Kind::node_type const removed = kinds_[kind].extract(name);
+    if (removed.empty())
+        return false;
+    note(kind, removed.mapped(), true, removed.mapped());
+    return true;
+}
+
 void Store::put(std::string const& kind, std::string const& name, nlohmann::json const& contents)
 {
     nlohmann::json& object = kinds_[kind][name];
@@ -164,12 +184,32 @@
     ++era_;
     cutWaiters();
     std::size_t const all = lost.size();
+    for (Change const& change : lost) {
+        if (change.kind == evacuationKind)
+            owedEvacuations_[change.object["meta"]["name"].get<std::string>()] = !change.deleted;
+    }
+    repeatTimer_.expires_after(evacuationRepeatDelay);
+    repeatTimer_.async_wait([this](asio::error_code const& error) {
+        if (!error)
+            repeatEvacuations();
+    });
     std::erase_if(lost, [](Change const& change) { return change.kind != operatorKind; });
     for (Change const& change : lost)
         put(change.kind, change.object["meta"]["name"].get<std::string>(), change.object["spec"]);
     logEvent(LogLevel::Info, "store_restored", { { "era", era_ }, { "lost", all - lost.size() }, { "written_again", lost.size() }, { "revision", revision_ } });
 }
 
+void Store::repeatEvacuations()
+{
+    for (auto const& [name, isEvacuated] : std::exchange(owedEvacuations_, {})) {
+        if (isEvacuated)
+            put(std::string(evacuationKind), name, nlohmann::json::object());
+        else
+            (void)removeObject(std::string(evacuationKind), name);
+    }
+    wakeWaiters();
+}
+
 void Store::handleWatch(Request const& request, std::string const& kind, std::uint64_t after)
 {
     // The store never gave out a later revision, or it lost it.
--- a/standins/division/Store.h
+++ b/standins/division/Store.h
@@ -20,13 +20,20 @@
 public:
     using ConfigurationObserver = std::function<void(nlohmann::json const&)>;
 
+    using EvacuationObserver = std::function<void(std::string const& dataCentre, bool isEvacuated)>;
+
+    /// \brief Time after a restore in which the operator has not yet repeated evacuations and their withdrawals.
+    static constexpr std::chrono::seconds evacuationRepeatDelay { 3 };
+
     /// \param configured  is told of each configuration that is written
-    Store(asio::io_context& loop, Endpoint listen, ConfigurationObserver configured);
+    /// \param evacuated   is told of each evacuation that the operator writes or removes; may be empty
+    Store(asio::io_context& loop, Endpoint listen, ConfigurationObserver configured, EvacuationObserver evacuated = {});
 
     void start() { server_.start(); }
 
     /// \brief Comes back from a copy that was taken at a moment: what the system wrote since is gone, revisions are given
-    /// out again, waiting watches are cut, and what the operator wrote since is written again.
+    /// out again, waiting watches are cut, and what the operator wrote since is written again: the configuration at once,
+    /// evacuations and their withdrawals some seconds later.
     void restore(std::chrono::steady_clock::time_point taken);
 
 private:
@@ -52,6 +59,9 @@
 
     asio::io_context& loop_;
     ConfigurationObserver configured_;
+    EvacuationObserver evacuated_;
+    asio::steady_timer repeatTimer_;
+    std::map<std::string, bool> owedEvacuations_; ///< by data centre, what the operator has to repeat
     std::map<std::string, Kind> kinds_;
     std::vector<Change> history_;
     std::uint64_t revision_ { 500 };
@@ -72,6 +82,9 @@
     void put(std::string const& kind, std::string const& name, nlohmann::json const& contents);
     void note(std::string const& kind, nlohmann::json const& object, bool deleted, nlohmann::json before);
     void undo(Change const& change);
+    void repeatEvacuations();
+    void noteEvacuation(std::string const& name, bool isEvacuated);
+    [[nodiscard]] bool removeObject(std::string const& kind, std::string const& name);
     void wakeWaiters();
     void forgetHistory();
     void cutWaiters();
--- a/standins/division/Targets.cpp
+++ b/standins/division/Targets.cpp
@@ -121,6 +121,7 @@
     Flow& flow = flows_[ends];
     if (flow.open)
         return;
+    judge_.openingReached(ends, place_.dataCentre, address(), now);
     if (!flow.end) {
         FlowEnd::Output const output = [this](Packet const& answer) { socket_.send(place_.output, writePacket(answer)); };
         flow.end = std::make_unique<FlowEnd>(packet.destination, packet.source, static_cast<std::uint32_t>(random_()), output);
--- a/standins/division/main.cpp
+++ b/standins/division/main.cpp
@@ -62,7 +62,8 @@
     class Division {
     public:
         Division()
-            : store_(process_.loop, requireEndpoint("store", FLAGS_store), [this](nlohmann::json const& contents) { noteConfiguration(contents); })
+            : store_(
+                process_.loop, requireEndpoint("store", FLAGS_store), [this](nlohmann::json const& contents) { noteConfiguration(contents); }, [this](std::string const& dataCentre, bool isEvacuated) { noteEvacuation(dataCentre, isEvacuated); })
             , sockets_(process_.loop)
             , router_(
                   process_.loop, parseEntries(FLAGS_entries), [this](Endpoint to, std::span<std::byte const> bytes) { sockets_.send(to, bytes); }, FLAGS_seed)
@@ -113,6 +114,14 @@
             }
         }
 
+        void noteEvacuation(std::string const& dataCentre, bool isEvacuated)
+        {
+            if (isEvacuated)
+                judge_.evacuate(dataCentre, std::chrono::steady_clock::now());
+            else
+                judge_.withdrawEvacuation(dataCentre);
+        }
+
         HttpAnswer answer(HttpRequest const& request)
         {
             if (request.method == "GET" && request.path == "/state")
--- a/tests/DivisionStandInStoreTests.cpp
+++ b/tests/DivisionStandInStoreTests.cpp
@@ -170,6 +170,34 @@
     BOOST_TEST(confirmed == first + 3);
 }
 
+// Guards against a soak in which a restored store never lacks an evacuation, or lacks it for ever.
+BOOST_AUTO_TEST_CASE(EvacuationsAreRepeatedSomeSecondsAfterARestore)
+{
+    constexpr std::string_view evacuations = "/plantaindrift/objects/evacuations";
+    auto const isListed = [evacuations](std::string const& name) { return StoreProcess::call("GET", std::string(evacuations) + '/' + name).status == 200; };
+    StoreProcess store;
+    store.write(evacuations, "withdrawn", 1);
+    store.write(evacuations, "kept", 1);
+    std::chrono::steady_clock::time_point const taken = momentBetweenWrites();
+    store.call("DELETE", std::string(evacuations) + "/withdrawn");
+    store.write(evacuations, "new", 1);
+    store.write(evacuations, "changed", 1);
+    store.restore(taken);
+    std::chrono::steady_clock::time_point const restored = std::chrono::steady_clock::now();
+    BOOST_TEST(isListed("withdrawn"));
+    BOOST_TEST(!isListed("new"));
+    // What the operator does himself meanwhile is not undone.
+    store.write(evacuations, "changed", 2);
+    store.call("DELETE", std::string(evacuations) + "/changed");
+    while (!isListed("new") && std::chrono::steady_clock::now() - restored < 20s)
+        std::this_thread::sleep_for(50ms);
+    BOOST_TEST((std::chrono::steady_clock::now() - restored >= Store::evacuationRepeatDelay));
+    BOOST_TEST(isListed("new"));
+    BOOST_TEST(isListed("kept"));
+    BOOST_TEST(!isListed("withdrawn"));
+    BOOST_TEST(!isListed("changed"));
+}
+
 BOOST_AUTO_TEST_CASE(AWatchFromARevisionThatTheStoreLacksIsGone)
 {
     StoreProcess store;
--- a/tests/DivisionStandInTests.cpp
+++ b/tests/DivisionStandInTests.cpp
@@ -105,6 +105,7 @@
         { "FLOW", [](Judge& judge) { judge.resetArrived(flow, other, start + 1s); } },
         { "FLOW", [](Judge& judge) { for (int index = 0; index < 4; ++index) judge.packetArrived(flow, other, start + index * 800ms); } },
         { "DRAIN", [](Judge& judge) { judge.openingTaken("target-1", start, start + 4s); } },
+        { "EVACUATED", [](Judge& judge) { judge.evacuate("north", start); judge.openingReached(flow, "north", owner, start + 5100ms); } },
         { "MIXED", [](Judge& judge) { judge.answerArrived("answer r1", "answer r2"); } },
         { "UNASKED", [](Judge& judge) { judge.packetForged("target-1"); } }
     };
@@ -128,6 +129,25 @@
 }
 
 // A soak disturbs some process all the time; a flow whose own processes are in touch is judged nevertheless.
+// Guards against openings that are held against the system before the bound, elsewhere, after the withdrawal, or at an agent
+// that was disturbed; and against a repeated write that begins the bound again.
+BOOST_AUTO_TEST_CASE(OnlyLateOpeningsBreakAnEvacuation)
+{
+    Judge judge;
+    judge.evacuate("north", start);
+    judge.openingReached(flow, "north", owner, start + 5s);
+    judge.openingReached(flow, "south", owner, start + 9s);
+    judge.disturb(owner, start + 6s);
+    judge.openingReached(flow, "north", owner, start + 9s);
+    BOOST_TEST(judge.violations().empty());
+    judge.evacuate("north", start + 12s);
+    judge.openingReached(flow, "north", owner, start + 13s);
+    BOOST_TEST(judge.violations().size() == 1U);
+    judge.withdrawEvacuation("north");
+    judge.openingReached(flow, "north", owner, start + 20s);
+    BOOST_TEST(judge.violations().size() == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(AFlowIsJudgedByTheProcessesThatItPasses)
 {
     struct Case {
