--- a/scripts/division_bed.py
+++ b/scripts/division_bed.py
@@ -13,6 +13,7 @@
 import tempfile
 import threading
 import time
+import urllib.error
 
 from testbed import CheckFailed, Ports, answers, binary, fetch, fetch_json, wait_until
 
@@ -113,6 +114,7 @@
         self.seed = seed
         self.version = 0
         self.confirmed = 0.0  # when the store confirmed the latest version
+        self.handles_evacuations = False
         self.disturbed = {}  # name of a machine, or nothing for all: when something last happened to it
         self.started = []
         self.loop = asyncio.new_event_loop()
@@ -159,7 +161,8 @@
             text += (f'service = "{machine.service}"\nentries = [{seeds}]\n[target]\naddress = "{self.at(machine, "app")}"\n'
                      f'output = "{self.at(machine, "output")}"\nannouncements = "{self.at(machine, "announcements")}"\n'
                      'announcement_interval_ms = 400\n')
-        return text + f'[platform]\nurl = "http://{machine.proxy.listen}"\n'
+        text += f'[platform]\nurl = "http://{machine.proxy.listen}"\n'
+        return text + ("[evacuation]\nenabled = true\n" if self.handles_evacuations else "")
 
     def start(self, machine):
         path = os.path.join(self.folder, machine.name + ".toml")
@@ -242,6 +245,24 @@
             fetch(self.store, "/plantaindrift/objects/config/main", "PUT", body)
         self.confirmed = time.monotonic()
 
+    def evacuate(self, data_centre):
+        """Writes the object; one may stand there that a restore of the store brought back."""
+        body = json.dumps({"meta": {"name": data_centre}, "spec": {}})
+        try:
+            fetch(self.store, "/plantaindrift/objects/evacuations", "POST", body)
+        except urllib.error.HTTPError as error:
+            if error.code != 409:
+                raise
+            fetch(self.store, f"/plantaindrift/objects/evacuations/{data_centre}", "PUT", body)
+
+    def withdraw_evacuation(self, data_centre):
+        """Removes the object, unless a restore of the store lost it."""
+        try:
+            fetch(self.store, f"/plantaindrift/objects/evacuations/{data_centre}", "DELETE")
+        except urllib.error.HTTPError as error:
+            if error.code != 404:
+                raise
+
     def check_processes(self):
         for machine in self.entries + self.agents:
             code = machine.process.poll()
