Declare the rate of cold targets with their service

Cause: the platform's field cold-per-s was not read, and agents did not learn it. Ruled out: a setting of each agent, which would differ from the configuration after a change. Change: Service::coldRate in thousandths of a request per second, in protobuf (so that agents receive it with the declaration of their service), TOML (cold_requests_per_second), the change log's JSON (cold_rate_milli, written only if declared), the validator, the printer and the platform's format. 0 or absent means no limit. Tests: AConfigurationIsTranslated, ConfigurationsWithNumbersOutOfRangeAreRefused and wrongFiles cover the field, and TheColdRateIsKeptInFilesRecordsAndMessages the way through all formats; they need the new field.

--- a/include/plantaindrift/configuration/Configuration.h
+++ b/include/plantaindrift/configuration/Configuration.h
@@ -47,6 +47,7 @@
     bool idempotent { false }; ///< a non-idempotent UDP service is admitted only after a probe
     AdmissionLimits limits;
     std::chrono::seconds slowStart { 30 };
+    std::uint32_t coldRate { 0 }; ///< requests per second that a target takes while it is cold, in thousandths; 0 for no limit
     DrainRules drain;
 
     friend bool operator==(Service const&, Service const&) = default;
--- a/src/configuration/FieldRules.h
+++ b/src/configuration/FieldRules.h
@@ -20,6 +20,8 @@
 inline constexpr NumberRange slowStartSecondsRange { 0, 3'600 };
 // A deadline of 0 would cut off requests in progress at a planned stop; the upper bound is 30 days.
 inline constexpr NumberRange drainDeadlineSecondsRange { 1, 2'592'000 };
+// In thousandths of a request per second.
+inline constexpr NumberRange coldRateRange { 0, 10'000'000 };
 
 inline constexpr std::size_t longestName = 63;
 inline constexpr std::size_t longestOperationId = 128;
--- a/src/configuration/Parser.cpp
+++ b/src/configuration/Parser.cpp
@@ -8,6 +8,7 @@
 
 #include <algorithm>
 #include <array>
+#include <cmath>
 #include <fstream>
 #include <limits>
 #include <sstream>
@@ -37,8 +38,8 @@
         { "drain_deadline_s", drainDeadlineSecondsRange, [](Service& service, std::uint64_t value) { service.drain.deadline = std::chrono::seconds(value); } },
     } };
 
-    constexpr std::array<std::string_view, 5> otherKeys { "name", "addresses", "targets", "data_centres", "idempotent" };
-    constexpr std::string_view serviceKeys = "use name, addresses, targets, data_centres, idempotent, connections, slots, queue_per_slot, hunt_limit, slow_start_s or drain_deadline_s";
+    constexpr std::array<std::string_view, 6> otherKeys { "name", "addresses", "targets", "data_centres", "idempotent", "cold_requests_per_second" };
+    constexpr std::string_view serviceKeys = "use name, addresses, targets, data_centres, idempotent, connections, slots, queue_per_slot, hunt_limit, slow_start_s, cold_requests_per_second or drain_deadline_s";
 
     bool isServiceKey(std::string_view key)
     {
@@ -214,6 +215,7 @@
             readFlag(table, service);
             for (NumberRow const& row : numberTable)
                 readNumber(table, row, service);
+            readColdRate(table, service);
             configuration_.services.push_back(std::move(service));
             tables_.push_back(&table);
         }
@@ -302,6 +304,27 @@
                 report(node->source(), row.key, "is " + std::to_string(value) + ", which is out of range", remedy);
         }
 
+        void readColdRate(toml::table const& table, Service& service)
+        {
+            constexpr std::string_view key = "cold_requests_per_second";
+            constexpr double thousandths = 1000;
+            constexpr double most = static_cast<double>(coldRateRange.most) / thousandths;
+            std::string const remedy = "use a number from 0 to " + std::to_string(coldRateRange.most / 1000);
+            toml::node const* const node = table.get(key);
+            if (node == nullptr)
+                return;
+            if (!node->is_number()) {
+                report(node->source(), key, "is not a number", remedy);
+                return;
+            }
+            double const rate = node->is_integer() ? static_cast<double>(node->as_integer()->get()) : node->as_floating_point()->get();
+            // A comparison with a value that is not a number is false.
+            if (rate >= 0 && rate <= most)
+                service.coldRate = static_cast<std::uint32_t>(std::lround(rate * thousandths));
+            else
+                report(node->source(), key, "is out of range", remedy);
+        }
+
         void validate()
         {
             for (ConfigurationProblem const& problem : validateConfiguration(configuration_)) {
--- a/src/configuration/Printer.cpp
+++ b/src/configuration/Printer.cpp
@@ -26,6 +26,14 @@
         return printList(texts);
     }
 
+    // Prints thousandths as a decimal fraction.
+    std::string printThousandths(std::uint32_t number)
+    {
+        constexpr std::uint32_t scale = 1000;
+        std::string const fraction = std::to_string(scale + number % scale).substr(1);
+        return std::to_string(number / scale) + '.' + fraction;
+    }
+
     void printService(Service const& service, std::string& text)
     {
         text += "\n[[service]]\n";
@@ -40,6 +48,8 @@
         text += "hunt_limit = " + std::to_string(service.limits.huntLimit) + '\n';
         text += "slow_start_s = " + std::to_string(service.slowStart.count()) + '\n';
         text += "drain_deadline_s = " + std::to_string(service.drain.deadline.count()) + '\n';
+        if (service.coldRate > 0)
+            text += "cold_requests_per_second = " + printThousandths(service.coldRate) + '\n';
     }
 
 } // namespace
--- a/src/configuration/ProtobufConversion.cpp
+++ b/src/configuration/ProtobufConversion.cpp
@@ -1,5 +1,7 @@
 #include "configuration/ProtobufConversion.h"
 
+#include "configuration/FieldRules.h"
+
 #include <algorithm>
 #include <limits>
 
@@ -19,7 +21,7 @@
     {
         bool const targets = std::all_of(message.targets().begin(), message.targets().end(), isValidName);
         bool const dataCentres = std::all_of(message.data_centres().begin(), message.data_centres().end(), isValidName);
-        return isValidName(message.name()) && targets && dataCentres;
+        return isValidName(message.name()) && targets && dataCentres && message.cold_rate() <= coldRateRange.most;
     }
 
     [[nodiscard]] std::optional<ServiceAddress> addressFromProtobuf(control::ServiceAddress const& message)
@@ -149,6 +151,7 @@
     message.set_hunt_limit(service.limits.huntLimit);
     message.set_slow_start_s(static_cast<std::uint32_t>(service.slowStart.count()));
     message.set_drain_deadline_s(static_cast<std::uint32_t>(service.drain.deadline.count()));
+    message.set_cold_rate(service.coldRate);
 }
 
 std::optional<Service> fromProtobuf(control::Service const& message)
@@ -169,6 +172,7 @@
     service.limits = { message.connections(), message.slots(), message.queue_per_slot(), message.hunt_limit() };
     service.slowStart = std::chrono::seconds { message.slow_start_s() };
     service.drain.deadline = std::chrono::seconds { message.drain_deadline_s() };
+    service.coldRate = message.cold_rate();
     return service;
 }
 
--- a/src/configuration/ServiceJson.cpp
+++ b/src/configuration/ServiceJson.cpp
@@ -85,7 +85,7 @@
     nlohmann::json addresses = nlohmann::json::array();
     for (ServiceAddress const& address : service.addresses)
         addresses.push_back({ { "endpoint", formatEndpoint(address.endpoint) }, { "protocol", protocolName(address.protocol) } });
-    return {
+    nlohmann::json json {
         { "name", service.name },
         { "addresses", std::move(addresses) },
         { "targets", service.targets },
@@ -98,6 +98,10 @@
         { "slow_start_s", service.slowStart.count() },
         { "drain_deadline_s", service.drain.deadline.count() },
     };
+    // Records of services without the field read as before.
+    if (service.coldRate > 0)
+        json["cold_rate_milli"] = service.coldRate;
+    return json;
 }
 
 Service serviceFromJson(nlohmann::json const& value, std::string const& path, absl::Status& error)
@@ -117,6 +121,8 @@
     service.limits.huntLimit = static_cast<std::uint32_t>(object.takeNumber("hunt_limit", huntLimitRange));
     service.slowStart = std::chrono::seconds(object.takeNumber("slow_start_s", slowStartSecondsRange));
     service.drain.deadline = std::chrono::seconds(object.takeNumber("drain_deadline_s", drainDeadlineSecondsRange));
+    if (object.takeOptional("cold_rate_milli") != nullptr)
+        service.coldRate = static_cast<std::uint32_t>(object.takeNumber("cold_rate_milli", coldRateRange));
     object.finish();
     return service;
 }
--- a/src/configuration/Validator.cpp
+++ b/src/configuration/Validator.cpp
@@ -26,13 +26,14 @@
         std::int64_t (*value)(Service const&);
     };
 
-    constexpr std::array<LimitRow, 6> limitTable { {
+    constexpr std::array<LimitRow, 7> limitTable { {
         { "connections", connectionsRange, [](Service const& service) { return std::int64_t { service.limits.connections }; } },
         { "slots", slotsRange, [](Service const& service) { return std::int64_t { service.limits.slots }; } },
         { "queue_per_slot", queuePerSlotRange, [](Service const& service) { return std::int64_t { service.limits.queuePerSlot }; } },
         { "hunt_limit", huntLimitRange, [](Service const& service) { return std::int64_t { service.limits.huntLimit }; } },
         { "slow_start_s", slowStartSecondsRange, [](Service const& service) { return std::int64_t { service.slowStart.count() }; } },
         { "drain_deadline_s", drainDeadlineSecondsRange, [](Service const& service) { return std::int64_t { service.drain.deadline.count() }; } },
+        { "cold_requests_per_second", coldRateRange, [](Service const& service) { return std::int64_t { service.coldRate }; } },
     } };
 
     std::string quote(std::string_view text)
--- a/tests/ConfigurationFileTests.cpp
+++ b/tests/ConfigurationFileTests.cpp
@@ -1,6 +1,8 @@
 // Guards against configurations that are accepted although they are wrong, errors that do not say where and what to
 // do, and printing that differs for the same declaration.
 
+#include "configuration/ProtobufConversion.h"
+#include "configuration/ServiceJson.h"
 #include "plantaindrift/configuration/Declaration.h"
 #include "plantaindrift/configuration/Parser.h"
 #include "plantaindrift/configuration/Printer.h"
@@ -145,6 +147,10 @@
     { 14, hugeKeyLine, "14:1", "(key of 5000 bytes)", "or drain_deadline_s" },
     { 15, "[[service]]\nname = \"a\"\naddresses = [\"10.0.0.2:80/tcp\"]\ntargets = [\"x\"]", "16:8", "name", "use each service name once" },
     { 15, "[[service]]\nname = \"b\"\naddresses = [\"10.0.0.9:80/tcp\", \"10.0.0.1:80/tcp\"]\ntargets = [\"x\"]", "17:33", "addresses", "give each address to one service" },
+    { 14, "cold_requests_per_second = -0.5", "14:28", "cold_requests_per_second", "from 0 to 10000" },
+    { 14, "cold_requests_per_second = 10000.5", "14:28", "cold_requests_per_second", "from 0 to 10000" },
+    { 14, "cold_requests_per_second = nan", "14:28", "cold_requests_per_second", "from 0 to 10000" },
+    { 14, "cold_requests_per_second = \"4\"", "14:28", "cold_requests_per_second", "from 0 to 10000" },
     { 15, "[[service]]", "15:1", "name", "use 1 to 63 letters" },
     { 15, "[service.limits]\nslots = 1", "15:10", "limits", "use name, addresses" },
     { 15, "<<<<<<< HEAD", "15:1", "syntax", "correct the TOML here" },
@@ -199,6 +205,7 @@
     { "/services/0/after/connections", "4294967297", "field services[0].after.connections is 4294967297", "from 1 to 1000000" },
     { "/services/0/after/drain_deadline_s", "0", "field services[0].after.drain_deadline_s is 0", "from 1 to 2592000" },
     { "/services/0/after/slow_start_s", "", "field services[0].after.slow_start_s is missing", "from 0 to 3600" },
+    { "/services/0/after/cold_rate_milli", "10000001", "field services[0].after.cold_rate_milli is 10000001", "from 0 to 10000000" },
     { "/services/1", R"({"name": "a", "before": BEFORE})", "field services[1].name names a service twice", "merge" },
 };
 
@@ -239,6 +246,28 @@
     BOOST_TEST(configuration->services.front().dataCentres.front() == "Kranj");
 }
 
+// A rate with a fraction reached the targets as a whole number, or was lost in a file that was printed and read again.
+BOOST_AUTO_TEST_CASE(TheColdRateIsKeptInFilesRecordsAndMessages)
+{
+    absl::StatusOr<Configuration> const configuration = parseConfiguration(fileWith(15, "cold_requests_per_second = 2.75"), "a.toml");
+    BOOST_TEST_REQUIRE(configuration.ok(), configuration.status());
+    Service const& service = configuration->services.front();
+    BOOST_TEST(service.coldRate == 2750U);
+    absl::StatusOr<Configuration> const printed = parseConfiguration(printConfiguration(*configuration), "b.toml");
+    BOOST_TEST((printed.ok() && *printed == *configuration));
+    absl::Status error;
+    nlohmann::json const record = nlohmann::json::parse(serviceToJson(service).dump());
+    BOOST_TEST((serviceFromJson(record, "", error) == service));
+    BOOST_TEST(error.ok());
+    control::Service message;
+    toProtobuf(service, message);
+    BOOST_TEST((fromProtobuf(message) == service));
+    message.set_cold_rate(10'000'001);
+    BOOST_TEST(!fromProtobuf(message).has_value());
+    Service const undeclared = makeService("a");
+    BOOST_TEST(!serviceToJson(undeclared).contains("cold_rate_milli"));
+}
+
 BOOST_AUTO_TEST_CASE(WrongFilesAreRefusedWithPlaceAndRemedy)
 {
     for (WrongFile const& wrong : wrongFiles) {
--- a/tests/DivisionFormatTests.cpp
+++ b/tests/DivisionFormatTests.cpp
@@ -34,7 +34,7 @@
     return nlohmann::json::parse(R"({"version":7,"routes":[
         {"name":"r-1","host":"198.18.0.1","path-prefix":"/8080/","kind":"non_idempotent","timeout-ms":3000,"target-latency-ms":300,"priority":1,"service":"desk","max-attempts":2},
         {"name":"r-2","host":"198.18.0.1","path-prefix":"/8443/","kind":"idempotent","timeout-ms":2500,"target-latency-ms":250,"priority":2,"backends":[{"service":"desk","weight":90},{"service":"store","weight":10}]}],
-        "services":[{"name":"desk","health-path":"/health","max-conns":2000},{"name":"store","health-path":"/health","max-conns":1500}],
+        "services":[{"name":"desk","health-path":"/health","max-conns":2000},{"name":"store","health-path":"/health","max-conns":1500,"cold-per-s":2.5}],
         "limits":{"idle-timeout-ms":15000}})");
 }
 
@@ -122,6 +122,9 @@
     BOOST_TEST(services[1].limits.connections == 1500U);
     BOOST_TEST((services[0].addresses[0].targetLatency == std::chrono::milliseconds { 300 }));
     BOOST_TEST(services[0].addresses[0].priority == 1U);
+    // In thousandths; a service without the field has no limit.
+    BOOST_TEST(services[0].coldRate == 0U);
+    BOOST_TEST(services[1].coldRate == 2500U);
 }
 
 BOOST_AUTO_TEST_CASE(WrongConfigurationsAreRefused)
@@ -159,7 +162,7 @@
 // Numbers out of range were converted: a version of -1 became the highest of all, so that no later one was taken.
 BOOST_AUTO_TEST_CASE(ConfigurationsWithNumbersOutOfRangeAreRefused)
 {
-    for (char const* const pointer : { "/version", "/routes/0/priority", "/routes/0/target-latency-ms", "/routes/1/backends/0/weight", "/services/0/max-conns" }) {
+    for (char const* const pointer : { "/version", "/routes/0/priority", "/routes/0/target-latency-ms", "/routes/1/backends/0/weight", "/services/0/max-conns", "/services/1/cold-per-s" }) {
         for (char const* const value : { "-1", "1e30", "-1e30", "18446744073709551616", "true", "null" }) {
             nlohmann::json contents = goodConfiguration();
             contents[nlohmann::json::json_pointer(pointer)] = nlohmann::json::parse(value);
