Check an evacuation in the model of admission

Cause: the model knew no evacuation, so that nothing showed that an agent keeps new flows out whatever entries send. Change: scenario 2 of model/admission.pml evacuates, restores and evacuates the data centre of agent 0, while any entry sends to it. A flow that began after the agent learned of the evacuation never opens there (P6). The new state exists only in this scenario. Two mutants each let one flow through: EVACUATED_TAKES and RESTART_FORGETS_EVACUATION.

--- a/model/admission.pml
+++ b/model/admission.pml
@@ -6,7 +6,8 @@
  * are duplicated, delayed, reordered and lost, later packets, changing willingness, a drain, an agent restart, and an
  * instance whose endpoint is reused by another service.
  *
- * SCENARIO selects the change: 0 join (agent 2 ranks first), 1 reweight (agents 0 and 1 swap ranks).
+ * SCENARIO selects the change: 0 join (agent 2 ranks first), 1 reweight (agents 0 and 1 swap ranks), 2 evacuation and
+ * restoration of the data centre of agent 0. Any entry may not have received the evacuation, and sends to agent 0.
  * KIND selects the service: 0 TCP, 1 non-idempotent UDP (strict: the first packet is the request, always admitted by a
  * claim and never refused, because a copy may be under way), 2 idempotent UDP.
  * A MUTANT_* macro removes one rule; the check must then fail.
@@ -68,6 +69,11 @@
 bit startedBefore;       /* the flow began before the views agreed, or before the restart */
 bit refusalSent;
 bit admitted;            /* some target took the flow */
+#if SCENARIO == 2
+bit evacuated;           /* agent 0 knows that its data centre is evacuated */
+bit beganEvacuated;      /* the flow began after agent 0 had learned of the evacuation in force */
+byte evacuationSteps;
+#endif
 
 #define ENTRIES_NEW (entryView[0] == NEW && entryView[1] == NEW)
 #define AGENTS_NEW (agentView[0] == NEW && agentView[1] == NEW)
@@ -102,7 +108,11 @@
 /* Index of an agent in the packet's list; the list's length if it is not there. */
 #define OWN(i, s) (CANDIDATE(packet[s].view, 0) == i -> 0 : (CANDIDATE(packet[s].view, 1) == i -> 1 : (LENGTH(packet[s].view) > 2 && i == 1 -> 2 : LENGTH(packet[s].view))))
 
+#if SCENARIO == 2 && !defined(MUTANT_EVACUATED_TAKES)
+#define TAKES(i) (willing[i] && !draining[i] && !(i == 0 && evacuated))
+#else
 #define TAKES(i) (willing[i] && !draining[i])
+#endif
 
 /* A restart forgot which datagrams this agent refused: it takes none and answers no probe until copies are gone. */
 #ifdef MUTANT_FRESH_TAKES
@@ -133,6 +143,10 @@
     assert(!KNOWN);
     /* P2: what was refused as "not run" does not run later. For TCP the caller's own state machine sees to that. */
     assert(!(REFUSAL_HOLDS && refusalSent));
+#if SCENARIO == 2
+    /* P6: a flow that began after the agent learned of the evacuation does not open there while it lasts. */
+    assert(!(i == 0 && beganEvacuated));
+#endif
     known[i] = 1;
     admitted = 1;
     note[i] = NONE;
@@ -403,8 +417,16 @@
     :: atomic { packet[1].used -> decide(1) }
     :: atomic { packet[0].used && packet[0].first && !packet[0].final -> free(0) }
     :: atomic { packet[1].used && packet[1].first -> free(1) }
+#if SCENARIO == 2
+    /* The operator evacuates the data centre, restores it, and evacuates it again. */
+    :: atomic { evacuationSteps < 3 ->
+        evacuationSteps = evacuationSteps + 1;
+        evacuated = !evacuated;
+        beganEvacuated = (evacuated && firstSent == 0 -> 1 : 0) }
+#else
     /* The membership changes and every node learns of it on its own. */
     :: atomic { !changed -> changed = 1 }
+#endif
     :: atomic { changed && entryView[0] == OLD -> entryView[0] = NEW }
     :: atomic { changed && entryView[1] == OLD -> entryView[1] = NEW }
     :: atomic { changed && agentView[0] == OLD -> agentView[0] = NEW; windowOver[0] = 0 }
@@ -428,6 +450,10 @@
 #ifdef MUTANT_RESTART_FORGETS
         known[i] = 0;
 #endif
+#ifdef MUTANT_RESTART_FORGETS_EVACUATION
+        /* Its monitors tell a restarted agent of the evacuation before it takes first packets. */
+        evacuated = (i == 0 -> 0 : evacuated);
+#endif
 #ifndef MUTANT_RESTART_SETTLED
         windowOver[i] = 0;
 #endif
