--- a/include/plantaindrift/relay/AgentRelay.h
+++ b/include/plantaindrift/relay/AgentRelay.h
@@ -39,10 +39,11 @@
     DroppedUnknownFlow, ///< the local target does not hold the flow
     DroppedOverLimit, ///< the expected time exceeds the latency limit; the caller retransmits the segment or opens another flow
     DroppedMalformed,
-    DroppedStaleOpening ///< request to open a flow that waited while this process stood still
+    DroppedStaleOpening, ///< request to open a flow that waited while this process stood still
+    ReturnedToEntry ///< request to open a flow that neither the target nor a candidate admits; the entry offers it elsewhere or refuses it
 };
 
-inline constexpr std::size_t agentRelayOutcomeCount = 15;
+inline constexpr std::size_t agentRelayOutcomeCount = 16;
 
 /// \brief Lower-case name of an outcome, as in logs and metrics.
 [[nodiscard]] std::string_view agentRelayOutcomeName(AgentRelayOutcome outcome) noexcept;
@@ -68,6 +69,7 @@
     bool isStartObserved { false }; ///< the target started after this process, so that this process knows all of its flows
     std::uint16_t slots { 1 };
     std::uint32_t maximumConnections { 2000 };
+    TimePoint lastAnnouncement; ///< when the target last announced itself; the epoch if it has not
     std::chrono::milliseconds remainingWarmUp { 0 }; ///< remaining time in which the target is slow after its start
 };
 
@@ -91,6 +93,11 @@
     /// \brief Replaces the data centres whose targets take no new flows.
     void setEvacuations(EvacuationSet const& evacuations, TimePoint now);
 
+    /// \brief Sets how many requests the target sustains while it is cold.
+    ///
+    /// \param requestsPerSecond  declared for the service; 0 for no limit
+    void setColdRate(double requestsPerSecond);
+
     /// \brief Replaces the state of the target; takes effect with the next segment.
     void setTargetState(TargetState const& target, TimePoint now);
 
--- a/include/plantaindrift/relay/EntryRelay.h
+++ b/include/plantaindrift/relay/EntryRelay.h
@@ -15,6 +15,7 @@
 #include <array>
 #include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <span>
 #include <string>
@@ -36,10 +37,13 @@
     DroppedNoTarget,
     DroppedStaleOpening, ///< request to open a flow that waited while this process stood still
     RefusedEvacuated, ///< all data centres with targets of the service are evacuated
-    DroppedEvacuated ///< as RefusedEvacuated, but an earlier copy may have opened the flow
+    DroppedEvacuated, ///< as RefusedEvacuated, but an earlier copy may have opened the flow
+    OfferedAgain, ///< request to open a flow that an agent returned, sent to the target with most room
+    RefusedNoRoom, ///< request to open a flow that an agent returned, and no other target has room
+    DroppedReturned ///< request to open a flow that an agent returned, and the flow may be open
 };
 
-inline constexpr std::size_t entryRelayOutcomeCount = 13;
+inline constexpr std::size_t entryRelayOutcomeCount = 16;
 
 /// \brief Lower-case name of an outcome, as in logs and metrics.
 [[nodiscard]] std::string_view entryRelayOutcomeName(EntryRelayOutcome outcome) noexcept;
@@ -118,6 +122,11 @@
 
     [[nodiscard]] std::size_t flowCount() const noexcept;
 
+    using ReturnCountVisitor = std::function<void(EntryRelayOutcome outcome, std::string_view reason, std::uint64_t count)>;
+
+    /// \brief Visits the numbers of openings that agents returned since start, by what became of them and the agent's reason.
+    void visitReturnCounts(ReturnCountVisitor const& visit) const;
+
     /// \brief Number of flows that this entry offered elsewhere and that reached a target of an evacuated data centre, since
     /// start.
     [[nodiscard]] std::uint64_t evacuatedFlowCount() const noexcept;
--- a/include/plantaindrift/relay/RelayMessage.h
+++ b/include/plantaindrift/relay/RelayMessage.h
@@ -2,6 +2,7 @@
 
 #include "plantaindrift/base/Types.h"
 #include "plantaindrift/packet/Encapsulation.h"
+#include "plantaindrift/relay/OpeningReason.h"
 
 #include <array>
 #include <chrono>
@@ -22,7 +23,8 @@
     FlowNotFound = 6, ///< agent to entry: the sender's target does not hold this flow
     SearchRequest = 7, ///< entry to agent: a segment of an unknown flow, and the agents to forward it to
     FlowQuery = 8, ///< entry to agent: which of these flows may the target hold?
-    FlowQueryReply = 9 ///< agent to entry: the flows of a query that the target may hold
+    FlowQueryReply = 9, ///< agent to entry: the flows of a query that the target may hold
+    OpeningDeclined = 11 ///< agent to entry: an opening segment that no agent that was offered it admits, and the load of the sender's target
 };
 
 /// \brief What an agent does with a packet of a flow that it does not know.
@@ -44,6 +46,7 @@
     bool hasEnded { false }; ///< the target announced its end; it holds no flows
     bool isMachineRestarted { false }; ///< agent and target started a short time ago, so that no older flow is open
     bool isWithdrawn { false }; ///< the target announced that it is draining or leaving
+    std::uint16_t coldAllowance { 0 }; ///< new flows a second that the target takes while it is cold; 0 for no limit
     bool isAssumed { false }; ///< the target has not announced itself since its agent started
 
     friend bool operator==(TargetLoad const&, TargetLoad const&) = default;
@@ -68,10 +71,15 @@
     RelaySearchMode searchMode { RelaySearchMode::Start };
     std::uint16_t latencyLimitTenthMs { 0 }; ///< expected time above which no target admits the new flow, in 0.1 ms; 0 for no limit
     bool mayBeOpen { false }; ///< an earlier copy of the opening segment may have opened the flow, so that no agent refuses this one
+    bool isLastOffer { false }; ///< the opening segment was returned to the entry once, and is not returned again
     std::uint8_t candidateCount { 0 };
-    std::array<RelayCandidate, maximumRelayCandidates> candidates {}; ///< agents that have not received the packet yet
+    std::uint8_t offeredCount { 0 };
+    /// Agents that have not received the packet yet, and after them the agents that were offered the opening segment and
+    /// forwarded it.
+    std::array<RelayCandidate, maximumRelayCandidates> candidates {};
 
     [[nodiscard]] std::span<RelayCandidate const> usedCandidates() const noexcept { return { candidates.data(), candidateCount }; }
+    [[nodiscard]] std::span<RelayCandidate const> offeredAgents() const noexcept { return std::span(candidates).subspan(candidateCount, offeredCount); }
 };
 
 /// \brief The endpoints of a relayed flow.
@@ -112,10 +120,11 @@
 struct DecodedRelayMessage {
     DatagramError error { DatagramError::None };
     RelayMessageKind kind { RelayMessageKind::Packet };
-    RelayRoute route; ///< Packet, SearchRequest
-    std::span<std::byte const> segment; ///< Packet, SearchRequest; points into the datagram
+    RelayRoute route; ///< Packet, SearchRequest, OpeningDeclined
+    OpeningReason declineReason { OpeningReason::HasRoom }; ///< OpeningDeclined
+    std::span<std::byte const> segment; ///< Packet, SearchRequest, OpeningDeclined; points into the datagram
     RelayFlow flow; ///< OwnerNotice, FlowNotFound
-    TargetLoad load; ///< OwnerNotice, LoadReport
+    TargetLoad load; ///< OwnerNotice, LoadReport, OpeningDeclined
     ServiceHash serviceHash {}; ///< LoadReport, FlowOwners, FlowNotFound, SearchRequest, FlowQuery, FlowQueryReply
     std::chrono::milliseconds loadInterval { 0 }; ///< LoadSubscription
     std::span<std::byte const> searchedAgentBytes; ///< SearchRequest: encoded agents; points into the datagram
@@ -156,6 +165,11 @@
 /// \param output  at least maximumRelayHeaderBytes plus the length of the segment header
 [[nodiscard]] std::size_t writeRelayPacket(RelayRoute const& route, std::span<std::byte const> segmentHeader, std::span<std::byte const> data, RelaySigningContext const& seal, std::span<std::byte> output) noexcept;
 
+/// \brief Writes the header of an OpeningDeclined message and a segment header; the parameters are those of a packet.
+///
+/// \param load  of the sender's target
+[[nodiscard]] std::size_t writeRelayOpeningDeclined(RelayRoute const& route, OpeningReason reason, TargetLoad const& load, std::span<std::byte const> segmentHeader, std::span<std::byte const> data, RelaySigningContext const& seal, std::span<std::byte> output) noexcept;
+
 [[nodiscard]] std::size_t writeRelayOwnerNotice(RelayFlow const& flow, TargetLoad const& load, RelaySigningContext const& seal, std::span<std::byte> output) noexcept;
 [[nodiscard]] std::size_t writeRelayLoadReport(ServiceHash service, TargetLoad const& load, RelaySigningContext const& seal, std::span<std::byte> output) noexcept;
 [[nodiscard]] std::size_t writeRelayLoadSubscription(std::chrono::milliseconds interval, RelaySigningContext const& seal, std::span<std::byte> output) noexcept;
--- a/src/balancing/OpeningPolicy.cpp
+++ b/src/balancing/OpeningPolicy.cpp
@@ -14,14 +14,18 @@
     constexpr double minimumForwardGainShare = 0.5;
     constexpr double minimumForwardGainTenthMs = 30;
 
-    constexpr std::array<std::string_view, openingReasonCount> reasonNames { "known_flow", "has_room", "cheaper_candidate", "not_accepting", "over_limit", "evacuated", "target_full" };
+    constexpr std::array<std::string_view, openingReasonCount> reasonNames { "known_flow", "has_room", "cheaper_candidate", "not_accepting", "over_limit", "evacuated", "target_full", "cold" };
 
-    constexpr std::array<std::string_view, openingActionCount> actionNames { "admit", "forward_candidate", "forward_peer", "refuse", "drop" };
+    constexpr std::array<std::string_view, openingActionCount> actionNames { "admit", "forward_candidate", "forward_peer", "refuse", "drop", "return" };
 
-    // Why the target takes no new flows; only for a target that takes none.
-    OpeningReason closedReason(OpeningInputs const& inputs) noexcept
+    // Why the target takes no new flow now, apart from its load; empty if it does.
+    std::optional<OpeningReason> closedReason(OpeningInputs const& inputs) noexcept
     {
-        return inputs.isEvacuated ? OpeningReason::Evacuated : OpeningReason::NotAccepting;
+        if (inputs.isEvacuated)
+            return OpeningReason::Evacuated;
+        if (!inputs.load.isAccepting)
+            return OpeningReason::NotAccepting;
+        return inputs.isColdLimitReached ? std::optional(OpeningReason::Cold) : std::nullopt;
     }
 
     // The candidate to which the segment is to be forwarded; empty if the local target is not worse by a margin.
@@ -31,7 +35,7 @@
             return std::nullopt;
         auto const cheapest = std::min_element(inputs.candidates.begin(), inputs.candidates.end(), [](RelayCandidate const& left, RelayCandidate const& right) { return left.costTenthMs < right.costTenthMs; });
         std::size_t const index = static_cast<std::size_t>(cheapest - inputs.candidates.begin());
-        if (!inputs.load.isAccepting || inputs.isEvacuated)
+        if (closedReason(inputs))
             return index;
         double const own = targetCost(inputs.load, 0);
         double const service = std::max<double>(inputs.load.serviceTimeTenthMs, minimumForwardGainTenthMs);
@@ -53,26 +57,38 @@
 
 OpeningDecision OpeningPolicy::decide(OpeningInputs const& inputs) noexcept
 {
+    if (inputs.isKnownFlow && inputs.isColdLimitReached)
+        return { OpeningAction::Drop, OpeningReason::Cold };
     if (inputs.isKnownFlow)
         return { OpeningAction::Admit, OpeningReason::KnownFlow };
-    bool const isOpen = inputs.load.isAccepting && !inputs.isEvacuated;
+    std::optional<OpeningReason> const closed = closedReason(inputs);
     if (std::optional<std::size_t> const cheaper = findCheaperCandidate(inputs))
-        return { OpeningAction::ForwardToCandidate, isOpen ? OpeningReason::CheaperCandidate : closedReason(inputs), *cheaper };
+        return { OpeningAction::ForwardToCandidate, closed.value_or(OpeningReason::CheaperCandidate), *cheaper };
     // The load of a target that is idle because of the evacuation says nothing about the others.
     if (inputs.isEvacuated)
-        return { OpeningAction::ForwardToPeer, OpeningReason::Evacuated };
+        return decline(inputs, OpeningReason::Evacuated);
     bool const isOverLimit = !isWithinLimit(inputs.load, inputs.latencyLimitTenthMs, inputs.copy);
     if (inputs.copy == 0)
         lateShare_.record(isOverLimit);
+    if (isOverLimit)
+        return decline(inputs, OpeningReason::OverLimit);
+    if (closed)
+        return decline(inputs, *closed);
+    return { OpeningAction::Admit, OpeningReason::HasRoom };
+}
+
+OpeningDecision OpeningPolicy::decline(OpeningInputs const& inputs, OpeningReason reason) const noexcept
+{
+    bool const isOriginal = inputs.copy == 0 && !inputs.mayBeOpen;
+    if (isOriginal && inputs.hasEntry)
+        return { inputs.isLastOffer ? OpeningAction::Refuse : OpeningAction::ReturnToEntry, reason };
+    // Another target may take what this one must not.
+    if (reason != OpeningReason::OverLimit)
+        return { OpeningAction::ForwardToPeer, reason };
     // A retransmission is not refused, because an earlier copy may have opened the flow. A dropped original is followed by
     // retransmissions.
-    if (isOverLimit && (inputs.mayBeOpen || !lateShare_.isRetryUseful()))
-        return { OpeningAction::Drop, OpeningReason::OverLimit };
-    if (isOverLimit)
-        return { OpeningAction::Refuse, OpeningReason::OverLimit };
-    if (isOpen)
-        return { OpeningAction::Admit, OpeningReason::HasRoom };
-    return { OpeningAction::ForwardToPeer, OpeningReason::NotAccepting };
+    bool const isRefused = isOriginal && lateShare_.isRetryUseful();
+    return { isRefused ? OpeningAction::Refuse : OpeningAction::Drop, reason };
 }
 
 } // namespace plantaindrift
--- a/src/balancing/OpeningPolicy.h
+++ b/src/balancing/OpeningPolicy.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "balancing/AdmissionLimit.h"
+#include "plantaindrift/relay/OpeningReason.h"
 #include "plantaindrift/relay/RelayMessage.h"
 
 #include <array>
@@ -20,26 +21,11 @@
     ForwardToCandidate, ///< send it to an agent that the entry named
     ForwardToPeer, ///< send it to any agent of the service
     Refuse, ///< reset the caller: nothing ran, and the caller may try again at once
-    Drop ///< the caller retransmits the segment
+    Drop, ///< the caller retransmits the segment
+    ReturnToEntry ///< the entry, which knows the loads of all targets, offers it to another one or refuses it
 };
 
-inline constexpr std::size_t openingActionCount = 5;
-
-/// \brief Why an agent decided so.
-enum class OpeningReason : std::uint8_t {
-    KnownFlow, ///< the target has been offered the flow before
-    HasRoom, ///< the expected time is within the latency limit
-    CheaperCandidate, ///< another target is expected to answer sooner by a margin
-    NotAccepting, ///< the local target takes no new flows
-    OverLimit, ///< the expected time exceeds the latency limit
-    Evacuated, ///< the data centre of the local target is evacuated
-    TargetFull ///< the local target returned the segment
-};
-
-inline constexpr std::size_t openingReasonCount = 7;
-
-/// \brief Lower-case name of a reason, as in logs and metrics.
-[[nodiscard]] std::string_view openingReasonName(OpeningReason reason) noexcept;
+inline constexpr std::size_t openingActionCount = 6;
 
 /// \brief Lower-case name of an action, as in metrics.
 [[nodiscard]] std::string_view openingActionName(OpeningAction action) noexcept;
@@ -52,6 +38,9 @@
     TargetLoad load; ///< of the local target
     bool isKnownFlow { false }; ///< the target was offered the flow before and has not ended it
     bool isEvacuated { false }; ///< the data centre of the target is evacuated
+    bool isColdLimitReached { false }; ///< the target is cold and has received what it takes in a second
+    bool isLastOffer { false }; ///< the entry found no target with more room
+    bool hasEntry { false }; ///< an entry receives what is returned
     bool mayBeOpen { false }; ///< an earlier copy may have opened the flow, which a reset would break
     std::uint16_t latencyLimitTenthMs { 0 }; ///< in 0.1 ms; 0 for no limit
     std::uint32_t copy { 0 }; ///< number of the retransmission, 0 for the original
@@ -68,13 +57,17 @@
 
 /// \brief Decides at an agent what becomes of opening segments.
 ///
-/// Keeps new flows out of an evacuated data centre whose entries have not all received the evacuation. Answers surges in which entries that know the same old load reports choose the same targets, and overload in which no
+/// Keeps new flows out of an evacuated data centre whose entries have not all received the evacuation, and beyond what a cold
+/// target takes. What the target cannot take goes to the candidates that the entry named, then back to the entry, before it is
+/// refused. Answers surges in which entries that know the same old load reports choose the same targets, and overload in which no
 /// target can answer in time.
 class OpeningPolicy {
 public:
     [[nodiscard]] OpeningDecision decide(OpeningInputs const& inputs) noexcept;
 
 private:
+    [[nodiscard]] OpeningDecision decline(OpeningInputs const& inputs, OpeningReason reason) const noexcept;
+
     LateShare lateShare_;
 };
 
--- a/src/relay/AgentOpenings.cpp
+++ b/src/relay/AgentOpenings.cpp
@@ -1,5 +1,6 @@
 #include "balancing/TargetCost.h"
 #include "relay/AgentRelayState.h"
+#include "relay/RelayTimes.h"
 
 #include <algorithm>
 #include <array>
@@ -13,6 +14,11 @@
     // A caller acknowledges the answer to its opening segment within this time, or gives up.
     constexpr std::chrono::seconds openingOwnerLifetime { 3 };
 
+    std::span<RelayCandidate const> offeredAndCandidates(RelayRoute const& route) noexcept
+    {
+        return std::span(route.candidates).first(std::size_t { route.candidateCount } + route.offeredCount);
+    }
+
 } // namespace
 
 OpeningDecision AgentRelay::State::decideOpening(SegmentContext& context) noexcept
@@ -23,12 +29,19 @@
     OpeningInputs inputs;
     inputs.load = load();
     inputs.isEvacuated = isEvacuated;
-    // What the target was only offered before its data centre was evacuated opens elsewhere.
-    inputs.isKnownFlow = isHeld && (!isEvacuated || known->isEstablished);
+    inputs.isColdLimitReached = isColdLimitReached();
+    inputs.isLastOffer = context.route.isLastOffer;
+    inputs.hasEntry = context.route.entry.isSet();
+    // What the target was only offered may open elsewhere.
+    bool const mayLeave = isEvacuated || inputs.isColdLimitReached;
+    inputs.isKnownFlow = isHeld && (!mayLeave || known->isEstablished);
     inputs.latencyLimitTenthMs = context.route.latencyLimitTenthMs;
     inputs.copy = context.segment.acknowledgement;
-    // The network may duplicate the original that the target was offered.
-    context.mayBeOpen = inputs.copy != 0 || isHeld || context.route.mayBeOpen;
+    // The network may duplicate an original that the target was offered, or that this agent forwarded. While this process stood
+    // still, the caller may have retransmitted it.
+    std::optional<Endpoint> const forwardedTo = ownerRecords.find(context.hash, context.now);
+    bool const isDuplicate = isHeld || (forwardedTo && *forwardedTo != options.ownEndpoint);
+    context.mayBeOpen = inputs.copy != 0 || isDuplicate || context.route.mayBeOpen || context.waited >= originalLifetime;
     inputs.mayBeOpen = context.mayBeOpen;
     inputs.hops = context.route.hops;
     inputs.candidates = context.route.usedCandidates();
@@ -54,11 +67,55 @@
     case OpeningAction::ForwardToPeer:
         return forwardToAnyPeer(context);
     case OpeningAction::Refuse:
-        return resetCaller(context, AgentRelayOutcome::RefusedOverLimit);
+        return decision.reason == OpeningReason::OverLimit ? resetCaller(context, AgentRelayOutcome::RefusedOverLimit) : refuse(context);
+    case OpeningAction::ReturnToEntry:
+        return returnToEntry(context);
     case OpeningAction::Drop:
         break;
     }
-    return drop(context, AgentRelayOutcome::DroppedOverLimit);
+    return drop(context, decision.reason == OpeningReason::OverLimit ? AgentRelayOutcome::DroppedOverLimit : AgentRelayOutcome::DroppedUnknownFlow);
+}
+
+bool AgentRelay::State::isCold() const noexcept
+{
+    if (coldLimit.allowance() == 0)
+        return false;
+    bool const isAwaited = !target.isAnnounced || (evacuationEnd != TimePoint {} && target.lastAnnouncement <= evacuationEnd);
+    return isAwaited || currentTime < warmUpEnd;
+}
+
+bool AgentRelay::State::isColdLimitReached() const noexcept
+{
+    return isCold() && !coldLimit.hasRoom(currentTime);
+}
+
+PacketVerdict AgentRelay::State::declineReturned(SegmentContext& context) noexcept
+{
+    RelayRoute const& route = context.route;
+    OpeningAction action = OpeningAction::ForwardToPeer;
+    if (route.candidateCount > 0 && route.hops < maximumOpeningForwards)
+        action = OpeningAction::ForwardToCandidate;
+    else if (!context.mayBeOpen && route.entry.isSet())
+        action = route.isLastOffer ? OpeningAction::Refuse : OpeningAction::ReturnToEntry;
+    countOpening(context, { action, OpeningReason::TargetFull });
+    if (action == OpeningAction::ForwardToCandidate)
+        return forwardOpening(context, context.route.candidates.front());
+    if (action == OpeningAction::Refuse)
+        return refuse(context);
+    return action == OpeningAction::ReturnToEntry ? returnToEntry(context) : forwardToAnyPeer(context);
+}
+
+PacketVerdict AgentRelay::State::returnToEntry(SegmentContext const& context) noexcept
+{
+    ++outcomes[static_cast<std::size_t>(AgentRelayOutcome::ReturnedToEntry)];
+    notifyObserver(context, AgentRelayOutcome::ReturnedToEntry, context.route.entry);
+    // Clears the flag of a segment that the target returned.
+    std::array<std::byte, 64> segmentHeader;
+    codec.copyHeader(context.datagram, 0, segmentHeader);
+    std::span<std::byte const> const head = std::span<std::byte const>(segmentHeader).first(codec.headerBytes());
+    std::span<std::byte const> const data = context.datagram.subspan(head.size());
+    std::size_t const bytes = writeRelayOpeningDeclined(context.route, context.openingReason, load(), head, data, { options.keys, context.nowSeconds }, header);
+    return { context.route.entry, headerSpan(bytes), data };
 }
 
 void AgentRelay::State::markEvacuatedPeers() noexcept
@@ -75,14 +132,19 @@
         return std::any_of(peers.begin(), peers.end(), [&candidate](Peer const& peer) { return peer.agent == candidate.agent && peer.isEvacuated && !peer.dead; });
     };
     auto const end = std::remove_if(route.candidates.begin(), route.candidates.begin() + route.candidateCount, isExcluded);
+    std::copy_n(route.candidates.begin() + route.candidateCount, route.offeredCount, end);
     route.candidateCount = static_cast<std::uint8_t>(end - route.candidates.begin());
 }
 
 PacketVerdict AgentRelay::State::forwardOpening(SegmentContext& context, RelayCandidate& candidate) noexcept
 {
     Endpoint const to = candidate.agent;
-    std::swap(candidate, context.route.candidates[context.route.candidateCount - 1]);
-    --context.route.candidateCount;
+    RelayRoute& route = context.route;
+    // The place of the last candidate becomes the first one of those that were offered the segment.
+    std::swap(candidate, route.candidates[route.candidateCount - 1]);
+    --route.candidateCount;
+    route.candidates[route.candidateCount] = { options.ownEndpoint, 0 };
+    ++route.offeredCount;
     ownerRecords.record(context.hash, to, context.now + openingOwnerLifetime);
     return forward(context, to, AgentRelayOutcome::ForwardedOpening);
 }
@@ -93,15 +155,21 @@
         return refuse(context);
     Peer const* chosen = nullptr;
     std::uint64_t best = 0;
+    std::span<RelayCandidate const> const offered = context.route.offeredAgents();
     for (Peer const& peer : peers) {
         std::uint64_t const score = rankScore(peer.nameHash, context.hash + context.route.hops);
-        if (!peer.draining && !peer.dead && !peer.isEvacuated && (chosen == nullptr || score > best)) {
+        bool const wasOffered = std::any_of(offered.begin(), offered.end(), [&peer](RelayCandidate const& agent) { return agent.agent == peer.agent; });
+        if (!peer.draining && !peer.dead && !peer.isEvacuated && !wasOffered && (chosen == nullptr || score > best)) {
             chosen = &peer;
             best = score;
         }
     }
     if (chosen == nullptr)
         return refuse(context);
+    if (std::size_t const named = offeredAndCandidates(context.route).size(); named < maximumRelayCandidates) {
+        context.route.candidates[named] = { options.ownEndpoint, 0 };
+        ++context.route.offeredCount;
+    }
     ownerRecords.record(context.hash, chosen->agent, context.now + openingOwnerLifetime);
     return forward(context, chosen->agent, AgentRelayOutcome::ForwardedOpening);
 }
@@ -130,6 +198,7 @@
     }
     record->lastSegment = context.now;
     record->entry = context.route.entry;
+    coldLimit.recordDelivery(context.now);
     notifyEntry(context);
     return deliver(context, AgentRelayOutcome::Admitted, true);
 }
--- a/src/relay/AgentRelay.cpp
+++ b/src/relay/AgentRelay.cpp
@@ -18,7 +18,7 @@
 
     constexpr std::array<std::string_view, agentRelayOutcomeCount> outcomeNames {
         "admitted", "delivered", "tried", "passed_first", "passed_known", "searched",
-        "answered", "refused", "refused_late", "reset", "dropped_service", "dropped_unknown", "dropped_late", "dropped_malformed", "dropped_stale"
+        "answered", "refused", "refused_late", "reset", "dropped_service", "dropped_unknown", "dropped_late", "dropped_malformed", "dropped_stale", "returned"
     };
 
     // Entries renew owner records every 20 s.
@@ -74,6 +74,7 @@
     load.isMachineRestarted = target.isStartObserved && currentTime - started < restartPeriod;
     load.isWithdrawn = target.isAnnounced && !target.isAccepting;
     load.isAssumed = !target.isAnnounced;
+    load.coldAllowance = isCold() ? coldLimit.allowance() : std::uint16_t { 0 };
     return load;
 }
 
@@ -182,17 +183,25 @@
 void AgentRelay::setEvacuations(EvacuationSet const& evacuations, TimePoint now)
 {
     state_->currentTime = now;
+    if (state_->isEvacuated && !evacuations.contains(state_->options.dataCentre))
+        state_->evacuationEnd = now;
     state_->evacuations = evacuations;
     state_->isEvacuated = evacuations.contains(state_->options.dataCentre);
     state_->markEvacuatedPeers();
 }
 
+void AgentRelay::setColdRate(double requestsPerSecond)
+{
+    state_->coldLimit.setRate(requestsPerSecond);
+}
+
 void AgentRelay::setTargetState(TargetState const& target, TimePoint now)
 {
     if (target.isAnnounced)
         state_->hasReturnedOpening = false;
     state_->target = target;
-    state_->flows.requests().setWarmUpEnd(now + target.remainingWarmUp);
+    state_->warmUpEnd = now + target.remainingWarmUp;
+    state_->flows.requests().setWarmUpEnd(state_->warmUpEnd);
 }
 
 void AgentRelay::handleTargetReplacement()
@@ -241,6 +250,7 @@
         return state_->processLater(context);
     if (maximumWait >= openingLifetime(segment->acknowledgement))
         return state_->drop(context, AgentRelayOutcome::DroppedStaleOpening);
+    context.waited = maximumWait;
     return state_->processOpening(context);
 }
 
--- a/src/relay/AgentRelayState.h
+++ b/src/relay/AgentRelayState.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "balancing/ColdLimit.h"
 #include "balancing/OpeningPolicy.h"
 #include "plantaindrift/relay/AgentRelay.h"
 #include "relay/LoadSubscribers.h"
@@ -41,6 +42,7 @@
         TimePoint now;
         std::uint32_t nowSeconds { 0 };
         OpeningReason openingReason { OpeningReason::HasRoom }; ///< of an opening segment, once decided
+        Duration waited { 0 }; ///< longest time that the segment may have waited in this process
         bool mayBeOpen { false }; ///< an earlier copy of an opening segment may have opened the flow
     };
 
@@ -69,6 +71,9 @@
     EvacuationSet evacuations;
     bool isEvacuated { false }; ///< the own data centre takes no new flows
     OpeningCounts openingCounts {};
+    ColdLimit coldLimit;
+    TimePoint warmUpEnd; ///< end of the time in which the target is cold, as it announced last
+    TimePoint evacuationEnd; ///< when an evacuation of the own data centre last ended
     TimePoint lastSweep;
     std::array<std::uint64_t, agentRelayOutcomeCount> outcomes {};
     std::array<std::byte, maximumRelayHeaderBytes + 64> header {};
@@ -100,6 +105,13 @@
     PacketVerdict processOpening(SegmentContext& context) noexcept;
     /// Decides what becomes of an opening segment, and counts the decision.
     [[nodiscard]] OpeningDecision decideOpening(SegmentContext& context) noexcept;
+    /// True while the target sustains only the declared rate. Whether a target that was idle through an evacuation, or has not
+    /// announced itself yet, is cold is known from its next announcement.
+    [[nodiscard]] bool isCold() const noexcept;
+    [[nodiscard]] bool isColdLimitReached() const noexcept;
+    /// An opening segment that the target returned, because it is full or still starting.
+    PacketVerdict declineReturned(SegmentContext& context) noexcept;
+    PacketVerdict returnToEntry(SegmentContext const& context) noexcept;
     void countOpening(SegmentContext& context, OpeningDecision const& decision) noexcept;
     void markEvacuatedPeers() noexcept;
     /// Removes the agents of evacuated data centres from the candidates of an opening segment.
--- a/src/relay/AgentSegments.cpp
+++ b/src/relay/AgentSegments.cpp
@@ -81,7 +81,11 @@
     if (!record->isEstablished && !record->isAcknowledgedBy(context.segment))
         return processOtherOwner(context);
     record->isEstablished = true;
+    bool const isLaterRequest = record->hasRequest && !record->hasPendingRequest;
     flows.trackRequest(*record, context.segment, context.now);
+    // The opening stands for the first request of its flow.
+    if (isLaterRequest && record->hasPendingRequest)
+        coldLimit.recordDelivery(context.now);
     // An entry that names another candidate is not certain of the owner; one that restarted has no record of it.
     bool const isEntryCertain = context.route.searchMode == RelaySearchMode::OwnerKnown && context.route.hops == 0 && context.route.candidateCount == 0;
     bool const isOwnerKnownToEntry = isEntryCertain && record->entry == context.route.entry;
@@ -209,12 +213,11 @@
             flows.erase(*record);
         pauseAdmission(context);
         removeEvacuatedCandidates(context.route);
-        context.mayBeOpen = context.segment.acknowledgement != 0 || context.route.mayBeOpen;
+        bool const isLate = delivery == nullptr || context.now - delivery->delivered >= originalLifetime;
+        context.mayBeOpen = context.segment.acknowledgement != 0 || context.route.mayBeOpen || isLate;
         if (delivery != nullptr && context.now - delivery->delivered >= openingLifetime(context.segment.acknowledgement))
             return drop(context, AgentRelayOutcome::DroppedStaleOpening);
-        bool const hasCandidate = context.route.candidateCount > 0 && context.route.hops < maximumOpeningForwards;
-        countOpening(context, { hasCandidate ? OpeningAction::ForwardToCandidate : OpeningAction::ForwardToPeer, OpeningReason::TargetFull });
-        return hasCandidate ? forwardOpening(context, context.route.candidates.front()) : forwardToAnyPeer(context);
+        return declineReturned(context);
     }
     if (record != nullptr && record->isEstablished)
         return handleLostFlow(*record, context);
--- a/src/relay/EntryRelay.cpp
+++ b/src/relay/EntryRelay.cpp
@@ -3,6 +3,8 @@
 #include "balancing/TargetCost.h"
 #include "plantaindrift/base/Hash.h"
 #include "relay/AddressRoutes.h"
+#include "relay/FlowOwnerBatches.h"
+#include "relay/FlowRecord.h"
 #include "relay/HashTable.h"
 #include "relay/OwnerSearches.h"
 #include "relay/RelayTimes.h"
@@ -21,7 +23,7 @@
     constexpr std::array<std::string_view, entryRelayOutcomeCount> outcomeNames {
         "first_forwarded", "copy_forwarded", "owner_forwarded", "search_forwarded", "refused_no_route",
         "refused_no_target", "reset_lost", "dropped_malformed", "dropped_no_route", "dropped_no_target", "dropped_stale",
-        "refused_evacuated", "dropped_evacuated"
+        "refused_evacuated", "dropped_evacuated", "offered_again", "refused_no_room", "dropped_returned"
     };
 
     // A caller keeps a flow open for at most 60 s without a packet.
@@ -30,35 +32,12 @@
     // Separates the query numbers from other uses of the random seed.
     constexpr std::uint64_t querySeed = 0x71756572;
 
-    // For flows that end sooner, sending the owner to agents would cost more than a search.
-    constexpr std::chrono::milliseconds minimumSharedFlowAge { 300 };
-    constexpr std::chrono::seconds ownerShareInterval { 20 };
-
-    // Number of highest-ranked agents for a flow that receive its owner.
-    constexpr std::size_t ownerHolderCount = 2;
-
     // An owner that the view lacks confirms each segment; after this time without an answer it is taken for gone.
     constexpr std::chrono::milliseconds unlistedOwnerTimeout { 500 };
 
     // Number of ticks in which all flows are checked once.
     constexpr std::size_t ownerShareTicks = 5;
 
-    struct FlowRecord {
-        std::uint64_t hash { 0 };
-        bool used { false };
-        bool isConfirmed { false }; ///< the owner sent a notice, and no other target may have answered the opening segment
-        bool isUnlisted { false }; ///< the owner sent its last notice while the view of the service lacked it
-        bool isInUse { false }; ///< the caller has sent later segments, so that one of the answers is acknowledged
-        Endpoint owner;
-        Endpoint previousOwner; ///< previous target, which was offered an earlier copy of the opening segment
-        RelayFlow flow;
-        TimePoint opened;
-        TimePoint last;
-        TimePoint ownerSent; ///< time when the owner was last sent to agents
-        TimePoint unanswered; ///< time of the first segment since the last notice of an unlisted owner; unset if there was none
-        std::uint32_t holders { 0 }; ///< hash of the agents that received the owner, and of the owner
-    };
-
 } // namespace
 
 std::string_view entryRelayOutcomeName(EntryRelayOutcome outcome) noexcept
@@ -85,6 +64,8 @@
         std::uint64_t hash { 0 };
         TimePoint now;
         std::uint32_t nowSeconds { 0 };
+        Duration waited { 0 }; ///< longest time that the segment may have waited in this process
+        std::string_view reason; ///< why an agent returned it; empty if none did
     };
 
     EntryRelayOptions options;
@@ -98,6 +79,7 @@
     TimePoint evacuationChanged; ///< when the evacuated data centres last changed
     std::uint64_t evacuatedFlows { 0 }; ///< new flows that reached an evacuated data centre
     std::array<std::uint64_t, entryRelayOutcomeCount> outcomes {};
+    std::map<EntryRelayOutcome, std::array<std::uint64_t, openingReasonCount>> returnCounts; ///< of openings that agents returned
     std::array<std::byte, maximumRelayHeaderBytes> header {};
     std::array<std::byte, 64> resetBuffer {};
     TimePoint lastSweep;
@@ -120,6 +102,7 @@
         decision.outcome = entryRelayOutcomeName(outcome);
         decision.flow = { context.segment.source, context.segment.destination };
         decision.openAttempt = context.segment.isOpenRequest() ? context.segment.acknowledgement : 0;
+        decision.reason = context.reason;
         decision.destination = to;
         decision.costTenthMs = cost;
         if (DirectoryTarget const* const target = directory.findTarget(to)) {
@@ -185,7 +168,7 @@
         RelayRoute route;
         route.serviceHash = service->hash;
         route.latencyLimitTenthMs = routes.latencyLimit(context.segment.destination, context.now);
-        route.mayBeOpen = context.segment.acknowledgement != 0 || record != nullptr;
+        route.mayBeOpen = context.segment.acknowledgement != 0 || record != nullptr || context.waited >= originalLifetime;
         std::array<Endpoint, 2> const asked { record != nullptr ? record->owner : Endpoint {}, record != nullptr ? record->previousOwner : Endpoint {} };
         directory.chooseTargets(*service, asked, context.now, route);
         if (route.candidateCount == 0 && TargetDirectory::isWhollyEvacuated(*service))
@@ -202,6 +185,7 @@
             record->owner = chosen;
             record->isConfirmed = false;
             record->isInUse = false;
+            record->isReturnable = !route.mayBeOpen;
             record->last = context.now;
         }
         return forward(context, route, isCopy ? EntryRelayOutcome::ForwardedRetransmission : EntryRelayOutcome::ForwardedOpening);
@@ -224,6 +208,7 @@
         if (record == nullptr)
             return search(context);
         record->last = context.now;
+        record->isReturnable = false;
         record->isInUse = true;
         RelayRoute route;
         TargetGroup const* service = directory.findServiceOf(record->owner);
@@ -298,7 +283,7 @@
     void resetLostFlows(TimePoint now, std::uint32_t nowSeconds)
     {
         for (LostFlow const& lost : searches.takeLostFlows())
-            resetLostFlow({ {}, lost.segment, lost.hash, now, nowSeconds });
+            resetLostFlow({ {}, lost.segment, lost.hash, now, nowSeconds, {}, {} });
     }
 
     /// A reset is sent even for a closing segment: without an answer, the caller retransmits it many times. A caller
@@ -307,8 +292,13 @@
     {
         if (context.segment.isReset)
             return;
-        notifyObserver(context, EntryRelayOutcome::ResetLostFlow, {}, 0);
-        ++outcomes[static_cast<std::size_t>(EntryRelayOutcome::ResetLostFlow)];
+        sendReset(context, EntryRelayOutcome::ResetLostFlow);
+    }
+
+    void sendReset(SegmentContext const& context, EntryRelayOutcome outcome) noexcept
+    {
+        notifyObserver(context, outcome, {}, 0);
+        ++outcomes[static_cast<std::size_t>(outcome)];
         codec.writeReset(context.segment, resetBuffer);
         sender.send({ context.segment.source.address, options.callerPort }, std::span<std::byte const>(resetBuffer).first(codec.headerBytes()));
     }
@@ -323,6 +313,12 @@
         if (record == nullptr)
             return;
         countEvacuated(*record, from);
+        // An agent before it passed the opening on.
+        if (record->isReturnable && record->owner != from)
+            directory.recordColdDecline(record->owner, now);
+        if (record->isReturnable)
+            directory.recordColdAdmission(from);
+        record->isReturnable = false;
         if (record->owner.isSet() && record->owner != from) {
             record->previousOwner = record->owner;
             notifyOwnerReport("owner_changed", flow, from);
@@ -335,6 +331,51 @@
         record->isConfirmed = record->isInUse || !record->previousOwner.isSet();
     }
 
+    /// Offers an opening that an agent returned to the target with most room, or refuses the caller.
+    void processDeclined(Endpoint from, DecodedRelayMessage const& decoded, TimePoint now, std::uint32_t nowSeconds)
+    {
+        directory.recordLoad(from, decoded.load, now);
+        if (decoded.declineReason == OpeningReason::Cold)
+            directory.recordColdDecline(from, now);
+        std::optional<Segment> const segment = codec.decode(decoded.segment);
+        if (!segment || !segment->isOpenRequest())
+            return;
+        SegmentContext const context { decoded.segment, *segment, hashRelayFlow({ segment->source, segment->destination }), now, nowSeconds, {}, openingReasonName(decoded.declineReason) };
+        EntryRelayOutcome const outcome = offerAgain(context, from, decoded.route);
+        ++returnCounts[outcome][static_cast<std::size_t>(decoded.declineReason)];
+        if (outcome == EntryRelayOutcome::RefusedNoRoom)
+            sendReset(context, outcome);
+        else if (outcome == EntryRelayOutcome::DroppedReturned)
+            drop(context, outcome);
+    }
+
+    EntryRelayOutcome offerAgain(SegmentContext const& context, Endpoint from, RelayRoute const& declined)
+    {
+        FlowRecord* const record = flows.find(context.hash);
+        TargetGroup* const service = serviceOf(context);
+        // A later copy, or another one of the original, may have opened the flow meanwhile.
+        bool const isCurrent = record != nullptr && record->isReturnable && context.now - record->opened < originalLifetime;
+        if (!isCurrent || service == nullptr || context.segment.acknowledgement != 0)
+            return EntryRelayOutcome::DroppedReturned;
+        record->isReturnable = false;
+        std::vector<Endpoint> offered { from, record->owner };
+        for (RelayCandidate const& agent : declined.offeredAgents())
+            offered.push_back(agent.agent);
+        RelayRoute route;
+        route.serviceHash = service->hash;
+        route.latencyLimitTenthMs = declined.latencyLimitTenthMs;
+        route.isLastOffer = true;
+        directory.chooseLastOffers(*service, offered, context.now, route);
+        if (route.candidateCount == 0)
+            return EntryRelayOutcome::RefusedNoRoom;
+        record->owner = route.candidates.front().agent;
+        PacketVerdict const verdict = forward(context, route, EntryRelayOutcome::OfferedAgain);
+        std::vector<std::byte> message(verdict.header.begin(), verdict.header.end());
+        message.insert(message.end(), verdict.payload.begin(), verdict.payload.end());
+        sender.send(verdict.to, message);
+        return EntryRelayOutcome::OfferedAgain;
+    }
+
     /// Counts a flow that opened after the evacuation of its target's data centre.
     void countEvacuated(FlowRecord const& record, Endpoint agent) noexcept
     {
@@ -356,6 +397,9 @@
             directory.recordLoad(from, decoded.load, now);
             recordOwner(from, decoded.flow, now);
             return true;
+        case RelayMessageKind::OpeningDeclined:
+            processDeclined(from, decoded, now, nowSeconds);
+            return true;
         case RelayMessageKind::LoadReport:
             directory.recordLoad(from, decoded.load, now, decoded.serviceHash);
             return true;
@@ -377,56 +421,9 @@
     /// Sends owners of flows to agents, so that another entry finds an owner at once.
     void sendFlowOwners(TimePoint now, std::uint32_t nowSeconds)
     {
-        Batches batches;
-        flows.visitNextPart(ownerShareTicks, [&](FlowRecord& record) {
-            bool const isShared = record.isConfirmed && now - record.opened >= minimumSharedFlowAge && now - record.last < ownerShareInterval;
-            if (isShared)
-                addFlowOwners(record, now, batches);
-        });
-        for (Batches::value_type const& batch : batches)
-            sendBatch(batch.first, batch.second, nowSeconds);
-    }
-
-    /// An agent, and the service for which it holds owner records. The directory may know its address by another service.
-    using OwnerHolder = std::pair<Endpoint, ServiceHash>;
-    using Batches = std::map<OwnerHolder, std::vector<OwnedFlow>>; ///< by receiving agent
-
-    void addFlowOwners(FlowRecord& record, TimePoint now, Batches& batches)
-    {
-        TargetGroup const* const group = directory.findServiceOf(record.owner);
-        if (group == nullptr)
-            return;
-        std::array<std::pair<std::uint64_t, Endpoint>, ownerHolderCount> holders {};
-        for (DirectoryTarget const& target : group->targets) {
-            std::pair<std::uint64_t, Endpoint> holder { rankScore(target.nameHash, record.hash), target.agent };
-            // An entry that does not know the owner yet queries the next one.
-            if (target.isGone() || target.agent == record.owner)
-                continue;
-            for (std::pair<std::uint64_t, Endpoint>& best : holders) {
-                if (holder.first > best.first)
-                    std::swap(holder, best);
-            }
-        }
-        std::uint32_t const hash = static_cast<std::uint32_t>(mixHash(endpointKey(holders[0].second), mixHash(endpointKey(holders[1].second), endpointKey(record.owner))));
-        if (hash == record.holders && now - record.ownerSent < ownerShareInterval)
-            return;
-        record.holders = hash;
-        record.ownerSent = now;
-        for (std::pair<std::uint64_t, Endpoint> const& holder : holders) {
-            if (holder.second.isSet())
-                batches[{ holder.second, group->hash }].push_back({ record.flow, record.owner });
-        }
-    }
-
-    void sendBatch(OwnerHolder const& to, std::span<OwnedFlow const> owned, std::uint32_t nowSeconds)
-    {
-        std::array<std::byte, maximumRelayMessageBytes> message;
-        while (!owned.empty()) {
-            std::size_t const named = std::min(owned.size(), maximumFlowOwners);
-            std::size_t const bytes = writeRelayFlowOwners(to.second, owned.first(named), { options.keys, nowSeconds }, message);
-            sender.send(to.first, std::span<std::byte const>(message).first(bytes));
-            owned = owned.subspan(named);
-        }
+        FlowOwnerBatches batches(directory);
+        flows.visitNextPart(ownerShareTicks, [&](FlowRecord& record) { batches.add(record, now); });
+        batches.send(sender, { options.keys, nowSeconds });
     }
 
     void sweep(TimePoint now)
@@ -493,7 +490,7 @@
     std::optional<Segment> const segment = state_->codec.decode(datagram);
     if (!segment || segment->isReturned)
         return state_->countOutcome(EntryRelayOutcome::DroppedMalformed);
-    State::SegmentContext const context { datagram, *segment, hashRelayFlow({ segment->source, segment->destination }), now, nowSeconds };
+    State::SegmentContext const context { datagram, *segment, hashRelayFlow({ segment->source, segment->destination }), now, nowSeconds, maximumWait, {} };
     if (!segment->isOpenRequest())
         return state_->processLater(context);
     if (maximumWait >= openingLifetime(segment->acknowledgement))
@@ -537,6 +534,14 @@
     return state_->flows.size();
 }
 
+void EntryRelay::visitReturnCounts(ReturnCountVisitor const& visit) const
+{
+    for (std::pair<EntryRelayOutcome const, std::array<std::uint64_t, openingReasonCount>> const& counts : state_->returnCounts) {
+        for (std::size_t reason = 0; reason < openingReasonCount; ++reason)
+            visit(counts.first, openingReasonName(static_cast<OpeningReason>(reason)), counts.second[reason]);
+    }
+}
+
 std::uint64_t EntryRelay::evacuatedFlowCount() const noexcept
 {
     return state_->evacuatedFlows;
--- /dev/null
+++ b/src/relay/FlowRecord.h
@@ -0,0 +1,27 @@
+#pragma once
+
+#include "plantaindrift/relay/RelayMessage.h"
+
+#include <cstdint>
+
+namespace plantaindrift {
+
+/// \brief An entry's record of one flow.
+struct FlowRecord {
+    std::uint64_t hash { 0 };
+    bool used { false };
+    bool isConfirmed { false }; ///< the owner sent a notice, and no other target may have answered the opening segment
+    bool isUnlisted { false }; ///< the owner sent its last notice while the view of the service lacked it
+    bool isReturnable { false }; ///< only the original opening was sent, and no agent has reported what became of it
+    bool isInUse { false }; ///< the caller has sent later segments, so that one of the answers is acknowledged
+    Endpoint owner;
+    Endpoint previousOwner; ///< previous target, which was offered an earlier copy of the opening segment
+    RelayFlow flow;
+    TimePoint opened;
+    TimePoint last;
+    TimePoint ownerSent; ///< time when the owner was last sent to agents
+    TimePoint unanswered; ///< time of the first segment since the last notice of an unlisted owner; unset if there was none
+    std::uint32_t holders { 0 }; ///< hash of the agents that received the owner, and of the owner
+};
+
+} // namespace plantaindrift
--- a/src/relay/RelayMessage.cpp
+++ b/src/relay/RelayMessage.cpp
@@ -46,8 +46,9 @@
         wire::big_uint16_buf_t flows;
         wire::big_uint16_buf_t serviceTenths;
         wire::big_uint8_buf_t failedPercent;
+        wire::big_uint16_buf_t coldAllowance;
     };
-    static_assert(sizeof(LoadField) == 10);
+    static_assert(sizeof(LoadField) == 12);
 
     // Bits of LoadField::flags.
     constexpr std::uint8_t acceptingFlag = 1;
@@ -63,19 +64,27 @@
         wire::big_uint8_buf_t search;
         wire::big_uint16_buf_t limitTenths;
         wire::big_uint8_buf_t flags;
+        wire::big_uint8_buf_t offered; ///< number of agents after the candidates that were offered the segment
     };
-    static_assert(sizeof(RouteFields) == 19);
+    static_assert(sizeof(RouteFields) == 20);
 
     // Bits of RouteFields::flags.
     constexpr std::uint8_t mayBeOpenFlag = 1;
-    constexpr std::uint8_t knownRouteFlags = mayBeOpenFlag;
+    constexpr std::uint8_t lastOfferFlag = 2;
+    constexpr std::uint8_t knownRouteFlags = mayBeOpenFlag | lastOfferFlag;
 
     struct CandidateField {
         EndpointField agent;
         wire::big_uint16_buf_t costTenths;
     };
     static_assert(sizeof(CandidateField) == 8);
-    static_assert(sizeof(CommonFields) + sizeof(RouteFields) + maximumRelayCandidates * sizeof(CandidateField) <= maximumRelayHeaderBytes);
+
+    struct DeclineFields {
+        wire::big_uint8_buf_t reason;
+        LoadField load;
+    };
+    static_assert(sizeof(DeclineFields) == 13);
+    static_assert(sizeof(CommonFields) + sizeof(RouteFields) + maximumRelayCandidates * sizeof(CandidateField) + sizeof(DeclineFields) <= maximumRelayHeaderBytes);
 
     /// Number of segment bytes that the tag covers; the header of every format is shorter.
     constexpr std::size_t maximumTaggedSegmentBytes = 64;
@@ -105,6 +114,7 @@
         field.flows = load.openFlows;
         field.serviceTenths = load.serviceTimeTenthMs;
         field.failedPercent = load.failedPercent;
+        field.coldAllowance = load.coldAllowance;
         return field;
     }
 
@@ -122,6 +132,7 @@
         load.openFlows = field.flows.value();
         load.serviceTimeTenthMs = field.serviceTenths.value();
         load.failedPercent = field.failedPercent.value();
+        load.coldAllowance = field.coldAllowance.value();
         return load;
     }
 
@@ -190,6 +201,28 @@
         return size_ + segment.header.size();
     }
 
+    void addRoute(RelayRoute const& route, Writer& writer) noexcept
+    {
+        RouteFields fields;
+        fields.service = static_cast<std::uint64_t>(route.serviceHash);
+        fields.entry = toField(route.entry);
+        fields.hops = route.hops;
+        fields.search = static_cast<std::uint8_t>(route.searchMode);
+        fields.limitTenths = route.latencyLimitTenthMs;
+        unsigned flags = 0;
+        flags |= route.mayBeOpen ? mayBeOpenFlag : 0U;
+        flags |= route.isLastOffer ? lastOfferFlag : 0U;
+        fields.flags = static_cast<std::uint8_t>(flags);
+        fields.offered = route.offeredCount;
+        writer.add(fields);
+        for (RelayCandidate const& candidate : std::span(route.candidates).first(std::size_t { route.candidateCount } + route.offeredCount)) {
+            CandidateField field;
+            field.agent = toField(candidate.agent);
+            field.costTenths = candidate.costTenthMs;
+            writer.add(field);
+        }
+    }
+
     /// Reads fixed-layout records from the front of a datagram.
     class Reader {
     public:
@@ -223,7 +256,7 @@
         std::span<std::byte const> bytes_;
     };
 
-    bool readPacket(Reader& reader, std::size_t count, DecodedRelayMessage& decoded) noexcept
+    bool readRoute(Reader& reader, std::size_t count, DecodedRelayMessage& decoded) noexcept
     {
         RouteFields fields;
         if (count > maximumRelayCandidates || !reader.read(fields))
@@ -237,9 +270,14 @@
         decoded.route.latencyLimitTenthMs = fields.limitTenths.value();
         if ((fields.flags.value() & ~knownRouteFlags) != 0)
             return false;
+        decoded.route.isLastOffer = (fields.flags.value() & lastOfferFlag) != 0;
         decoded.route.mayBeOpen = (fields.flags.value() & mayBeOpenFlag) != 0;
         decoded.route.candidateCount = static_cast<std::uint8_t>(count);
-        for (std::size_t index = 0; index < count; ++index) {
+        std::size_t const agents = count + fields.offered.value();
+        if (agents > maximumRelayCandidates)
+            return false;
+        decoded.route.offeredCount = fields.offered.value();
+        for (std::size_t index = 0; index < agents; ++index) {
             CandidateField candidate;
             if (!reader.read(candidate))
                 return false;
@@ -247,7 +285,22 @@
             if (!decoded.route.candidates[index].agent.isSet())
                 return false;
         }
-        return !reader.rest().empty();
+        return true;
+    }
+
+    bool readPacket(Reader& reader, std::size_t count, DecodedRelayMessage& decoded) noexcept
+    {
+        return readRoute(reader, count, decoded) && !reader.rest().empty();
+    }
+
+    bool readOpeningDeclined(Reader& reader, std::size_t count, DecodedRelayMessage& decoded) noexcept
+    {
+        DeclineFields fields;
+        if (!readRoute(reader, count, decoded) || !reader.read(fields) || fields.reason.value() >= openingReasonCount)
+            return false;
+        decoded.declineReason = static_cast<OpeningReason>(fields.reason.value());
+        decoded.load = fromField(fields.load);
+        return decoded.load.slots > 0 && !reader.rest().empty();
     }
 
     bool readOwnerNotice(Reader& reader, std::size_t /*count*/, DecodedRelayMessage& decoded) noexcept
@@ -335,7 +388,7 @@
     }
 
     using BodyReader = bool (*)(Reader&, std::size_t, DecodedRelayMessage&) noexcept;
-    constexpr std::array<BodyReader, 10> bodyReaders { nullptr, readPacket, readOwnerNotice, readLoadReport, readLoadSubscription, readFlowOwners, readFlowNotFound, readSearchRequest, readFlowQuery, readFlowQueryReply };
+    constexpr std::array<BodyReader, 12> bodyReaders { nullptr, readPacket, readOwnerNotice, readLoadReport, readLoadSubscription, readFlowOwners, readFlowNotFound, readSearchRequest, readFlowQuery, readFlowQueryReply, nullptr, readOpeningDeclined };
 
     DecodedRelayMessage decodingError(DatagramError error) noexcept
     {
@@ -395,20 +448,18 @@
 std::size_t writeRelayPacket(RelayRoute const& route, std::span<std::byte const> segmentHeader, std::span<std::byte const> data, RelaySigningContext const& seal, std::span<std::byte> output) noexcept
 {
     Writer writer(RelayMessageKind::Packet, route.candidateCount, seal, output);
-    RouteFields fields;
-    fields.service = static_cast<std::uint64_t>(route.serviceHash);
-    fields.entry = toField(route.entry);
-    fields.hops = route.hops;
-    fields.search = static_cast<std::uint8_t>(route.searchMode);
-    fields.limitTenths = route.latencyLimitTenthMs;
-    fields.flags = static_cast<std::uint8_t>(route.mayBeOpen ? mayBeOpenFlag : 0U);
+    addRoute(route, writer);
+    return writer.finish({ segmentHeader, data });
+}
+
+std::size_t writeRelayOpeningDeclined(RelayRoute const& route, OpeningReason reason, TargetLoad const& load, std::span<std::byte const> segmentHeader, std::span<std::byte const> data, RelaySigningContext const& seal, std::span<std::byte> output) noexcept
+{
+    Writer writer(RelayMessageKind::OpeningDeclined, route.candidateCount, seal, output);
+    addRoute(route, writer);
+    DeclineFields fields;
+    fields.reason = static_cast<std::uint8_t>(reason);
+    fields.load = toField(load);
     writer.add(fields);
-    for (RelayCandidate const& candidate : route.usedCandidates()) {
-        CandidateField field;
-        field.agent = toField(candidate.agent);
-        field.costTenths = candidate.costTenthMs;
-        writer.add(field);
-    }
     return writer.finish({ segmentHeader, data });
 }
 
@@ -495,14 +546,14 @@
     if (!reader.read(common))
         return decodingError(DatagramError::Truncated);
     std::size_t const kind = common.kind.value();
-    if (common.magic.value() != relayMagic || kind == 0 || kind >= bodyReaders.size())
+    if (common.magic.value() != relayMagic || kind >= bodyReaders.size() || bodyReaders[kind] == nullptr)
         return decodingError(DatagramError::BadRoute);
     DecodedRelayMessage decoded;
     decoded.kind = static_cast<RelayMessageKind>(kind);
     if (!bodyReaders[kind](reader, common.count.value(), decoded))
         return decodingError(DatagramError::Truncated);
     decoded.segment = reader.rest();
-    bool const hasSegment = decoded.kind == RelayMessageKind::Packet || decoded.kind == RelayMessageKind::SearchRequest;
+    bool const hasSegment = decoded.kind == RelayMessageKind::Packet || decoded.kind == RelayMessageKind::SearchRequest || decoded.kind == RelayMessageKind::OpeningDeclined;
     if (!hasSegment && !decoded.segment.empty())
         return decodingError(DatagramError::BadRoute);
     DatagramKey const* const key = findKey(keys, common.keyEpoch.value());
--- a/src/relay/RelayTimes.h
+++ b/src/relay/RelayTimes.h
@@ -20,4 +20,10 @@
     return std::chrono::milliseconds { copy < lastCopy ? 400 : 800 };
 }
 
+/// \brief Time after which a caller may have retransmitted its original opening segment.
+///
+/// Callers do so after 200 ms; the rest is the way of the segment and of a reset. A later reset could meet a flow that the
+/// retransmission opened.
+inline constexpr std::chrono::milliseconds originalLifetime { 150 };
+
 } // namespace plantaindrift
--- a/src/relay/TargetAnnouncementTracker.cpp
+++ b/src/relay/TargetAnnouncementTracker.cpp
@@ -69,6 +69,7 @@
     std::chrono::milliseconds const lease { static_cast<std::int64_t>(leaseIntervals * static_cast<double>(interval_.count())) };
     bool const isRecent = now - lastReceived_ <= lease;
     state.isAnnounced = newest_.has_value();
+    state.lastAnnouncement = newest_ ? lastReceived_ : TimePoint {};
     state.isStartObserved = isSeenFromStart_;
     state.hasLeft = newest_ && newest_->isLeaving;
     state.isGone = !isRecent || state.hasLeft;
--- a/src/relay/TargetDirectory.cpp
+++ b/src/relay/TargetDirectory.cpp
@@ -1,5 +1,6 @@
 #include "relay/TargetDirectory.h"
 
+#include "balancing/AdmissionLimit.h"
 #include "balancing/TargetChoice.h"
 #include "balancing/TargetCost.h"
 #include "plantaindrift/base/Hash.h"
@@ -7,6 +8,7 @@
 
 #include <algorithm>
 #include <array>
+#include <limits>
 #include <numeric>
 #include <utility>
 
@@ -46,12 +48,15 @@
 
     // Received load reports may use this part of the control budget of 3 KB/s.
     constexpr double loadBytesPerSecond = 1500;
-    constexpr double loadMessageBytes = 42;
+    constexpr double loadMessageBytes = 44;
 
     // Number of targets compared for a new flow. Entries that compare all targets by load reports of the same age
     // would choose the same ones.
     constexpr std::size_t sampleSize = 5;
 
+    // Ranks warm targets first, and cold ones with an unused share before the others; exceeds the time-outs of requests.
+    constexpr double coldCostTenthMs = 25000;
+
     // Number of top-ranked targets that a search queries in turn.
     constexpr std::size_t searchRanks = 3;
 
@@ -302,8 +307,13 @@
     return offer;
 }
 
+bool TargetDirectory::isColdShareUsed(DirectoryTarget const& target, TimePoint now) const noexcept
+{
+    return target.hasReported && target.load.coldAllowance > 0 && !target.coldShare.hasRoom(now);
+}
+
 // Moves random targets that accept new flows to the front of the order. \returns their number
-std::size_t TargetDirectory::drawSample(TargetGroup& group) noexcept
+std::size_t TargetDirectory::drawSample(TargetGroup& group, TimePoint now, bool includeCold) noexcept
 {
     std::size_t sampled = 0;
     std::size_t const all = group.order.size();
@@ -311,29 +321,77 @@
         std::swap(group.order[index], group.order[index + random_.below(all - index)]);
         DirectoryTarget const& target = group.targets[group.order[index]];
         bool const isCandidate = !target.isEvacuated && !target.draining && !target.isGone() && (!target.hasReported || target.load.isAccepting);
-        if (isCandidate)
+        if (isCandidate && (includeCold || !isColdShareUsed(target, now)))
             std::swap(group.order[sampled++], group.order[index]);
     }
     return sampled;
 }
 
+void TargetDirectory::recordOffer(DirectoryTarget& target, TimePoint now) noexcept
+{
+    ++target.openingsSinceReport;
+    if (target.load.coldAllowance > 0)
+        target.coldShare.recordOffer(target.load.coldAllowance, now);
+    if (target.oldestUnanswered == TimePoint {})
+        target.oldestUnanswered = now;
+}
+
 void TargetDirectory::chooseTargets(TargetGroup& group, std::span<Endpoint const> asked, TimePoint now, RelayRoute& route) noexcept
 {
     CheapestOffers best;
-    std::size_t const sampled = drawSample(group);
+    std::size_t sampled = drawSample(group, now, false);
+    if (sampled == 0)
+        sampled = drawSample(group, now, true);
     for (std::size_t index = 0; index < sampled; ++index) {
         std::size_t const target = group.order[index];
         best.add(offerCost(offerOf(group.targets[target], asked, now), random_.below(maximumJitterTenthMs)), target);
     }
+    writeOffers(group, best, now, route);
+}
+
+void TargetDirectory::chooseLastOffers(TargetGroup& group, std::span<Endpoint const> offered, TimePoint now, RelayRoute& route) noexcept
+{
+    CheapestOffers best;
+    for (std::size_t index = 0; index < group.targets.size(); ++index) {
+        DirectoryTarget const& target = group.targets[index];
+        bool const isCandidate = !target.isEvacuated && !target.draining && !target.isGone() && target.hasReported && target.load.isAccepting;
+        if (!isCandidate || std::find(offered.begin(), offered.end(), target.agent) != offered.end())
+            continue;
+        TargetLoad expected = target.load;
+        std::uint32_t const requests = expected.activeRequests + target.openingsSinceReport;
+        expected.activeRequests = static_cast<std::uint16_t>(std::min<std::uint32_t>(requests, std::numeric_limits<std::uint16_t>::max()));
+        if (!isWithinLimit(expected, route.latencyLimitTenthMs, 0))
+            continue;
+        // A cold target whose share this entry has used may still have room: other entries may have used less.
+        double cost = offerCost(offerOf(target, {}, now), random_.below(maximumJitterTenthMs));
+        cost += target.load.coldAllowance > 0 ? coldCostTenthMs : 0;
+        cost += isColdShareUsed(target, now) ? coldCostTenthMs : 0;
+        best.add(cost, index);
+    }
+    writeOffers(group, best, now, route);
+}
+
+void TargetDirectory::writeOffers(TargetGroup& group, CheapestOffers const& offers, TimePoint now, RelayRoute& route) noexcept
+{
     route.candidateCount = 0;
-    for (CheapestOffers::Ranked const& ranked : best.ranked())
+    for (CheapestOffers::Ranked const& ranked : offers.ranked())
         route.candidates[route.candidateCount++] = { group.targets[ranked.target].agent, toCostTenthMs(ranked.costTenthMs) };
-    if (best.ranked().empty())
-        return;
-    DirectoryTarget& chosen = group.targets[best.ranked().front().target];
-    ++chosen.openingsSinceReport;
-    if (chosen.oldestUnanswered == TimePoint {})
-        chosen.oldestUnanswered = now;
+    if (!offers.ranked().empty())
+        recordOffer(group.targets[offers.ranked().front().target], now);
+}
+
+void TargetDirectory::recordColdDecline(Endpoint agent, TimePoint now) noexcept
+{
+    DirectoryTarget* const target = findTarget(agent);
+    if (target != nullptr && target->load.coldAllowance > 0)
+        target->coldShare.recordDecline(now);
+}
+
+void TargetDirectory::recordColdAdmission(Endpoint agent) noexcept
+{
+    DirectoryTarget* const target = findTarget(agent);
+    if (target != nullptr && target->load.coldAllowance > 0)
+        target->coldShare.recordAdmission();
 }
 
 DirectoryTarget const* TargetDirectory::findRanked(TargetGroup const& group, std::uint64_t flowHash, std::size_t rank, TimePoint now) const noexcept
--- a/src/relay/TargetDirectory.h
+++ b/src/relay/TargetDirectory.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "balancing/ColdShare.h"
 #include "balancing/TargetChoice.h"
 #include "membership/RandomSource.h"
 #include "plantaindrift/membership/EvacuationSet.h"
@@ -39,6 +40,7 @@
     TargetLoad load;
     TimePoint lastReport;
     Duration discountedSilence { 0 }; ///< part of the time since lastReport in which most targets were silent
+    ColdShare coldShare; ///< this entry's share of the flows that the target takes while it is cold
     std::uint32_t openingsSinceReport { 0 }; ///< opening segments sent since the last load report
     TimePoint oldestUnanswered; ///< time of the oldest opening segment without a reply since; the epoch if there is none
     TimePoint lastSubscription;
@@ -104,6 +106,19 @@
     /// \param asked  agents that were offered an earlier copy of the opening segment; they come last
     void chooseTargets(TargetGroup& group, std::span<Endpoint const> asked, TimePoint now, RelayRoute& route) noexcept;
 
+    /// \brief Writes the targets with most room for an opening segment that agents declined into a route, of all targets of the
+    /// service; none if no other target is known to have room.
+    ///
+    /// \param offered  agents that were offered the segment
+    /// \param route  its latency limit applies
+    void chooseLastOffers(TargetGroup& group, std::span<Endpoint const> offered, TimePoint now, RelayRoute& route) noexcept;
+
+    /// \brief Records that an agent passed on or returned an opening segment because its target is cold.
+    void recordColdDecline(Endpoint agent, TimePoint now) noexcept;
+
+    /// \brief Records that an agent admitted an opening segment.
+    void recordColdAdmission(Endpoint agent) noexcept;
+
     /// \brief The target at a rank for a flow; targets with a recent load report that accept new flows rank first.
     ///
     /// Ranks wrap around after the third. \returns null if there is no target
@@ -142,7 +157,11 @@
     [[nodiscard]] bool receivesFromMostTargets(TimePoint now) const noexcept;
     [[nodiscard]] bool isSilent(DirectoryTarget const& target, TimePoint now) const noexcept;
     [[nodiscard]] TargetOffer offerOf(DirectoryTarget const& target, std::span<Endpoint const> asked, TimePoint now) const noexcept;
-    [[nodiscard]] std::size_t drawSample(TargetGroup& group) noexcept;
+    [[nodiscard]] bool isColdShareUsed(DirectoryTarget const& target, TimePoint now) const noexcept;
+    [[nodiscard]] std::size_t drawSample(TargetGroup& group, TimePoint now, bool includeCold) noexcept;
+    /// Names the targets in a route, and records an offer to the first one.
+    static void writeOffers(TargetGroup& group, CheapestOffers const& offers, TimePoint now, RelayRoute& route) noexcept;
+    static void recordOffer(DirectoryTarget& target, TimePoint now) noexcept;
 };
 
 } // namespace plantaindrift
--- a/src/runtime/RelayAgentDaemon.cpp
+++ b/src/runtime/RelayAgentDaemon.cpp
@@ -209,6 +209,10 @@
                 relay_.setView(*view);
                 logEvent(LogLevel::Info, "view_changed", { { "service", view->service }, { "targets", view->targets.size() }, { "fingerprint", view->fingerprint } });
             }
+            if (std::optional<Service> const service = control_.takeChangedService()) {
+                constexpr double thousandths = 1000;
+                relay_.setColdRate(service->coldRate / thousandths);
+            }
             core_.sendControl(control_.takeMessages());
         }
 
@@ -272,6 +276,7 @@
             page.addGauge("plantaindrift_agent_busy", "Requests in progress or queued at the target.", service, load.activeRequests);
             page.addGauge("plantaindrift_agent_service_seconds", "Mean time of a request that does not wait.", service, load.serviceTimeTenthMs / 10000.0);
             page.addGauge("plantaindrift_agent_failed_ratio", "Part of the latest requests that ended without an answer.", service, load.failedPercent / 100.0);
+            page.addGauge("plantaindrift_agent_cold_allowance", "New flows a second that the cold target takes; 0 for no limit.", service, load.coldAllowance);
             page.addGauge("plantaindrift_agent_accepting", "1 if the target takes new flows.", service, load.isAccepting ? 1 : 0);
             page.addHistogram("plantaindrift_agent_request_seconds", "Times from a request's last segment to its answer's first, with the wait at the target.", service, relay_.requestTimes());
             if (store_)
--- a/src/runtime/RelayEntryDaemon.cpp
+++ b/src/runtime/RelayEntryDaemon.cpp
@@ -269,6 +269,9 @@
             page.addCounter("plantaindrift_flow_messages_refused_total", "Relay messages that are malformed, stale or not authenticated.", {}, static_cast<double>(refusedMessages_));
             page.addGauge("plantaindrift_configuration_position", "Applied version of the configuration.", {}, static_cast<double>(control_.changeLog().position()));
             page.addCounter("plantaindrift_configurations_discarded_total", "Configurations that the store gave and that are older than the one in force.", {}, static_cast<double>(discardedConfigurations_));
+            relay_.visitReturnCounts([&page](EntryRelayOutcome outcome, std::string_view reason, std::uint64_t count) {
+                page.addCounter("plantaindrift_entry_returned_openings_total", "Openings that agents returned, by what became of them and why they were returned.", { { "outcome", std::string(entryRelayOutcomeName(outcome)) }, { "reason", std::string(reason) } }, static_cast<double>(count));
+            });
             page.addCounter("plantaindrift_evacuated_flows_total", "Flows that opened in a data centre after its evacuation.", {}, static_cast<double>(relay_.evacuatedFlowCount()));
             page.addCounter("plantaindrift_entry_search_queries_total", "Messages that searches for owners sent to agents.", {}, static_cast<double>(relay_.searchMessageCount()));
             std::string_view const searchHelp = "Times from the first segment of a flow without a known owner to the end of the search.";
--- a/tests/RelayMessageTests.cpp
+++ b/tests/RelayMessageTests.cpp
@@ -68,6 +68,10 @@
     datagrams.emplace_back(buffer.begin(), buffer.begin() + static_cast<std::ptrdiff_t>(writeRelayFlowQuery(ServiceHash { 5 }, 77, hashes, seal, buffer)));
     std::vector<std::uint8_t> const possible { 1 };
     datagrams.emplace_back(buffer.begin(), buffer.begin() + static_cast<std::ptrdiff_t>(writeRelayFlowQueryReply(ServiceHash { 5 }, 77, possible, seal, buffer)));
+    RelayRoute declined = someRoute();
+    declined.isLastOffer = true;
+    datagrams.emplace_back(buffer.begin(), buffer.begin() + static_cast<std::ptrdiff_t>(writeRelayOpeningDeclined(declined, OpeningReason::Cold, load, {}, segment, seal, buffer)));
+    datagrams.back().insert(datagrams.back().end(), segment.begin(), segment.end());
     return datagrams;
 }
 
@@ -114,6 +118,42 @@
     BOOST_TEST((reply.possibleFlowBytes.size() == 1U && reply.possibleFlowBytes[0] == std::byte { 1 }));
 }
 
+// Guards against a returned opening that loses what keeps the entry from offering it to the same agents again.
+BOOST_AUTO_TEST_CASE(AReturnedOpeningKeepsItsRouteReasonAndLoad)
+{
+    Bytes buffer(maximumRelayMessageBytes);
+    RelayRoute route = someRoute();
+    route.candidateCount = 1;
+    route.offeredCount = 1;
+    route.mayBeOpen = true;
+    TargetLoad cold = load;
+    cold.coldAllowance = 300;
+    Bytes const segment(31, std::byte { 0x5A });
+    Bytes datagram(buffer.begin(), buffer.begin() + static_cast<std::ptrdiff_t>(writeRelayOpeningDeclined(route, OpeningReason::Evacuated, cold, {}, segment, { keys, wallSeconds }, buffer)));
+    datagram.insert(datagram.end(), segment.begin(), segment.end());
+    DecodedRelayMessage const decoded = decodeRelayMessage(datagram, keys, wallSeconds);
+    BOOST_TEST((decoded.error == DatagramError::None && decoded.kind == RelayMessageKind::OpeningDeclined));
+    BOOST_TEST((decoded.declineReason == OpeningReason::Evacuated && decoded.load == cold));
+    BOOST_TEST((decoded.route.mayBeOpen && !decoded.route.isLastOffer));
+    BOOST_TEST_REQUIRE(decoded.route.offeredAgents().size() == 1U);
+    BOOST_TEST((decoded.route.usedCandidates()[0] == route.candidates[0] && decoded.route.offeredAgents()[0] == route.candidates[1]));
+    BOOST_TEST(std::equal(decoded.segment.begin(), decoded.segment.end(), segment.begin(), segment.end()));
+}
+
+// More agents than a header holds would be read beyond the array of candidates.
+BOOST_AUTO_TEST_CASE(ARouteWithTooManyAgentsIsRefused)
+{
+    Bytes buffer(maximumRelayMessageBytes);
+    RelayRoute route = someRoute();
+    Bytes const segment(31, std::byte { 0x5A });
+    std::size_t const bytes = writeRelayPacket(route, segment, { keys, wallSeconds }, buffer);
+    buffer.resize(bytes);
+    constexpr std::size_t offeredOffset = 24 + 19;
+    buffer[offeredOffset] = std::byte { maximumRelayCandidates };
+    buffer.insert(buffer.end(), segment.begin(), segment.end());
+    BOOST_TEST((decodeRelayMessage(buffer, keys, wallSeconds).error == DatagramError::Truncated));
+}
+
 BOOST_AUTO_TEST_CASE(EveryStatementOfALoadReportIsKept)
 {
     Bytes buffer(maximumRelayMessageBytes);
--- a/tests/RelayScene.h
+++ b/tests/RelayScene.h
@@ -90,6 +90,7 @@
     std::uint64_t failed { 0 }; ///< number of requests that were reset
     std::size_t longestQueue { 0 };
     std::uint64_t openings { 0 }; ///< number of opening segments received
+    std::vector<TimePoint> openingTimes;
     std::uint64_t unknownSegments { 0 }; ///< number of segments received for flows that it does not hold
 };
 
@@ -184,6 +185,7 @@
     std::vector<std::unique_ptr<Entry>> entries;
     std::vector<std::unique_ptr<CallerFlow>> flows;
 
+    std::function<std::optional<Duration>(Bytes const&)> linkRule; ///< delay of a datagram; empty if it is lost
     [[nodiscard]] TimePoint now() const { return now_; }
     [[nodiscard]] ServiceView const& view() const { return view_; }
 
@@ -357,7 +359,9 @@
     void deliver(Endpoint from, Endpoint to, Bytes const& bytes)
     {
         ++deliveredCount_;
-        after(linkDelay, [this, from, to, bytes] { deliverToNode(from, to, bytes); });
+        std::optional<Duration> const delay = linkRule ? linkRule(bytes) : Duration(linkDelay);
+        if (delay)
+            after(*delay, [this, from, to, bytes] { deliverToNode(from, to, bytes); });
     }
 
 private:
@@ -471,6 +475,7 @@
         FakeTarget& target = agent.target;
         if (segment.isOpenRequest()) {
             ++target.openings;
+            target.openingTimes.push_back(now_);
             // A retransmission gets the same answer.
             lastTargetSequence_ += targetSequenceStep;
             std::uint32_t const sequence = target.halfOpen.try_emplace(hash, lastTargetSequence_).first->second;
