Admit bulk at the rate that the link carries, and pace it

Cause: bulk transfers fill a narrow link in both directions; small requests wait behind them, are retransmitted and given up. In LinkScene (30 Mbit/s of bulk beside 100 small requests a second at 10 Mbit/s), 1.2 percent of the small ones end within 200 ms. Change: EntryAdmission learns the bytes that flows of each address bring and admits new bulk flows at the rate that 0.8 of the link leaves beside all other traffic. Others are refused only if these alone exceed 0.95 of the link, or the processor does. A refusal is a reset of copy 0 of a flow that the entry does not know (outcomes refused_link, refused_processor). BulkPacer and PacedSender keep large segments back while the modelled queue is longer than a tenth of the tightest latency objective, at most 20 ms, and drop those that would wait for more than 100 ms. A small segment of a flow with waiting segments waits too, so that segments of one flow keep their order. Ruled out: pacing alone. The link fills where it enters the entry, which the entry cannot shape. A measured delay on a link that is hardly used counts no more: agents without processor time delay the notices as well. Tests: EntryAdmissionTests (callers that retransmit, links with queues, simulated time; they also run the load without the change and require that it fails), BulkPacerTests, EntryResourcesTests (EntryRelay itself).

--- a/include/plantaindrift/relay/EntryResources.h
+++ b/include/plantaindrift/relay/EntryResources.h
@@ -62,6 +62,31 @@
     double shareBytesPerSecond { 0 }; ///< share of each entry if this one is in rotation
 };
 
+/// \brief Why an entry refuses a new flow.
+enum class EntryRefusal : std::uint8_t {
+    None, ///< it is admitted
+    Link, ///< the link cannot carry it
+    Processor ///< the processor cannot carry it
+};
+
+inline constexpr std::size_t entryRefusalCount = 3;
+
+/// \brief Lower-case name of a reason, as in logs.
+[[nodiscard]] std::string_view entryRefusalName(EntryRefusal refusal) noexcept;
+
+/// \brief What becomes of a large segment of a caller.
+enum class BulkAction : std::uint8_t {
+    Send,
+    Queue, ///< it waits until the link has room
+    Drop ///< it would wait so long that the caller retransmits it
+};
+
+/// \brief Numbers of large segments since start.
+struct BulkCounts {
+    std::uint64_t paced { 0 }; ///< queued
+    std::uint64_t dropped { 0 };
+};
+
 /// \brief Load of an entry and what it decided, for metrics and logs.
 struct EntryResourceReport {
     std::uint64_t receivedBytes { 0 }; ///< since start, with IP and UDP headers
@@ -70,6 +95,7 @@
     double processorUtilisation { 0 }; ///< of the declared share, mean of 300 ms
     Duration modelledQueue {}; ///< time that the modelled outbound queue takes to drain
     Duration measuredDelay {}; ///< round trip of openings in excess of the smallest one
+    BulkCounts bulk;
     RotationDecision rotation;
 };
 
--- a/src/balancing/LinkBudget.cpp
+++ b/src/balancing/LinkBudget.cpp
@@ -14,6 +14,10 @@
     // Half of the time after which callers retransmit. A longer delay leads to copies that fill the link further.
     constexpr std::chrono::milliseconds fullLinkDelay { 100 };
 
+    // A link that carries less than this share of its declared rate is not taken for full: slow agents delay their notices
+    // too.
+    constexpr double minimumUseOfFullLink = 0.1;
+
     constexpr std::chrono::milliseconds heldBackLateness { 50 };
     constexpr double heldBackUse = 0.5;
 
@@ -22,6 +26,11 @@
         return std::chrono::duration<double>(time).count();
     }
 
+    Duration toDuration(double seconds) noexcept
+    {
+        return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds));
+    }
+
 } // namespace
 
 LinkBudget::LinkBudget(double megabitsPerSecond) noexcept
@@ -79,7 +88,13 @@
     if (bytesPerSecond_ <= 0)
         return 0;
     double const share = std::min(1.0, offeredBytesPerSecond() / bytesPerSecond_);
-    return measuredDelay() >= fullLinkDelay ? 1 : share;
+    bool const isDelayed = measuredDelay() >= fullLinkDelay && share >= minimumUseOfFullLink;
+    return isDelayed ? 1 : share;
+}
+
+Duration LinkBudget::timeOnLink(std::size_t bytes) const noexcept
+{
+    return bytesPerSecond_ > 0 ? toDuration(static_cast<double>(bytes + datagramHeaderBytes) / bytesPerSecond_) : Duration::zero();
 }
 
 Duration LinkBudget::modelledQueue(TimePoint now) const noexcept
@@ -87,8 +102,7 @@
     if (bytesPerSecond_ <= 0)
         return {};
     double const drained = toSeconds(std::max(Duration::zero(), now - lastSent_)) * bytesPerSecond_;
-    double const left = std::max(0.0, queuedBytes_ - drained);
-    return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(left / bytesPerSecond_));
+    return toDuration(std::max(0.0, queuedBytes_ - drained) / bytesPerSecond_);
 }
 
 Duration LinkBudget::measuredDelay() const noexcept
--- a/src/balancing/LinkBudget.h
+++ b/src/balancing/LinkBudget.h
@@ -43,9 +43,15 @@
     [[nodiscard]] double offeredBytesPerSecond() const noexcept;
 
     /// \brief Share of the link that the direction that is used more takes, 0 to 1. It is 1 as well if the measured
-    /// delay shows that the link is full, because it may be narrower than declared. It is 0 if the rate is not known.
+    /// delay shows that the link is full, because it may be narrower than declared (by up to ten times). It is 0 if the
+    /// rate is not known.
     [[nodiscard]] double utilisation() const noexcept;
 
+    /// \brief Time that a datagram takes on the link; 0 if the rate is not known.
+    ///
+    /// \param bytes  UDP payload
+    [[nodiscard]] Duration timeOnLink(std::size_t bytes) const noexcept;
+
     /// \brief Time until the modelled outbound queue is empty.
     [[nodiscard]] Duration modelledQueue(TimePoint now) const noexcept;
 
--- a/src/relay/EntryRelay.cpp
+++ b/src/relay/EntryRelay.cpp
@@ -22,7 +22,7 @@
 
     constexpr std::array<std::string_view, entryRelayOutcomeCount> outcomeNames {
         "first_forwarded", "copy_forwarded", "owner_forwarded", "search_forwarded", "refused_no_route",
-        "refused_no_target", "reset_lost", "dropped_malformed", "dropped_no_route", "dropped_no_target", "dropped_stale"
+        "refused_no_target", "reset_lost", "dropped_malformed", "dropped_no_route", "dropped_no_target", "dropped_stale", "refused_link", "refused_processor"
     };
 
     // A caller keeps a flow open for at most 60 s without a packet.
@@ -35,9 +35,6 @@
     constexpr std::chrono::milliseconds minimumSharedFlowAge { 300 };
     constexpr std::chrono::seconds ownerShareInterval { 20 };
 
-    // Number of highest-ranked agents for a flow that receive its owner.
-    constexpr std::size_t ownerHolderCount = 2;
-
     // An owner that the view lacks confirms each segment; after this time without an answer it is taken for gone.
     constexpr std::chrono::milliseconds unlistedOwnerTimeout { 500 };
 
@@ -167,7 +164,9 @@
         --route.candidateCount;
         route.entry = options.ownEndpoint;
         std::size_t const bytes = writeRelayPacket(route, context.datagram, { options.keys, context.nowSeconds }, header);
-        return { to, std::span<std::byte const>(header).first(bytes), context.datagram };
+        if (resources.isActive())
+            resources.admission().recordSegment(context.segment.destination, context.segment.dataBytes, bytes + context.datagram.size() + datagramHeaderBytes);
+        return { to, std::span<std::byte const>(header).first(bytes), context.datagram, resources.isBulk(context.segment.dataBytes), context.hash };
     }
 
     PacketVerdict refuse(SegmentContext const& context, EntryRelayOutcome refused, EntryRelayOutcome dropped) noexcept
@@ -189,6 +188,9 @@
             return refuse(context, EntryRelayOutcome::RefusedNoRoute, EntryRelayOutcome::DroppedNoRoute);
         searches.forget(context.hash);
         FlowRecord* record = flows.find(context.hash);
+        EntryRefusal const refusal = resources.isActive() && record == nullptr && context.segment.acknowledgement == 0 ? resources.admission().decide(context.segment.destination) : EntryRefusal::None;
+        if (refusal != EntryRefusal::None)
+            return refuse(context, refusal == EntryRefusal::Link ? EntryRelayOutcome::RefusedLink : EntryRelayOutcome::RefusedProcessor, EntryRelayOutcome::DroppedNoRoute);
         RelayRoute route;
         route.serviceHash = service->hash;
         route.latencyLimitTenthMs = routes.latencyLimit(context.segment.destination, context.now);
@@ -407,25 +409,15 @@
         TargetGroup const* const group = directory.findServiceOf(record.owner);
         if (group == nullptr)
             return;
-        std::array<std::pair<std::uint64_t, Endpoint>, ownerHolderCount> holders {};
-        for (DirectoryTarget const& target : group->targets) {
-            std::pair<std::uint64_t, Endpoint> holder { rankScore(target.nameHash, record.hash), target.agent };
-            // An entry that does not know the owner yet queries the next one.
-            if (target.isGone() || target.agent == record.owner)
-                continue;
-            for (std::pair<std::uint64_t, Endpoint>& best : holders) {
-                if (holder.first > best.first)
-                    std::swap(holder, best);
-            }
-        }
-        std::uint32_t const hash = static_cast<std::uint32_t>(mixHash(endpointKey(holders[0].second), mixHash(endpointKey(holders[1].second), endpointKey(record.owner))));
+        OwnerHolders const holders = chooseOwnerHolders(*group, record.hash, record.owner);
+        std::uint32_t const hash = static_cast<std::uint32_t>(mixHash(endpointKey(holders[0]), mixHash(endpointKey(holders[1]), endpointKey(record.owner))));
         if (hash == record.holders && now - record.ownerSent < ownerShareInterval)
             return;
         record.holders = hash;
         record.ownerSent = now;
-        for (std::pair<std::uint64_t, Endpoint> const& holder : holders) {
-            if (holder.second.isSet())
-                batches.add(holder.second, group->hash, { record.flow, record.owner });
+        for (Endpoint const holder : holders) {
+            if (holder.isSet())
+                batches.add(holder, group->hash, { record.flow, record.owner });
         }
     }
 
@@ -449,6 +441,7 @@
 void EntryRelay::setConfiguration(Configuration const& configuration, TimePoint now)
 {
     state_->routes.set(configuration, state_->directory, now);
+    state_->resources.setConfiguration(configuration);
 }
 
 void EntryRelay::setView(ServiceView const& view, TimePoint now)
@@ -493,7 +486,7 @@
     LinkBudget& link = state_->resources.link();
     link.recordReceived(datagram.size());
     PacketVerdict const verdict = state_->processCallerDatagram(datagram, now, nowSeconds, maximumWait);
-    if (verdict.to.isSet())
+    if (verdict.to.isSet() && !verdict.isBulk)
         link.recordSent(verdict.header.size() + verdict.payload.size(), now);
     return verdict;
 }
@@ -538,6 +531,16 @@
     return state_->resources.shouldLeaveRotation();
 }
 
+BulkAction EntryRelay::decideBulk(std::size_t bytes, TimePoint now) noexcept
+{
+    return state_->resources.decideBulk(bytes, now);
+}
+
+BulkAction EntryRelay::releaseBulk(std::size_t bytes, Duration waited, TimePoint now) noexcept
+{
+    return state_->resources.releaseBulk(bytes, waited, now);
+}
+
 EntryResourceReport EntryRelay::resourceReport(TimePoint now) const noexcept
 {
     return state_->resources.report(now);
--- a/src/relay/EntryResourceControl.cpp
+++ b/src/relay/EntryResourceControl.cpp
@@ -35,6 +35,34 @@
     processor_.tick(used, lateness, now);
 }
 
+void EntryResourceControl::setConfiguration(Configuration const& configuration) noexcept
+{
+    std::chrono::milliseconds tightest { 0 };
+    for (Service const& service : configuration.services) {
+        for (ServiceAddress const& address : service.addresses) {
+            if (address.targetLatency.count() > 0)
+                tightest = tightest.count() > 0 ? std::min<std::chrono::milliseconds>(tightest, address.targetLatency) : address.targetLatency;
+        }
+    }
+    pacer_.setTightestObjective(tightest);
+}
+
+BulkAction EntryResourceControl::decideBulk(std::size_t bytes, TimePoint now) noexcept
+{
+    BulkAction const action = pacer_.decide(link_.modelledQueue(now), link_.timeOnLink(bytes));
+    if (action == BulkAction::Send)
+        link_.recordSent(bytes, now);
+    return action;
+}
+
+BulkAction EntryResourceControl::releaseBulk(std::size_t bytes, Duration waited, TimePoint now) noexcept
+{
+    BulkAction const action = pacer_.release(link_.modelledQueue(now), link_.timeOnLink(bytes), waited);
+    if (action == BulkAction::Send)
+        link_.recordSent(bytes, now);
+    return action;
+}
+
 void EntryResourceControl::recordStatuses(DecodedRelayMessage const& message, TimePoint now)
 {
     for (EntryLoad const& status : message.entryStatuses())
@@ -47,6 +75,7 @@
     if (!isActive_)
         return;
     canServe_ = canServe;
+    admission_.tick({ link_.bytesPerSecond(), link_.offeredBytesPerSecond(), link_.utilisation(), processor_.utilisation() }, now);
     bool const wasInRotation = rule_.decision().isInRotation;
     bool const wasOverloaded = rule_.isOverloaded();
     std::vector<EntryLoad> const others = statuses_.recent(now);
@@ -117,6 +146,7 @@
     report.processorUtilisation = processor_.utilisation();
     report.modelledQueue = link_.modelledQueue(now);
     report.measuredDelay = link_.measuredDelay();
+    report.bulk = pacer_.counts();
     report.rotation = rule_.decision();
     return report;
 }
--- a/src/relay/EntryResourceControl.h
+++ b/src/relay/EntryResourceControl.h
@@ -1,8 +1,11 @@
 #pragma once
 
+#include "balancing/BulkPacer.h"
+#include "balancing/EntryAdmission.h"
 #include "balancing/EntryStatuses.h"
 #include "balancing/LinkBudget.h"
 #include "balancing/RotationRule.h"
+#include "plantaindrift/configuration/Configuration.h"
 #include "plantaindrift/relay/EntryResources.h"
 #include "plantaindrift/relay/RelayMessage.h"
 #include "plantaindrift/relay/RelaySender.h"
@@ -28,6 +31,21 @@
 
     [[nodiscard]] LinkBudget& link() noexcept { return link_; }
 
+    /// \brief Decides on new flows; used only if a limit is declared.
+    [[nodiscard]] EntryAdmission& admission() noexcept { return admission_; }
+
+    /// \brief Adapts the pacing to the latency objectives.
+    void setConfiguration(Configuration const& configuration) noexcept;
+
+    /// \brief True if a segment with this much data may have to wait for the link.
+    [[nodiscard]] bool isBulk(std::size_t dataBytes) const noexcept { return dataBytes >= minimumBulkSegmentBytes && link_.bytesPerSecond() > 0; }
+
+    /// \brief See EntryRelay::decideBulk.
+    [[nodiscard]] BulkAction decideBulk(std::size_t bytes, TimePoint now) noexcept;
+
+    /// \brief See EntryRelay::releaseBulk.
+    [[nodiscard]] BulkAction releaseBulk(std::size_t bytes, Duration waited, TimePoint now) noexcept;
+
     /// \brief Replaces the other running entries of the data centre.
     void setPeers(std::vector<EntryPeer> peers) { statuses_.setPeers(std::move(peers)); }
 
@@ -59,6 +77,8 @@
     RelaySender& sender_;
     LinkBudget link_;
     ProcessorBudget processor_;
+    EntryAdmission admission_;
+    BulkPacer pacer_;
     EntryStatuses statuses_;
     RotationRule rule_;
     bool canServe_ { false };
--- a/src/runtime/EntryResourcePage.cpp
+++ b/src/runtime/EntryResourcePage.cpp
@@ -106,6 +106,9 @@
     page.addGauge("plantaindrift_entry_utilisation_ratio", utilisationHelp, { { "resource", "processor" } }, report.processorUtilisation);
     page.addGauge("plantaindrift_entry_queue_seconds", "Time that the modelled outbound queue takes to drain.", {}, toSeconds(report.modelledQueue));
     page.addGauge("plantaindrift_entry_link_delay_seconds", "Measured round trip of openings in excess of the smallest one.", {}, toSeconds(report.measuredDelay));
+    std::string_view const bulkHelp = "Large segments of callers that had to wait for the link, by result.";
+    page.addCounter("plantaindrift_entry_bulk_segments_total", bulkHelp, { { "result", "paced" } }, static_cast<double>(report.bulk.paced));
+    page.addCounter("plantaindrift_entry_bulk_segments_total", bulkHelp, { { "result", "dropped" } }, static_cast<double>(report.bulk.dropped));
     page.addGauge("plantaindrift_entry_in_rotation", "1 if the entry is in rotation; the reason explains the state.", { { "reason", std::string(rotationReasonName(report.rotation.reason)) } }, report.rotation.isInRotation ? 1 : 0);
     page.addGauge("plantaindrift_entry_open_descriptors", "Open file descriptors.", {}, openDescriptors());
 }
--- a/src/runtime/RelayEntryDaemon.cpp
+++ b/src/runtime/RelayEntryDaemon.cpp
@@ -8,6 +8,7 @@
 #include "runtime/EntryResourcePage.h"
 #include "runtime/FleetStoreThread.h"
 #include "runtime/MemberReader.h"
+#include "runtime/PacedSender.h"
 #include "runtime/VerdictLog.h"
 #include "runtime/ViewLog.h"
 
@@ -75,6 +76,7 @@
             , messages_(*this)
             , core_(settings.common, keys, handlers())
             , stopTimer_(core_.loop())
+            , paced_(core_.loop(), pacingRules())
         {
         }
 
@@ -100,7 +102,8 @@
 
         [[nodiscard]] PacketVerdict decide(std::span<std::byte const> datagram, Endpoint /*from*/, PacketTime const& time) noexcept override
         {
-            return relay_.processCallerDatagram(datagram, time.now, time.nowSeconds, time.maximumWait);
+            PacketVerdict const verdict = relay_.processCallerDatagram(datagram, time.now, time.nowSeconds, time.maximumWait);
+            return verdict.isBulk || paced_.holds(verdict.flowHash) ? paced_.pace(verdict, time.now) : verdict;
         }
 
     private:
@@ -135,6 +138,7 @@
         MessageFilter messages_;
         DaemonCore core_;
         asio::steady_timer stopTimer_;
+        PacedSender paced_;
         std::optional<FleetStoreThread> store_;
         std::optional<MemberReader> memberReader_;
         TimePoint started_ { std::chrono::steady_clock::now() };
@@ -149,6 +153,15 @@
 
         void send(Endpoint to, std::span<std::byte const> datagram) noexcept override { core_.sendData(to, datagram, relayPortIndex); }
 
+        PacedSender::Rules pacingRules()
+        {
+            PacedSender::Rules rules;
+            rules.decide = [this](std::size_t bytes, TimePoint now) { return relay_.decideBulk(bytes, now); };
+            rules.release = [this](std::size_t bytes, Duration waited, TimePoint now) { return relay_.releaseBulk(bytes, waited, now); };
+            rules.send = [this](Endpoint to, std::span<std::byte const> datagram) { core_.sendData(to, datagram, 0); };
+            return rules;
+        }
+
         DaemonCore::Handlers handlers()
         {
             DaemonCore::Handlers handlers;
@@ -285,6 +298,7 @@
 
         void finishStop()
         {
+            paced_.flush();
             control_.leave(std::chrono::steady_clock::now());
             core_.sendControl(control_.takeMessages());
             logEvent(LogLevel::Info, "left", { { "name", self_.name } });
--- a/tests/RelayScene.h
+++ b/tests/RelayScene.h
@@ -182,6 +182,7 @@
     std::vector<std::unique_ptr<Agent>> agents;
     std::vector<std::unique_ptr<Entry>> entries;
     std::vector<std::unique_ptr<CallerFlow>> flows;
+    EntryResources entryResources; ///< limits of the entries that are started from now on
 
     [[nodiscard]] TimePoint now() const { return now_; }
     [[nodiscard]] ServiceView const& view() const { return view_; }
@@ -208,6 +209,8 @@
         options.keys = keys();
         options.randomSeed = 7 + index + 1000 * startedEntries_++;
         options.callerPort = callerPort;
+        options.name = "entry-" + std::to_string(index + 1);
+        options.resources = entryResources;
         entry.relay = std::make_unique<EntryRelay>(options, codec_, *entry.sender, decisions);
         entry.relay->setConfiguration(configuration(), now_);
         if (!view_.targets.empty())
