Count refused flows as demand of an entry

Cause: an entry that refuses bulk keeps its utilisation under 0.8 and so never leaves the rotation, although others have room for what it refuses. Change: the status and the rotation rule take the expected bytes of refused flows as offered (at most three times what is carried, because a caller may be counted at each of its attempts). Test: AnEntryThatRefusesLeavesTheRotation fails without the change.

--- a/include/plantaindrift/relay/EntryResources.h
+++ b/include/plantaindrift/relay/EntryResources.h
@@ -93,6 +93,7 @@
     std::uint64_t sentBytes { 0 }; ///< since start, with IP and UDP headers
     double linkUtilisation { 0 }; ///< of the direction that is used more, mean of 300 ms
     double processorUtilisation { 0 }; ///< of the declared share, mean of 300 ms
+    double refusedBytesPerSecond { 0 }; ///< expected of the flows that were refused, mean of 300 ms
     Duration modelledQueue {}; ///< time that the modelled outbound queue takes to drain
     Duration measuredDelay {}; ///< round trip of openings in excess of the smallest one
     BulkCounts bulk;
--- a/include/plantaindrift/relay/RelayMessage.h
+++ b/include/plantaindrift/relay/RelayMessage.h
@@ -94,8 +94,8 @@
 struct EntryLoad {
     std::uint32_t nameHash { 0 }; ///< identifies the entry
     double linkBytesPerSecond { 0 }; ///< rate of its link; sent in units of 10 kbit/s
-    double offeredBytesPerSecond { 0 }; ///< what it carries in the direction that is used more; sent in units of 1,000 bytes
-    double utilisation { 0 }; ///< larger one of link and processor, 0 to 2.55; sent in units of 0.01
+    double offeredBytesPerSecond { 0 }; ///< what it carries in the direction that is used more, and what it refuses; sent in units of 1,000 bytes
+    double utilisation { 0 }; ///< larger one of link and processor, with what it refuses, 0 to 2.55; sent in units of 0.01
     bool isInRotation { true };
     std::chrono::milliseconds age { 0 }; ///< since it was measured; sent in units of 20 ms
 };
--- a/src/balancing/EntryAdmission.cpp
+++ b/src/balancing/EntryAdmission.cpp
@@ -60,28 +60,39 @@
 double EntryAdmission::otherBytesPerSecond() const noexcept
 {
     double bulk = 0;
-    for (double const rate : bulkRates_)
-        bulk += rate / static_cast<double>(bulkRates_.size());
+    for (Rates const& rates : rates_)
+        bulk += rates.bulk / static_cast<double>(rates_.size());
     return std::max(0.0, use_.offeredBytesPerSecond - bulk);
 }
 
+double EntryAdmission::refusedBytesPerSecond() const noexcept
+{
+    double refused = 0;
+    for (Rates const& rates : rates_)
+        refused += rates.refused / static_cast<double>(rates_.size());
+    return refused;
+}
+
+EntryRefusal EntryAdmission::checkRoom(AddressUse const& use) const noexcept
+{
+    bool const isBulk = use.isBulk();
+    bool const isBulkFull = use_.linkUtilisation > maximumBulkUtilisation || backlog_ > bulkRate_ * maximumBacklogSeconds;
+    bool const isLinkFull = isBulk ? isBulkFull : otherBytesPerSecond() > maximumUtilisation * use_.linkBytesPerSecond;
+    if (use_.linkBytesPerSecond > 0 && isLinkFull)
+        return EntryRefusal::Link;
+    bool const isProcessorFull = use_.processorUtilisation > (isBulk ? maximumBulkUtilisation : maximumUtilisation);
+    return isProcessorFull ? EntryRefusal::Processor : EntryRefusal::None;
+}
+
 EntryRefusal EntryAdmission::decide(Endpoint address) noexcept
 {
     AddressUse& use = addresses_[keyOf(address)];
-    bool const isLinkKnown = use_.linkBytesPerSecond > 0;
-    if (use.isBulk()) {
-        bool const isLinkFull = use_.linkUtilisation > maximumBulkUtilisation || backlog_ > bulkRate_ * maximumBacklogSeconds;
-        if (isLinkKnown && isLinkFull)
-            return EntryRefusal::Link;
-        if (use_.processorUtilisation > maximumBulkUtilisation)
-            return EntryRefusal::Processor;
-        backlog_ += use.bytesPerFlow();
-    } else {
-        if (isLinkKnown && otherBytesPerSecond() > maximumUtilisation * use_.linkBytesPerSecond)
-            return EntryRefusal::Link;
-        if (use_.processorUtilisation > maximumUtilisation)
-            return EntryRefusal::Processor;
+    EntryRefusal const refusal = checkRoom(use);
+    if (refusal != EntryRefusal::None) {
+        refusedBytes_ += use.bytesPerFlow();
+        return refusal;
     }
+    backlog_ += use.isBulk() ? use.bytesPerFlow() : 0;
     use.flows += 1;
     return EntryRefusal::None;
 }
@@ -105,8 +116,9 @@
         else
             ++address;
     }
-    bulkRates_[nextRate_] = seconds > 0 ? bulkBytes / seconds : 0;
-    nextRate_ = (nextRate_ + 1) % bulkRates_.size();
+    rates_[nextRate_] = seconds > 0 ? Rates { bulkBytes / seconds, refusedBytes_ / seconds } : Rates {};
+    nextRate_ = (nextRate_ + 1) % rates_.size();
+    refusedBytes_ = 0;
     bulkRate_ = std::max(0.0, maximumBulkUtilisation * use.linkBytesPerSecond - otherBytesPerSecond());
     backlog_ = std::max(0.0, backlog_ - bulkRate_ * seconds);
 }
--- a/src/balancing/EntryAdmission.h
+++ b/src/balancing/EntryAdmission.h
@@ -41,6 +41,9 @@
     /// \brief Ends a period of about 100 ms.
     void tick(EntryUse const& use, TimePoint now) noexcept;
 
+    /// \brief Bytes a second that the refused flows would have brought; mean of the last three ticks.
+    [[nodiscard]] double refusedBytesPerSecond() const noexcept;
+
     /// \brief Mean bytes that a flow of this address brings; 0 if it is not known.
     [[nodiscard]] double bytesPerFlow(Endpoint address) const noexcept;
 
@@ -62,12 +65,20 @@
     absl::flat_hash_map<std::uint64_t, AddressUse> addresses_; ///< by address
     EntryUse use_;
     TimePoint lastTick_;
-    std::array<double, 3> bulkRates_ {}; ///< bytes a second of bulk addresses in the last ticks
+    /// Bytes a second in one tick.
+    struct Rates {
+        double bulk { 0 }; ///< of bulk addresses
+        double refused { 0 }; ///< expected of refused flows
+    };
+
+    std::array<Rates, 3> rates_ {}; ///< of the last ticks
     std::size_t nextRate_ { 0 };
+    double refusedBytes_ { 0 }; ///< expected of the flows that were refused in the current tick
     double bulkRate_ { 0 }; ///< bytes a second at which bulk may be admitted
     double backlog_ { 0 }; ///< expected bytes of admitted bulk flows beyond what the rate has covered
 
     [[nodiscard]] double otherBytesPerSecond() const noexcept;
+    [[nodiscard]] EntryRefusal checkRoom(AddressUse const& use) const noexcept;
 };
 
 } // namespace plantaindrift
--- a/src/relay/EntryResourceControl.cpp
+++ b/src/relay/EntryResourceControl.cpp
@@ -17,6 +17,9 @@
     // around the limit.
     constexpr std::chrono::seconds overloadNoticeInterval { 1 };
 
+    // A refused caller makes at most two further attempts, which may reach this entry again and are counted again.
+    constexpr double maximumDemandFactor = 3;
+
 } // namespace
 
 EntryResourceControl::EntryResourceControl(EntryResources const& resources, std::uint32_t nameHash, std::uint64_t randomSeed, RelaySender& sender)
@@ -92,9 +95,10 @@
     }
 }
 
-double EntryResourceControl::utilisation() const noexcept
+double EntryResourceControl::demandFactor() const noexcept
 {
-    return std::max(link_.utilisation(), processor_.utilisation());
+    double const carried = link_.offeredBytesPerSecond();
+    return carried > 0 ? std::min(maximumDemandFactor, 1 + admission_.refusedBytesPerSecond() / carried) : 1;
 }
 
 EntryLoad EntryResourceControl::ownStatus() const noexcept
@@ -102,8 +106,8 @@
     EntryLoad status;
     status.nameHash = nameHash_;
     status.linkBytesPerSecond = link_.bytesPerSecond();
-    status.offeredBytesPerSecond = link_.offeredBytesPerSecond();
-    status.utilisation = utilisation();
+    status.offeredBytesPerSecond = link_.offeredBytesPerSecond() * demandFactor();
+    status.utilisation = std::max(link_.utilisation(), processor_.utilisation()) * demandFactor();
     status.isInRotation = canServe_ && rule_.decision().isInRotation;
     return status;
 }
@@ -144,6 +148,7 @@
     report.sentBytes = link_.sentBytes();
     report.linkUtilisation = link_.utilisation();
     report.processorUtilisation = processor_.utilisation();
+    report.refusedBytesPerSecond = admission_.refusedBytesPerSecond();
     report.modelledQueue = link_.modelledQueue(now);
     report.measuredDelay = link_.measuredDelay();
     report.bulk = pacer_.counts();
--- a/src/relay/EntryResourceControl.h
+++ b/src/relay/EntryResourceControl.h
@@ -64,8 +64,9 @@
     [[nodiscard]] EntryResourceReport report(TimePoint now) const noexcept;
 
 private:
-    /// \brief Larger utilisation of link and processor; mean of 300 ms.
-    [[nodiscard]] double utilisation() const noexcept;
+    /// \brief Ratio of what is offered to the entry to what it carries. The difference is what it refuses: while it
+    /// refuses flows, the load that it carries does not show that it is overloaded.
+    [[nodiscard]] double demandFactor() const noexcept;
 
     [[nodiscard]] EntryLoad ownStatus() const noexcept;
     void sendStatuses(TimePoint now, RelaySigningContext const& signing);
--- a/src/runtime/EntryResourcePage.cpp
+++ b/src/runtime/EntryResourcePage.cpp
@@ -90,7 +90,7 @@
     logEvent(LogLevel::Info, decision.isInRotation ? "rotation_returned" : "rotation_left",
         { { "name", name }, { "reason", rotationReasonName(decision.reason) }, { "link_utilisation", report.linkUtilisation }, { "cpu_utilisation", report.processorUtilisation },
             { "queue_ms", std::chrono::duration_cast<std::chrono::milliseconds>(report.modelledQueue).count() }, { "delay_ms", std::chrono::duration_cast<std::chrono::milliseconds>(report.measuredDelay).count() },
-            { "running", decision.running }, { "known", decision.knownOthers }, { "out", decision.out }, { "total_bytes_per_s", static_cast<std::uint64_t>(decision.totalBytesPerSecond) },
+            { "refused_bytes_per_s", static_cast<std::uint64_t>(report.refusedBytesPerSecond) }, { "running", decision.running }, { "known", decision.knownOthers }, { "out", decision.out }, { "total_bytes_per_s", static_cast<std::uint64_t>(decision.totalBytesPerSecond) },
             { "room_bytes_per_s", static_cast<std::uint64_t>(decision.roomBytesPerSecond) }, { "share_bytes_per_s", static_cast<std::uint64_t>(decision.shareBytesPerSecond) } });
 }
 
@@ -106,6 +106,7 @@
     page.addGauge("plantaindrift_entry_utilisation_ratio", utilisationHelp, { { "resource", "processor" } }, report.processorUtilisation);
     page.addGauge("plantaindrift_entry_queue_seconds", "Time that the modelled outbound queue takes to drain.", {}, toSeconds(report.modelledQueue));
     page.addGauge("plantaindrift_entry_link_delay_seconds", "Measured round trip of openings in excess of the smallest one.", {}, toSeconds(report.measuredDelay));
+    page.addGauge("plantaindrift_entry_refused_bytes_per_second", "Expected bytes a second of the flows that this entry refused, mean of 300 ms.", {}, report.refusedBytesPerSecond);
     std::string_view const bulkHelp = "Large segments of callers that had to wait for the link, by result.";
     page.addCounter("plantaindrift_entry_bulk_segments_total", bulkHelp, { { "result", "paced" } }, static_cast<double>(report.bulk.paced));
     page.addCounter("plantaindrift_entry_bulk_segments_total", bulkHelp, { { "result", "dropped" } }, static_cast<double>(report.bulk.dropped));
--- a/tests/EntryResourcesTests.cpp
+++ b/tests/EntryResourcesTests.cpp
@@ -139,3 +139,23 @@
     BOOST_TEST(scene->entries[1]->relay->searchMessageCount() == before);
     BOOST_TEST(countOf(*scene, 1, EntryRelayOutcome::ResetLostFlow) == 0U);
 }
+
+// Load: bulk takes 0.75 of a link of 10 Mbit/s, because the entry refuses more. Others have room, so that it must leave
+// the rotation in place of refusing all the time.
+BOOST_AUTO_TEST_CASE(AnEntryThatRefusesLeavesTheRotation)
+{
+    std::unique_ptr<Scene> const scene = makeScene({ 10, 200, 200, 200 });
+    CallerFlow& flow = scene->open(0);
+    scene->runFor(300ms);
+    sendSegments(*scene, 0, flow, 1200, 7, 2s);
+    BOOST_TEST(!scene->entries[0]->relay->shouldLeaveRotation());
+    std::uint16_t port = 3000;
+    for (int index = 0; index < 20 && !scene->entries[0]->relay->shouldLeaveRotation(); ++index) {
+        sendSegments(*scene, 0, flow, 1200, 7, 100ms);
+        for (int opening = 0; opening < 2; ++opening)
+            (void)sendOpening(*scene, 0, port++, 0);
+        BOOST_TEST(scene->entries[0]->relay->resourceReport(scene->now()).linkUtilisation < 0.8);
+    }
+    BOOST_TEST(countOf(*scene, 0, EntryRelayOutcome::RefusedLink) > 0U);
+    BOOST_TEST(scene->entries[0]->relay->shouldLeaveRotation());
+}
