--- a/include/plantaindrift/relay/EntryRelay.h
+++ b/include/plantaindrift/relay/EntryRelay.h
@@ -42,10 +42,12 @@
     DroppedEvacuated, ///< as RefusedEvacuated, but an earlier copy may have opened the flow
     OfferedAgain, ///< request to open a flow that an agent returned, sent to the target with most room
     RefusedNoRoom, ///< request to open a flow that an agent returned, and no other target has room
-    DroppedReturned ///< request to open a flow that an agent returned, and the flow may be open
+    DroppedReturned, ///< request to open a flow that an agent returned, and the flow may be open
+    RefusedLink, ///< the link of this entry cannot carry the flow
+    RefusedProcessor ///< the processor of this entry cannot carry the flow
 };
 
-inline constexpr std::size_t entryRelayOutcomeCount = 16;
+inline constexpr std::size_t entryRelayOutcomeCount = 18;
 
 /// \brief Lower-case name of an outcome, as in logs and metrics.
 [[nodiscard]] std::string_view entryRelayOutcomeName(EntryRelayOutcome outcome) noexcept;
@@ -131,6 +133,17 @@
     /// still forwarded.
     [[nodiscard]] bool shouldLeaveRotation() const noexcept;
 
+    /// \brief Decides whether a bulk verdict is sent now; counts it as sent if so.
+    ///
+    /// \param bytes  length of the datagram
+    [[nodiscard]] BulkAction decideBulk(std::size_t bytes, TimePoint now) noexcept;
+
+    /// \brief Decides on the first of the datagrams for which decideBulk() returned BulkAction::Queue.
+    ///
+    /// \param waited  time since then
+    /// \returns BulkAction::Queue if it has to wait longer
+    [[nodiscard]] BulkAction releaseBulk(std::size_t bytes, Duration waited, TimePoint now) noexcept;
+
     [[nodiscard]] EntryResourceReport resourceReport(TimePoint now) const noexcept;
 
     /// \brief True if there is a route and a target whose load report was received and that is not dead.
--- a/src/relay/EntryRelay.cpp
+++ b/src/relay/EntryRelay.cpp
@@ -24,7 +24,7 @@
     constexpr std::array<std::string_view, entryRelayOutcomeCount> outcomeNames {
         "first_forwarded", "copy_forwarded", "owner_forwarded", "search_forwarded", "refused_no_route",
         "refused_no_target", "reset_lost", "dropped_malformed", "dropped_no_route", "dropped_no_target", "dropped_stale",
-        "refused_evacuated", "dropped_evacuated", "offered_again", "refused_no_room", "dropped_returned"
+        "refused_evacuated", "dropped_evacuated", "offered_again", "refused_no_room", "dropped_returned", "refused_link", "refused_processor"
     };
 
     // A caller keeps a flow open for at most 60 s without a packet.
@@ -150,7 +150,9 @@
         --route.candidateCount;
         route.entry = options.ownEndpoint;
         std::size_t const bytes = writeRelayPacket(route, context.datagram, { options.keys, context.nowSeconds }, header);
-        return { to, std::span<std::byte const>(header).first(bytes), context.datagram };
+        if (resources.isActive())
+            resources.admission().recordSegment(context.segment.destination, context.segment.dataBytes, bytes + context.datagram.size() + datagramHeaderBytes);
+        return { to, std::span<std::byte const>(header).first(bytes), context.datagram, resources.isBulk(context.segment.dataBytes), context.hash };
     }
 
     PacketVerdict refuse(SegmentContext const& context, EntryRelayOutcome refused, EntryRelayOutcome dropped) noexcept
@@ -172,6 +174,9 @@
             return refuse(context, EntryRelayOutcome::RefusedNoRoute, EntryRelayOutcome::DroppedNoRoute);
         searches.forget(context.hash);
         FlowRecord* record = flows.find(context.hash);
+        EntryRefusal const refusal = resources.isActive() && record == nullptr && context.segment.acknowledgement == 0 ? resources.admission().decide(context.segment.destination) : EntryRefusal::None;
+        if (refusal != EntryRefusal::None)
+            return refuse(context, refusal == EntryRefusal::Link ? EntryRelayOutcome::RefusedLink : EntryRelayOutcome::RefusedProcessor, EntryRelayOutcome::DroppedNoRoute);
         RelayRoute route;
         route.serviceHash = service->hash;
         route.latencyLimitTenthMs = routes.latencyLimit(context.segment.destination, context.now);
@@ -473,6 +478,7 @@
 void EntryRelay::setConfiguration(Configuration const& configuration, TimePoint now)
 {
     state_->routes.set(configuration, state_->directory, now);
+    state_->resources.setConfiguration(configuration);
 }
 
 void EntryRelay::setView(ServiceView const& view, TimePoint now)
@@ -518,7 +524,7 @@
     LinkBudget& link = state_->resources.link();
     link.recordReceived(datagram.size());
     PacketVerdict const verdict = state_->processCallerDatagram(datagram, now, nowSeconds, maximumWait);
-    if (verdict.to.isSet())
+    if (verdict.to.isSet() && !verdict.isBulk)
         link.recordSent(verdict.header.size() + verdict.payload.size(), now);
     return verdict;
 }
@@ -563,6 +569,16 @@
     return state_->resources.shouldLeaveRotation();
 }
 
+BulkAction EntryRelay::decideBulk(std::size_t bytes, TimePoint now) noexcept
+{
+    return state_->resources.decideBulk(bytes, now);
+}
+
+BulkAction EntryRelay::releaseBulk(std::size_t bytes, Duration waited, TimePoint now) noexcept
+{
+    return state_->resources.releaseBulk(bytes, waited, now);
+}
+
 EntryResourceReport EntryRelay::resourceReport(TimePoint now) const noexcept
 {
     return state_->resources.report(now);
--- a/src/relay/EntryResourceControl.cpp
+++ b/src/relay/EntryResourceControl.cpp
@@ -17,6 +17,9 @@
     // around the limit.
     constexpr std::chrono::seconds overloadNoticeInterval { 1 };
 
+    // A refused caller makes at most two further attempts, which may reach this entry again and are counted again.
+    constexpr double maximumDemandFactor = 3;
+
 } // namespace
 
 EntryResourceControl::EntryResourceControl(EntryResources const& resources, std::uint32_t nameHash, std::uint64_t randomSeed, RelaySender& sender)
@@ -35,6 +38,34 @@
     processor_.tick(used, lateness, now);
 }
 
+void EntryResourceControl::setConfiguration(Configuration const& configuration) noexcept
+{
+    std::chrono::milliseconds tightest { 0 };
+    for (Service const& service : configuration.services) {
+        for (ServiceAddress const& address : service.addresses) {
+            if (address.targetLatency.count() > 0)
+                tightest = tightest.count() > 0 ? std::min<std::chrono::milliseconds>(tightest, address.targetLatency) : address.targetLatency;
+        }
+    }
+    pacer_.setTightestObjective(tightest);
+}
+
+BulkAction EntryResourceControl::decideBulk(std::size_t bytes, TimePoint now) noexcept
+{
+    BulkAction const action = pacer_.decide(link_.modelledQueue(now), link_.timeOnLink(bytes));
+    if (action == BulkAction::Send)
+        link_.recordSent(bytes, now);
+    return action;
+}
+
+BulkAction EntryResourceControl::releaseBulk(std::size_t bytes, Duration waited, TimePoint now) noexcept
+{
+    BulkAction const action = pacer_.release(link_.modelledQueue(now), link_.timeOnLink(bytes), waited);
+    if (action == BulkAction::Send)
+        link_.recordSent(bytes, now);
+    return action;
+}
+
 void EntryResourceControl::recordStatuses(DecodedRelayMessage const& message, TimePoint now)
 {
     for (EntryLoad const& status : message.entryStatuses())
@@ -47,6 +78,7 @@
     if (!isActive_)
         return;
     canServe_ = canServe;
+    admission_.tick({ link_.bytesPerSecond(), link_.offeredBytesPerSecond(), link_.utilisation(), processor_.utilisation() }, now);
     bool const wasInRotation = rule_.decision().isInRotation;
     bool const wasOverloaded = rule_.isOverloaded();
     std::vector<EntryLoad> const others = statuses_.recent(now);
@@ -63,9 +95,10 @@
     }
 }
 
-double EntryResourceControl::utilisation() const noexcept
+double EntryResourceControl::demandFactor() const noexcept
 {
-    return std::max(link_.utilisation(), processor_.utilisation());
+    double const carried = link_.offeredBytesPerSecond();
+    return carried > 0 ? std::min(maximumDemandFactor, 1 + admission_.refusedBytesPerSecond() / carried) : 1;
 }
 
 EntryLoad EntryResourceControl::ownStatus() const noexcept
@@ -73,8 +106,8 @@
     EntryLoad status;
     status.nameHash = nameHash_;
     status.linkBytesPerSecond = link_.bytesPerSecond();
-    status.offeredBytesPerSecond = link_.offeredBytesPerSecond();
-    status.utilisation = utilisation();
+    status.offeredBytesPerSecond = link_.offeredBytesPerSecond() * demandFactor();
+    status.utilisation = std::max(link_.utilisation(), processor_.utilisation()) * demandFactor();
     status.isInRotation = canServe_ && rule_.decision().isInRotation;
     return status;
 }
@@ -115,8 +148,10 @@
     report.sentBytes = link_.sentBytes();
     report.linkUtilisation = link_.utilisation();
     report.processorUtilisation = processor_.utilisation();
+    report.refusedBytesPerSecond = admission_.refusedBytesPerSecond();
     report.modelledQueue = link_.modelledQueue(now);
     report.measuredDelay = link_.measuredDelay();
+    report.bulk = pacer_.counts();
     report.rotation = rule_.decision();
     return report;
 }
--- a/tests/RelayScene.h
+++ b/tests/RelayScene.h
@@ -184,6 +184,7 @@
     std::vector<std::unique_ptr<Agent>> agents;
     std::vector<std::unique_ptr<Entry>> entries;
     std::vector<std::unique_ptr<CallerFlow>> flows;
+    EntryResources entryResources; ///< limits of the entries that are started from now on
 
     std::function<std::optional<Duration>(Bytes const&)> linkRule; ///< delay of a datagram; empty if it is lost
     [[nodiscard]] TimePoint now() const { return now_; }
@@ -211,6 +212,8 @@
         options.keys = keys();
         options.randomSeed = 7 + index + 1000 * startedEntries_++;
         options.callerPort = callerPort;
+        options.name = "entry-" + std::to_string(index + 1);
+        options.resources = entryResources;
         entry.relay = std::make_unique<EntryRelay>(options, codec_, *entry.sender, decisions);
         entry.relay->setConfiguration(configuration(), now_);
         if (!view_.targets.empty())
