Never wait for the reader of the log

Lines now go to LogOutput, which never waits: a pipe or terminal is opened anew with O_NONBLOCK, because the flag belongs to an open file description that other processes may share; a socket is written with MSG_DONTWAIT. What does not fit is kept in a buffer of 256 KiB and written at later lines and ticks; further lines are left out, and lines_left_out gives their number once half of the buffer is free. SIGPIPE is ignored. Entries and agents use the same log. A thread of its own was ruled out: it is not needed.

LogTests/AProcessGoesOnWhileNobodyReadsItsLog and AProcessGoesOnWhenTheReaderOfItsLogCloses failed before (the child did not end within 5 s, and ended by signal 13).

--- a/include/plantaindrift/runtime/Log.h
+++ b/include/plantaindrift/runtime/Log.h
@@ -47,8 +47,14 @@
 [[nodiscard]] std::string formatLogLine(LogLevel level, std::string_view event, std::initializer_list<LogField> fields);
 
 /// \brief Sets the minimum level and the output: standard output if `file` is empty, else the file of this path.
+///
+/// The process never waits for the reader of the output, and ignores SIGPIPE from then on. Lines that do not fit into a
+/// buffer while nobody reads are left out; the event lines_left_out gives their number.
 void startLog(LogLevel minimum, std::string const& file);
 
+/// \brief Writes buffered lines as far as the output takes them; call periodically.
+void flushLog();
+
 /// \brief Writes one event with the current time in UTC, unless its level is below the minimum.
 void logEvent(LogLevel level, std::string_view event, std::initializer_list<LogField> fields = {});
 
--- a/src/runtime/DaemonCore.cpp
+++ b/src/runtime/DaemonCore.cpp
@@ -221,6 +221,7 @@
         TimePoint const now = std::chrono::steady_clock::now();
         control_->tick(now);
         runGuarded("tick", [&] { handlers_.tick(now); });
+        flushLog();
         waitForTick();
     });
 }
--- a/src/runtime/Log.cpp
+++ b/src/runtime/Log.cpp
@@ -1,10 +1,18 @@
 #include "plantaindrift/runtime/Log.h"
 
+#include "runtime/LogOutput.h"
+
 #include <array>
 #include <chrono>
+#include <csignal>
 #include <cstdio>
 #include <ctime>
 #include <easylogging++.h>
+#include <fcntl.h>
+#include <filesystem>
+#include <memory>
+#include <system_error>
+#include <unistd.h>
 
 INITIALIZE_EASYLOGGINGPP
 
@@ -14,7 +22,11 @@
 
     constexpr std::array<std::string_view, 4> levelNames { "debug", "info", "warning", "error" };
 
+    // Lines of about a second at the limit of DecisionLog; instances have little memory.
+    constexpr std::size_t logBufferBytes = std::size_t { 256 } * 1024;
+
     LogLevel minimumLevel = LogLevel::Info;
+    std::unique_ptr<LogOutput> output;
 
     bool isPlain(std::string_view value) noexcept
     {
@@ -59,6 +71,31 @@
         }
     }
 
+    std::string formatTimedLine(LogLevel level, std::string_view event, std::initializer_list<LogField> fields)
+    {
+        return "time=" + timeText() + ' ' + formatLogLine(level, event, fields);
+    }
+
+    std::string formatOmittedLines(std::uint64_t lines)
+    {
+        return formatTimedLine(LogLevel::Warning, "lines_left_out", { { "lines", lines }, { "reason", "log_not_read" } });
+    }
+
+    /// Replaces the library's writer, which waits for the reader of a pipe on the thread that logs.
+    class OutputCallback final : public el::LogDispatchCallback {
+    protected:
+        void handle(el::LogDispatchData const* data) override { output->write(data->logMessage()->message()); }
+    };
+
+    /// Opens the log file for appending. \returns a descriptor, or -1
+    int openLogFile(std::string const& file)
+    {
+        std::error_code ignored;
+        std::filesystem::create_directories(std::filesystem::path(file).parent_path(), ignored);
+        constexpr mode_t permissions = 0644;
+        return ::open(file.c_str(), O_WRONLY | O_APPEND | O_CREAT | O_CLOEXEC | O_NONBLOCK, permissions);
+    }
+
 } // namespace
 
 LogField::LogField(std::string_view fieldKey, std::string_view text)
@@ -107,22 +144,33 @@
 void startLog(LogLevel minimum, std::string const& file)
 {
     minimumLevel = minimum;
-    el::Loggers::addFlag(el::LoggingFlag::ImmediateFlush);
+    // The reader of the log may close its end of the pipe.
+    (void)std::signal(SIGPIPE, SIG_IGN);
+    int const opened = file.empty() ? -1 : openLogFile(file);
+    output = std::make_unique<LogOutput>(opened >= 0 ? opened : STDOUT_FILENO, logBufferBytes, formatOmittedLines);
     el::Configurations configuration;
     configuration.setToDefault();
     configuration.setGlobally(el::ConfigurationType::Format, "%msg");
-    configuration.setGlobally(el::ConfigurationType::ToStandardOutput, file.empty() ? "true" : "false");
-    configuration.setGlobally(el::ConfigurationType::ToFile, file.empty() ? "false" : "true");
-    if (!file.empty())
-        configuration.setGlobally(el::ConfigurationType::Filename, file);
+    configuration.setGlobally(el::ConfigurationType::ToStandardOutput, "false");
+    configuration.setGlobally(el::ConfigurationType::ToFile, "false");
     el::Loggers::setDefaultConfigurations(configuration, true);
+    el::Helpers::installLogDispatchCallback<OutputCallback>("PlantaindriftLogOutput");
+    el::Helpers::uninstallLogDispatchCallback<el::base::DefaultLogDispatchCallback>("DefaultLogDispatchCallback");
+    if (!file.empty() && opened < 0)
+        logEvent(LogLevel::Error, "log_file_not_opened", { { "file", file } });
+}
+
+void flushLog()
+{
+    if (output)
+        output->flush();
 }
 
 void logEvent(LogLevel level, std::string_view event, std::initializer_list<LogField> fields)
 {
     if (level < minimumLevel)
         return;
-    std::string const line = "time=" + timeText() + ' ' + formatLogLine(level, event, fields);
+    std::string const line = formatTimedLine(level, event, fields);
     if (level == LogLevel::Debug)
         LOG(DEBUG) << line;
     else if (level == LogLevel::Info)
