Reset the callers of lost flows within a second after a loss of power

Callers of lost flows waited up to 3 s, until their deadline, after all machines had lost power.

- A reply to a peer is partial until the first tick, and daemons tick at their start.
- In the first 10 s a member list read up to 0.8 s before the search counts; joining agents admit flows 0.8 s after their record was written.
- An agent is queried at its first load report.
- A machine that kept its power rules out a power loss; load reports say how long the agent has been running.
A flow is declared lost beside a silent machine only 80 ms after the first query.

RelayMessageTests covers the new flag.

--- a/include/plantaindrift/relay/AgentRelay.h
+++ b/include/plantaindrift/relay/AgentRelay.h
@@ -64,6 +64,7 @@
     bool isGone { false }; ///< the target left, or its announcements stopped
     bool hasLeft { false }; ///< the target announced its end
     bool isStartObserved { false }; ///< the target started after this process, so that this process knows all of its flows
+    bool hasStartedWithAgent { false }; ///< the target started at about the time of this process, or later
     std::uint16_t slots { 1 };
     std::uint32_t maximumConnections { 2000 };
     std::chrono::milliseconds remainingWarmUp { 0 }; ///< remaining time in which the target is slow after its start
--- a/include/plantaindrift/relay/RelayMessage.h
+++ b/include/plantaindrift/relay/RelayMessage.h
@@ -45,6 +45,7 @@
     bool isMachineRestarted { false }; ///< agent and target started a short time ago, so that no older flow is open
     bool isWithdrawn { false }; ///< the target announced that it is draining or leaving
     bool isAssumed { false }; ///< the target has not announced itself since its agent started
+    bool isLongRunning { false }; ///< the agent did not start a short time ago, so that its machine kept its power
 
     friend bool operator==(TargetLoad const&, TargetLoad const&) = default;
 };
--- a/include/plantaindrift/relay/TargetAnnouncementTracker.h
+++ b/include/plantaindrift/relay/TargetAnnouncementTracker.h
@@ -52,6 +52,13 @@
     /// restarted.
     [[nodiscard]] TargetState targetState(TimePoint now) const noexcept;
 
+    /// \brief True if the target announced that its process started when the agent's did, or later.
+    ///
+    /// After a power loss the target often announces itself before its agent listens, so that its start is not observed.
+    ///
+    /// \param agentStartMs  start of the agent's process, in ms since 1970 by the clock of the machine
+    [[nodiscard]] bool hasStartedWith(std::int64_t agentStartMs) const noexcept;
+
     [[nodiscard]] std::optional<TargetAnnouncement> const& newest() const noexcept { return newest_; }
 
 private:
--- a/src/membership/EntryControl.cpp
+++ b/src/membership/EntryControl.cpp
@@ -458,7 +458,8 @@
         return true;
     control::Envelope answer;
     control::ShardReply& reply = *answer.mutable_shard_reply();
-    reply.set_partial(catchUp.isActive());
+    // Before its first tick this node has fetched nothing yet.
+    reply.set_partial(!lastTick || catchUp.isActive());
     reply.set_position(spread.log().position());
     if (request.everything() || request.versions_size() > 0 || !request.services())
         answerMembers(table, request, now, reply);
--- a/src/relay/AgentRelay.cpp
+++ b/src/relay/AgentRelay.cpp
@@ -71,7 +71,8 @@
     load.failedPercent = flows.requests().failedPercent();
     // Queries reach a running agent, so that only its last report has to say this.
     load.hasEnded = isStopping && (target.hasLeft || isTargetUnresponsive(currentTime));
-    load.isMachineRestarted = target.isStartObserved && currentTime - started < restartPeriod;
+    load.isLongRunning = currentTime - started >= restartPeriod;
+    load.isMachineRestarted = (target.isStartObserved || target.hasStartedWithAgent) && !load.isLongRunning;
     load.isWithdrawn = target.isAnnounced && !target.isAccepting;
     load.isAssumed = !target.isAnnounced;
     return load;
@@ -138,6 +139,13 @@
 
 // ---- periodic steps ----
 
+void AgentRelay::State::reportFirstAnnouncement(TimePoint now, std::uint32_t nowSeconds)
+{
+    if (!target.isAnnounced || std::exchange(wasAnnouncementReported, true))
+        return;
+    sendLoadReportToAll(now, nowSeconds);
+}
+
 void AgentRelay::State::sendDueLoadReports(TimePoint now, std::uint32_t nowSeconds)
 {
     for (Endpoint const entry : subscribers.collectDue(now))
@@ -256,6 +264,7 @@
 {
     state_->currentTime = now;
     state_->flows.requests().tick(now);
+    state_->reportFirstAnnouncement(now, nowSeconds);
     state_->sendDueLoadReports(now, nowSeconds);
     state_->sweep(now);
 }
--- a/src/relay/AgentRelayState.h
+++ b/src/relay/AgentRelayState.h
@@ -62,6 +62,7 @@
     LoadSubscribers subscribers;
     std::vector<Peer> peers; ///< all other targets of the service
     EvacuationSet evacuations;
+    bool wasAnnouncementReported { false };
     TimePoint lastSweep;
     std::array<std::uint64_t, agentRelayOutcomeCount> outcomes {};
     std::array<std::byte, maximumRelayHeaderBytes + 64> header {};
@@ -133,6 +134,8 @@
 
     // ---- periodic steps ----
 
+    /// Reports the first announcement of the target at once: at 60 targets the next report is due only after 1.7 s.
+    void reportFirstAnnouncement(TimePoint now, std::uint32_t nowSeconds);
     void sendDueLoadReports(TimePoint now, std::uint32_t nowSeconds);
     void sweep(TimePoint now);
 };
--- a/src/relay/EntryRelay.cpp
+++ b/src/relay/EntryRelay.cpp
@@ -492,6 +492,8 @@
     if (decoded.error != DatagramError::None)
         return false;
     bool const isExpected = state_->processDecodedMessage(from, decoded, now, nowSeconds);
+    for (Endpoint const agent : state_->directory.takeFirstReports())
+        state_->searches.recordFirstReport(agent);
     state_->searches.sendQueries(now, { state_->options.keys, nowSeconds });
     state_->resetLostFlows(now, nowSeconds);
     return isExpected;
--- a/src/relay/OwnerSearch.cpp
+++ b/src/relay/OwnerSearch.cpp
@@ -40,6 +40,15 @@
     return agents;
 }
 
+bool OwnerSearch::hasSilentTarget() const noexcept
+{
+    for (std::size_t index = 0; index < group->targets.size(); ++index) {
+        if (!notFound_.contains(index) && !group->targets[index].load.hasEnded)
+            return true;
+    }
+    return false;
+}
+
 DirectoryTarget const* OwnerSearch::findPossibleOwner(TargetDirectory const& directory, TimePoint now) const noexcept
 {
     for (std::size_t index = 0; index < group->targets.size(); ++index) {
--- a/src/relay/OwnerSearch.h
+++ b/src/relay/OwnerSearch.h
@@ -25,6 +25,7 @@
     TimePoint started; ///< time of the caller's first segment
     TimePoint forwarded; ///< time when a segment was last forwarded as the start of a round
     TimePoint lastSegment; ///< time of the caller's last segment
+    TimePoint firstQueried; ///< time of the first query
     TimePoint queried; ///< time of the last query
     Duration queryInterval {}; ///< time until agents that have not replied are queried again
     std::uint32_t directlySent { 0 }; ///< number of agents to which the entry sent the segment itself
@@ -64,6 +65,9 @@
     /// \brief True if every target that may be running has reported that it does not hold the flow.
     [[nodiscard]] bool isNotFoundEverywhere(TargetDirectory const& directory, TimePoint now) const noexcept { return findPossibleOwner(directory, now) == nullptr; }
 
+    /// \brief True if some target has neither reported that it does not hold the flow nor that it has ended.
+    [[nodiscard]] bool hasSilentTarget() const noexcept;
+
     /// \brief Maximum length of a segment that is kept: the maximum of the platforms' formats.
     static constexpr std::size_t maximumKeptSegmentBytes = 1280;
 
--- a/src/relay/OwnerSearches.cpp
+++ b/src/relay/OwnerSearches.cpp
@@ -1,5 +1,7 @@
 #include "relay/OwnerSearches.h"
 
+#include "plantaindrift/membership/JoinDelay.h"
+
 #include <algorithm>
 #include <chrono>
 #include <utility>
@@ -32,6 +34,13 @@
     constexpr std::chrono::seconds startupPeriod { 10 };
     constexpr std::chrono::seconds minimumLostSearchTime { 3 };
 
+    // A machine that starts after the others may open a flow before its first load report arrives here. Its agent replies to a
+    // query within this time.
+    constexpr std::chrono::milliseconds minimumReplyTime { 80 };
+
+    // Most searches for open flows have ended after this time, so that they cause no read of the member list.
+    constexpr std::chrono::milliseconds memberReadDelay { 100 };
+
     // Callers retransmit segments every 1.6 s at most.
     constexpr std::chrono::seconds searchIdleTimeout { 5 };
 
@@ -146,9 +155,11 @@
 
 void OwnerSearches::sendQueries(TimePoint now, RelaySigningContext const& signing)
 {
-    if (queued_.empty() || now - queriesSent_ < queryCollectionTime)
+    bool const isIdle = queued_.empty() && startedAgents_.empty();
+    if (isIdle || now - queriesSent_ < queryCollectionTime)
         return;
     queriesSent_ = now;
+    queryStartedAgents(signing);
     for (std::pair<TargetGroup const* const, std::vector<std::uint64_t>> const& queued : queued_) {
         std::span<std::uint64_t const> flows = queued.second;
         while (!flows.empty()) {
@@ -160,22 +171,55 @@
     queued_.clear();
 }
 
-void OwnerSearches::sendQuery(TargetGroup const& group, std::span<std::uint64_t const> flows, TimePoint now, RelaySigningContext const& signing)
+// Agents that start after a power loss would otherwise be queried up to maximumQueryInterval later.
+void OwnerSearches::queryStartedAgents(RelaySigningContext const& signing)
+{
+    if (startedAgents_.empty())
+        return;
+    std::map<TargetGroup const*, std::vector<std::uint64_t>> searched;
+    searches_.forEach([&searched](OwnerSearch const& search) {
+        if (search.wasQueried && !search.isLost)
+            searched[search.group].push_back(search.hash);
+    });
+    std::vector<Endpoint> const agents = std::exchange(startedAgents_, {});
+    for (std::pair<TargetGroup const* const, std::vector<std::uint64_t>> const& service : searched) {
+        std::span<std::uint64_t const> flows = service.second;
+        while (!flows.empty()) {
+            std::span<std::uint64_t const> const part = flows.first(std::min(flows.size(), maximumQueriedFlows));
+            std::size_t const bytes = writeQuery(*service.first, part, signing);
+            for (Endpoint const agent : agents) {
+                std::size_t const target = TargetDirectory::indexOf(*service.first, agent);
+                if (target < service.first->targets.size() && isReplyMissing(part, target))
+                    send(agent, bytes);
+            }
+            flows = flows.subspan(part.size());
+        }
+    }
+}
+
+// Writes a query into the buffer. Returns its length in bytes.
+std::size_t OwnerSearches::writeQuery(TargetGroup const& group, std::span<std::uint64_t const> flows, RelaySigningContext const& signing)
 {
     Query& query = queries_[++lastNumber_ % rememberedQueries];
     query.number = lastNumber_;
     query.group = &group;
     query.flows.assign(flows.begin(), flows.end());
+    return writeRelayFlowQuery(group.hash, query.number, flows, signing, buffer_);
+}
+
+void OwnerSearches::sendQuery(TargetGroup const& group, std::span<std::uint64_t const> flows, TimePoint now, RelaySigningContext const& signing)
+{
     for (std::uint64_t const flow : flows) {
         OwnerSearch* const search = searches_.find(flow);
         if (search == nullptr)
             continue;
         search->isQueued = false;
         search->queryInterval = search->wasQueried ? std::min<Duration>(2 * search->queryInterval, maximumQueryInterval) : Duration(minimumQueryInterval);
-        search->wasQueried = true;
+        if (!std::exchange(search->wasQueried, true))
+            search->firstQueried = now;
         search->queried = now;
     }
-    std::size_t const bytes = writeRelayFlowQuery(group.hash, query.number, flows, signing, buffer_);
+    std::size_t const bytes = writeQuery(group, flows, signing);
     for (std::size_t target = 0; target < group.targets.size(); ++target) {
         if (isReplyMissing(flows, target))
             send(group.targets[target].agent, bytes);
@@ -214,6 +258,10 @@
         return;
     }
     endIfLost(search, now);
+    // The list is read while agents reply, because reads are a second apart.
+    bool const isReadDue = !search.isLost && isStarting(now) && now - search.started >= memberReadDelay;
+    if (isReadDue)
+        (void)isViewCurrent(search, now);
     if (search.isLost || now - search.queried < search.queryInterval)
         return;
     if (search.queryInterval == maximumQueryInterval)
@@ -310,8 +358,7 @@
 void OwnerSearches::endIfLost(OwnerSearch& search, TimePoint now)
 {
     bool const isViewSettled = viewsComplete_ && now - search.group->viewChanged >= viewSettleDelay;
-    bool const isLongEnough = isStarting(now) || now - search.started >= minimumLostSearchTime;
-    if (!isViewSettled || !search.isNotFoundEverywhere(directory_, now) || !isViewCurrent(search) || !isLongEnough)
+    if (!isViewSettled || !search.isNotFoundEverywhere(directory_, now) || !isViewCurrent(search, now) || !isLongEnough(search, now))
         return;
     search.isLost = true;
     lostTimes_.observe(now - search.started);
@@ -341,23 +388,33 @@
     observer_.onFlowLost(evidence);
 }
 
+bool OwnerSearches::isLongEnough(OwnerSearch const& search, TimePoint now) const noexcept
+{
+    if (!isStarting(now))
+        return now - search.started >= minimumLostSearchTime;
+    return !search.hasSilentTarget() || (search.wasQueried && now - search.firstQueried >= minimumReplyTime);
+}
+
 bool OwnerSearches::isStarting(TimePoint now) const noexcept
 {
     return now - firstTick_ < startupPeriod;
 }
 
 // The records of targets that joined may be delayed by the control budget or by a cut for longer than any fixed time. A
-// flow may also have been opened at such a target after a power loss.
-bool OwnerSearches::isViewCurrent(OwnerSearch const& search) noexcept
+// flow may also have been opened at such a target after a power loss. As targets that join admit flows only some time after
+// their records were written, a list that is a little older than the search has all that may hold its flow; it counts while
+// most searches are for lost flows.
+bool OwnerSearches::isViewCurrent(OwnerSearch const& search, TimePoint now) noexcept
 {
-    bool const isCurrent = !isMemberReadRequired_ || membersRead_ >= search.started;
+    Duration const permittedAge = isStarting(now) ? recordedJoinTime : std::chrono::milliseconds::zero();
+    bool const isCurrent = !isMemberReadRequired_ || (membersRead_ && *membersRead_ + permittedAge >= search.started);
     needsMemberRead_ = needsMemberRead_ || !isCurrent;
     return isCurrent;
 }
 
 void OwnerSearches::recordMemberRead(TimePoint started) noexcept
 {
-    membersRead_ = std::max(membersRead_, started);
+    membersRead_ = std::max(membersRead_.value_or(started), started);
     // Searches that began later ask again.
     needsMemberRead_ = false;
 }
--- a/src/relay/OwnerSearches.h
+++ b/src/relay/OwnerSearches.h
@@ -13,6 +13,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <span>
 #include <vector>
 
@@ -44,7 +45,8 @@
     /// \param observer  receives searches that wait for an agent
     OwnerSearches(Endpoint ownEndpoint, std::uint32_t firstQueryNumber, TargetDirectory const& directory, RelaySender& sender, RelayObserver& observer);
 
-    /// \brief Makes verdicts wait for a member list that was read after the search began. Without a store there is no such list.
+    /// \brief Makes verdicts wait for a member list that was read after the search began, or in the first seconds at most
+    /// recordedJoinTime earlier. Without a store there is no such list.
     void requireMemberRead() noexcept { isMemberReadRequired_ = true; }
 
     /// \brief True if a search can only be ended by a new member list.
@@ -68,6 +70,9 @@
     /// \brief Processes the reply to a query. \returns false if it belongs to no query
     bool processQueryReply(Endpoint agent, DecodedRelayMessage const& reply, TimePoint now, RelaySigningContext const& signing);
 
+    /// \brief Queries an agent that has started for the flows that are searched for: it has received no query so far.
+    void recordFirstReport(Endpoint agent) { startedAgents_.push_back(agent); }
+
     /// \brief Follows a change of a service's target list.
     void renumberTargets(TargetGroup const& group, std::span<std::uint32_t const> newIndices);
 
@@ -106,6 +111,7 @@
     RelayObserver& observer_;
     HashTable<OwnerSearch> searches_;
     std::map<TargetGroup const*, std::vector<std::uint64_t>> queued_; ///< flows for the next query of each service
+    std::vector<Endpoint> startedAgents_; ///< agents whose first load report has arrived since the last queries
     std::array<Query, rememberedQueries> queries_; ///< latest queries, by number
     std::uint32_t lastNumber_ { 0 };
     std::vector<LostFlow> lost_;
@@ -119,10 +125,12 @@
     bool viewsComplete_ { false };
     bool isMemberReadRequired_ { false };
     bool needsMemberRead_ { false };
-    TimePoint membersRead_; ///< start of the last read of the member list
+    std::optional<TimePoint> membersRead_; ///< start of the last read of the member list
 
     void send(Endpoint to, std::size_t bytes) noexcept;
     void queue(OwnerSearch& search);
+    void queryStartedAgents(RelaySigningContext const& signing);
+    [[nodiscard]] std::size_t writeQuery(TargetGroup const& group, std::span<std::uint64_t const> flows, RelaySigningContext const& signing);
     void sendQuery(TargetGroup const& group, std::span<std::uint64_t const> flows, TimePoint now, RelaySigningContext const& signing);
     [[nodiscard]] bool isReplyMissing(std::span<std::uint64_t const> flows, std::size_t target) noexcept;
     void continueSearch(OwnerSearch& search, TimePoint now, RelaySigningContext const& signing);
@@ -135,7 +143,8 @@
     void endIfLost(OwnerSearch& search, TimePoint now);
     void notifyLost(OwnerSearch const& search, TimePoint now) noexcept;
     [[nodiscard]] bool isStarting(TimePoint now) const noexcept;
-    [[nodiscard]] bool isViewCurrent(OwnerSearch const& search) noexcept;
+    [[nodiscard]] bool isLongEnough(OwnerSearch const& search, TimePoint now) const noexcept;
+    [[nodiscard]] bool isViewCurrent(OwnerSearch const& search, TimePoint now) noexcept;
 };
 
 } // namespace plantaindrift
--- a/src/relay/RelayMessage.cpp
+++ b/src/relay/RelayMessage.cpp
@@ -55,6 +55,7 @@
     constexpr std::uint8_t machineRestartedFlag = 4;
     constexpr std::uint8_t withdrawnFlag = 8;
     constexpr std::uint8_t assumedFlag = 16;
+    constexpr std::uint8_t longRunningFlag = 32;
 
     struct RouteFields {
         wire::big_uint64_buf_t service;
@@ -94,6 +95,7 @@
         flags |= load.isMachineRestarted ? machineRestartedFlag : 0U;
         flags |= load.isWithdrawn ? withdrawnFlag : 0U;
         flags |= load.isAssumed ? assumedFlag : 0U;
+        flags |= load.isLongRunning ? longRunningFlag : 0U;
         field.flags = static_cast<std::uint8_t>(flags);
         field.slots = load.slots;
         field.busy = load.activeRequests;
@@ -112,6 +114,7 @@
         load.isMachineRestarted = (flags & machineRestartedFlag) != 0;
         load.isWithdrawn = (flags & withdrawnFlag) != 0;
         load.isAssumed = (flags & assumedFlag) != 0;
+        load.isLongRunning = (flags & longRunningFlag) != 0;
         load.slots = field.slots.value();
         load.activeRequests = field.busy.value();
         load.openFlows = field.flows.value();
--- a/src/relay/TargetAnnouncementTracker.cpp
+++ b/src/relay/TargetAnnouncementTracker.cpp
@@ -12,6 +12,9 @@
     // One lost announcement and a delayed one.
     constexpr double leaseIntervals = 2.5;
 
+    // After a power loss, targets and agents of a machine start within a second.
+    constexpr std::chrono::milliseconds maximumStartDifference { 2000 };
+
     // Number of slots assumed until the first announcement.
     constexpr std::uint16_t assumedSlots = 4;
 
@@ -63,6 +66,11 @@
     return AnnouncementOutcome::Accepted;
 }
 
+bool TargetAnnouncementTracker::hasStartedWith(std::int64_t agentStartMs) const noexcept
+{
+    return newest_ && newest_->startTimeMs >= agentStartMs - maximumStartDifference.count();
+}
+
 TargetState TargetAnnouncementTracker::targetState(TimePoint now) const noexcept
 {
     TargetState state;
--- a/src/relay/TargetDirectory.cpp
+++ b/src/relay/TargetDirectory.cpp
@@ -32,8 +32,8 @@
     constexpr std::chrono::milliseconds maximumOutage { 7000 };
 
     // Every 100 ms an entry subscribes to an agent from which it has no load report yet, and a running agent replies at
-    // once. All machines start within 0.3 s after a power loss.
-    constexpr std::chrono::milliseconds restartedReportTimeout { 1000 };
+    // once. With the time until an entry knows all targets, callers are reset within a second of its start.
+    constexpr std::chrono::milliseconds restartedReportTimeout { 700 };
 
     // Targets report several times in this period, also those that start after a power loss.
     constexpr std::chrono::milliseconds minimumReceptionPeriod { 1000 };
@@ -184,7 +184,10 @@
     // A target of another service that uses the address of a dead one again does not show that the dead one runs.
     if (target->dead && service && findServiceOf(agent)->hash != *service)
         return;
+    if (!target->hasReported)
+        firstReports_.push_back(agent);
     target->load = load;
+    hasSurvivor_ = hasSurvivor_ || load.isLongRunning;
     // An agent that restarted beside a draining target takes it for accepting until the target's next announcement.
     target->isWithdrawn = load.isWithdrawn || (load.isAssumed && target->isWithdrawn);
     target->load.isAccepting = load.isAccepting && !target->isWithdrawn;
@@ -248,9 +251,12 @@
     return !load.hasEnded && now - target.lastReport - target.discountedSilence <= timeout;
 }
 
-// A power loss restarts nearly all machines of a service, so that a silent machine has lost its flows too.
-bool TargetDirectory::wasPowerLost(TargetGroup const& group) noexcept
+// A power loss restarts all machines, so that a silent machine has lost its flows too. If a machine of any service kept its
+// power, a silent one may have kept it as well and be cut off.
+bool TargetDirectory::wasPowerLost(TargetGroup const& group) const noexcept
 {
+    if (hasSurvivor_)
+        return false;
     std::size_t reported = 0;
     std::size_t restarted = 0;
     for (DirectoryTarget const& target : group.targets) {
--- a/src/relay/TargetDirectory.h
+++ b/src/relay/TargetDirectory.h
@@ -17,6 +17,7 @@
 #include <span>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 namespace plantaindrift {
@@ -90,6 +91,9 @@
     /// \param service  service that the report names, if it names one
     void recordLoad(Endpoint agent, TargetLoad const& load, TimePoint now, std::optional<ServiceHash> service = std::nullopt) noexcept;
 
+    /// \brief Returns the agents whose first load report was recorded since the last call.
+    [[nodiscard]] std::vector<Endpoint> takeFirstReports() noexcept { return std::exchange(firstReports_, {}); }
+
     /// \brief Writes the cheapest of a random sample of targets that accept new flows into a route, in order of cost.
     ///
     /// \param asked  agents that were offered an earlier copy of the opening segment; they come last
@@ -109,8 +113,9 @@
     /// Silence counts only while most targets of all services report: otherwise the entry is cut off or overloaded itself.
     [[nodiscard]] bool mayHoldFlows(TargetGroup const& group, DirectoryTarget const& target, TimePoint now) const noexcept;
 
-    /// \brief True if most targets of the service restarted with their machines a short time ago.
-    [[nodiscard]] static bool wasPowerLost(TargetGroup const& group) noexcept;
+    /// \brief True if most targets of the service restarted with their machines a short time ago, and no agent of any service
+    /// has been running for longer.
+    [[nodiscard]] bool wasPowerLost(TargetGroup const& group) const noexcept;
 
     /// \brief Returns the agents whose subscription is due and marks them as subscribed.
     [[nodiscard]] std::vector<Endpoint> collectDueSubscriptions(TimePoint now);
@@ -124,6 +129,8 @@
     std::map<std::string, TargetGroup, std::less<>> groups_;
     absl::flat_hash_map<std::uint64_t, TargetGroup*> agentGroups_; ///< by agent endpoint
     std::optional<TimePoint> lastTick_;
+    std::vector<Endpoint> firstReports_;
+    bool hasSurvivor_ { false }; ///< some machine has kept its power since this entry started
     absl::flat_hash_set<std::uint64_t> sharedAgents_; ///< endpoints that several services have listed at the same time
 
     void assignAgents(TargetGroup& group, std::span<DirectoryTarget const> former);
--- a/src/runtime/DaemonCore.cpp
+++ b/src/runtime/DaemonCore.cpp
@@ -52,7 +52,7 @@
         return bound;
     waitForStop();
     waitForKeys();
-    waitForTick();
+    waitForTick(std::chrono::milliseconds::zero());
     packetsHeld_ = handlers_.holdPackets;
     if (packetsHeld_)
         ports_.front()->stalledSince = readUptime();
@@ -211,9 +211,9 @@
     });
 }
 
-void DaemonCore::waitForTick()
+void DaemonCore::waitForTick(std::chrono::milliseconds wait)
 {
-    tickTimer_.expires_after(tickInterval);
+    tickTimer_.expires_after(wait);
     tickTimer_.async_wait([this](asio::error_code const& error) {
         if (error || finished_)
             return;
@@ -222,7 +222,7 @@
         control_->tick(now);
         runGuarded("tick", [&] { handlers_.tick(now); });
         flushLog();
-        waitForTick();
+        waitForTick(tickInterval);
     });
 }
 
--- a/src/runtime/DaemonCore.h
+++ b/src/runtime/DaemonCore.h
@@ -100,7 +100,7 @@
     [[nodiscard]] absl::Status bindAll();
     void waitForStop();
     void waitForKeys();
-    void waitForTick();
+    void waitForTick(std::chrono::milliseconds wait);
     [[nodiscard]] absl::Status openPort(Endpoint address, PacketFilter& filter);
     void waitForPackets(PacketPort& port);
     void addPacketMetrics(MetricsPage& page) const;
--- a/src/runtime/FleetStoreThread.cpp
+++ b/src/runtime/FleetStoreThread.cpp
@@ -214,7 +214,11 @@
     isRegistered_ = isListed && (isFresh || isRegistered_);
     if (isRegistered_ && isFresh)
         registeredGeneration_ = generation > 0 ? generation : store_->generation();
-    asio::post(loop_, [this, found = std::move(*members), registered = isListed] { handlers_.members(found, registered); });
+    asio::post(loop_, [this, found = std::move(*members), registered = isListed, isFresh, started] {
+        handlers_.members(found, registered);
+        if (isFresh && handlers_.freshMembers)
+            handlers_.freshMembers(started);
+    });
     return absl::OkStatus();
 }
 
@@ -247,7 +251,9 @@
     registeredGeneration_ = std::max({ registeredGeneration_, reported, store_->generation() });
     ++recordsWritten_;
     recordsRewritten_ += isRepeated ? 1 : 0;
-    asio::post(loop_, [name = self_.name, isRepeated, generation = store_->generation()] {
+    asio::post(loop_, [this, name = self_.name, isRepeated, generation = store_->generation()] {
+        if (handlers_.written)
+            handlers_.written();
         logEvent(LogLevel::Info, "member_record_written", { { "name", name }, { "repeated", isRepeated }, { "store_generation", generation } });
     });
     return status;
--- a/src/runtime/FleetStoreThread.h
+++ b/src/runtime/FleetStoreThread.h
@@ -43,6 +43,8 @@
         std::function<void(VersionedConfiguration const&)> configuration; ///< if empty, the configuration is not read
         std::function<void(std::uint64_t)> generation; ///< the store's generation has risen or become known; may be empty
         std::function<void(std::vector<Member> const&, bool registered)> members; ///< registered: the store already holds the record of this process
+        std::function<void(TimePoint started)> freshMembers; ///< after `members`, if the read that started then lacks nothing; may be empty
+        std::function<void()> written; ///< the record of this process was written; may be empty
     };
 
     FleetStoreThread(asio::io_context& loop, std::unique_ptr<FleetStore> store, Member const& self, Handlers handlers);
--- a/src/runtime/RelayAgentDaemon.cpp
+++ b/src/runtime/RelayAgentDaemon.cpp
@@ -2,6 +2,7 @@
 
 #include "plantaindrift/base/Hash.h"
 #include "plantaindrift/membership/AgentControl.h"
+#include "plantaindrift/membership/JoinDelay.h"
 #include "plantaindrift/relay/AgentRelay.h"
 #include "runtime/DaemonCore.h"
 #include "runtime/DecisionLog.h"
@@ -16,9 +17,6 @@
 
     constexpr std::chrono::milliseconds idlePollInterval { 5 };
 
-    // Time within which gossip distributes the record of a new agent to all entries.
-    constexpr std::chrono::milliseconds membershipDelay { 1000 };
-
     // Entries choose targets and search for owners; agents need the member list only for searches that an entry
     // hands on.
     constexpr std::chrono::seconds listPeriod { 10 };
@@ -71,6 +69,7 @@
             , targetOutputFilter_(*this)
             , core_(settings.common, keys, handlers())
             , stopTimer_(core_.loop())
+            , joinDelay_(std::chrono::steady_clock::now(), !settings.common.platformUrl.empty())
         {
         }
 
@@ -79,6 +78,7 @@
             if (!settings_.common.platformUrl.empty()) {
                 FleetStoreThread::Handlers handlers;
                 handlers.members = [this](std::vector<Member> const& members, bool registered) { addMembers(members, registered); };
+                handlers.written = [this] { joinDelay_.recordWritten(std::chrono::steady_clock::now()); };
                 store_.emplace(core_.loop(), platform_.openStore(settings_.common.platformUrl), self_, std::move(handlers));
                 store_->start();
             }
@@ -120,8 +120,7 @@
         asio::steady_timer stopTimer_;
         std::optional<FleetStoreThread> store_;
         TimePoint stopDeadline_;
-        TimePoint started_ { std::chrono::steady_clock::now() };
-        bool isRegistered_ { false }; ///< the store already held this agent's record when it was first read
+        JoinDelay joinDelay_;
         std::uint64_t refusedAnnouncements_ { 0 };
 
         void send(Endpoint to, std::span<std::byte const> datagram) noexcept override { core_.sendData(to, datagram); }
@@ -165,8 +164,9 @@
         {
             TargetState state = announcements_.targetState(now);
             control_.setDraining(!state.isAccepting, now);
+            state.hasStartedWithAgent = announcements_.hasStartedWith(static_cast<std::int64_t>(self_.incarnation));
             // Entries that do not know this agent yet could not find its flows.
-            state.isAccepting = state.isAccepting && (isRegistered_ || now - started_ >= membershipDelay);
+            state.isAccepting = state.isAccepting && joinDelay_.isOver(now);
             relay_.setTargetState(state, now);
             core_.sendControl(control_.takeMessages());
         }
@@ -181,7 +181,8 @@
 
         void addMembers(std::vector<Member> const& members, bool registered)
         {
-            isRegistered_ = isRegistered_ || registered;
+            if (registered)
+                joinDelay_.recordKnown();
             applyTarget(std::chrono::steady_clock::now());
             std::vector<Endpoint> entries;
             for (Member const& member : members) {
--- a/src/runtime/RelayEntryDaemon.cpp
+++ b/src/runtime/RelayEntryDaemon.cpp
@@ -79,6 +79,7 @@
                 handlers.configuration = [this](VersionedConfiguration const& found) { addConfiguration(found); };
                 handlers.generation = [this](std::uint64_t generation) { control_.setStoreGeneration(generation); };
                 handlers.members = [this](std::vector<Member> const& members, bool /*known*/) { addMembers(members); };
+                handlers.freshMembers = [this](TimePoint started) { relay_.recordMemberRead(started); };
                 store_.emplace(core_.loop(), platform_.openStore(settings_.common.platformUrl), self_, std::move(handlers));
                 store_->start();
                 relay_.requireMemberRead();
--- a/tests/CatchUpTests.cpp
+++ b/tests/CatchUpTests.cpp
@@ -160,3 +160,24 @@
     fleet.run(400ms);
     BOOST_TEST(!alone.expectsFullState(fleet.now()));
 }
+
+// Guards against entries that wait 3 s for each other after a loss of power: an entry that a request reached before its first tick
+// claimed to have full state. Entries start within half a second of each other.
+BOOST_AUTO_TEST_CASE(AnEntryThatHasJustStartedDoesNotClaimFullState)
+{
+    for (std::uint64_t seed = 50; seed < 60; ++seed) {
+        ControlFleet fleet({ seed, 0, 0, 1ms, 20ms });
+        for (std::uint32_t index = 1; index <= 12; ++index)
+            fleet.seeds.push_back(ControlFleet::endpointOf(index));
+        for (int index = 0; index < 12; ++index) {
+            fleet.addEntry("entry-" + std::to_string(index), "kegalle");
+            // Requests arrive at the sockets of an entry before it ticks for the first time.
+            fleet.pause("entry-" + std::to_string(index), index % 2 == 0);
+        }
+        fleet.run(200ms);
+        for (int index = 0; index < 12; ++index)
+            fleet.pause("entry-" + std::to_string(index), false);
+        Duration const passed = fleet.runUntil([&fleet] { return std::ranges::none_of(fleet.entryNames(), [&fleet](std::string const& name) { return fleet.entry(name).expectsFullState(fleet.now()); }); }, 5s);
+        BOOST_TEST((passed <= 600ms), "seed " << seed << ": " << std::chrono::duration_cast<std::chrono::milliseconds>(passed).count() << " ms");
+    }
+}
--- a/tests/FleetStoreThreadTests.cpp
+++ b/tests/FleetStoreThreadTests.cpp
@@ -174,12 +174,20 @@
     asio::io_context loop;
     int memberLists { 0 };
     int configurations { 0 };
+    int freshLists { 0 };
+    int writes { 0 };
+    TimePoint lastFreshRead;
     std::unique_ptr<FleetStoreThread> store;
 
     explicit Process(MemberRole role)
     {
         FleetStoreThread::Handlers handlers;
         handlers.members = [this](std::vector<Member> const&, bool) { ++memberLists; };
+        handlers.freshMembers = [this](TimePoint started) {
+            ++freshLists;
+            lastFreshRead = started;
+        };
+        handlers.written = [this] { ++writes; };
         if (role == MemberRole::Entry)
             handlers.configuration = [this](VersionedConfiguration const&) { ++configurations; };
         store = std::make_unique<FleetStoreThread>(loop, std::make_unique<FakeStore>(contents), makeSelf(role), handlers);
@@ -208,6 +216,19 @@
 
 } // namespace
 
+// Guards against entries that read the members once more before they reset callers, though the first list lacks nothing, and
+// against agents that admit flows before their record is in the store.
+BOOST_AUTO_TEST_CASE(TheFirstListIsReportedAsFreshAndTheWriteOfTheRecord)
+{
+    for (MemberRole const role : { MemberRole::Entry, MemberRole::Agent }) {
+        TimePoint const begin = std::chrono::steady_clock::now();
+        Process process(role);
+        BOOST_TEST(process.runUntil([&process] { return process.freshLists == 1 && process.writes == 1; }, 10s));
+        BOOST_TEST((process.lastFreshRead >= begin));
+        BOOST_TEST((process.lastFreshRead <= std::chrono::steady_clock::now()));
+    }
+}
+
 // Guards against a restore that leaves no trace in what operators see.
 BOOST_AUTO_TEST_CASE(AMetricShowsThatTheStoreWasRestored)
 {
--- a/tests/RelayMessageTests.cpp
+++ b/tests/RelayMessageTests.cpp
@@ -117,13 +117,14 @@
 BOOST_AUTO_TEST_CASE(EveryStatementOfALoadReportIsKept)
 {
     Bytes buffer(maximumRelayMessageBytes);
-    for (unsigned bits = 0; bits < 32; ++bits) {
+    for (unsigned bits = 0; bits < 64; ++bits) {
         TargetLoad stated = load;
         stated.isAccepting = (bits & 1U) != 0;
         stated.hasEnded = (bits & 2U) != 0;
         stated.isMachineRestarted = (bits & 4U) != 0;
         stated.isWithdrawn = (bits & 8U) != 0;
         stated.isAssumed = (bits & 16U) != 0;
+        stated.isLongRunning = (bits & 32U) != 0;
         std::size_t const bytes = writeRelayLoadReport(ServiceHash { 5 }, stated, { keys, wallSeconds }, buffer);
         BOOST_TEST((decodeRelayMessage(std::span(buffer).first(bytes), keys, wallSeconds).load == stated));
     }
--- a/tests/TargetAnnouncementsTests.cpp
+++ b/tests/TargetAnnouncementsTests.cpp
@@ -95,6 +95,22 @@
     BOOST_TEST(kept.targetState(start).isGone);
 }
 
+// A machine whose target announced itself before its agent listened did not count as restarted, and a power loss was not
+// recognised.
+BOOST_AUTO_TEST_CASE(ATargetThatStartedShortlyBeforeItsAgentStartedWithIt)
+{
+    TargetAnnouncementTracker kept = announcements();
+    BOOST_TEST(!kept.hasStartedWith(100'000));
+    (void)kept.processAnnouncement(announcement(0, 2), start);
+    BOOST_TEST(!kept.hasStartedWith(100'000));
+    (void)kept.processAnnouncement(announcement(97'900, 2), start);
+    BOOST_TEST(!kept.hasStartedWith(100'000));
+    (void)kept.processAnnouncement(announcement(98'100, 2), start);
+    BOOST_TEST(kept.hasStartedWith(100'000));
+    (void)kept.processAnnouncement(announcement(110'000, 2), start);
+    BOOST_TEST(kept.hasStartedWith(100'000));
+}
+
 // Callers waited for agents whose targets had not restarted after a power loss.
 BOOST_AUTO_TEST_CASE(ATargetThatDoesNotAnnounceItselfIsGone)
 {
