Let watches follow from the running entries, and remove records of former ones

Records of entries that end stay in the store, and the watch of the configuration lasts 2 s for every six of them, up to 20 s; with 64 records and four entries, each watch noticed the silence late.

An entry removes its record when it stops, while it still forwards. The watch follows from the entries that the membership takes for running. Two entries of a data centre remove records of entries that have been dead or left for 5 minutes; records of agents stay, because flows may be open at their targets. A record that was removed by mistake is written again after its owner's next read, and a record of a later process of the name stays. A fixed short watch was ruled out: with 85 entries the store takes three watches a second.

--- a/include/plantaindrift/membership/EntryControl.h
+++ b/include/plantaindrift/membership/EntryControl.h
@@ -3,6 +3,7 @@
 #include "plantaindrift/base/Types.h"
 #include "plantaindrift/configuration/ChangeLog.h"
 #include "plantaindrift/membership/Detector.h"
+#include "plantaindrift/membership/EntryCensus.h"
 #include "plantaindrift/membership/Member.h"
 #include "plantaindrift/membership/ServiceView.h"
 
@@ -98,6 +99,9 @@
 
     [[nodiscard]] std::vector<Member> members() const;
 
+    /// \param minimumAge  time for which an entry has been dead or left before it counts as gone
+    [[nodiscard]] EntryCensus entryCensus(TimePoint now, std::chrono::seconds minimumAge) const;
+
     /// \brief Bytes sent and received since start, messages that could not be decoded, and what the detector did.
     struct Counts {
         std::uint64_t sentBytes { 0 };
--- a/src/membership/EntryControl.cpp
+++ b/src/membership/EntryControl.cpp
@@ -1075,6 +1075,11 @@
     return members;
 }
 
+EntryCensus EntryControl::entryCensus(TimePoint now, std::chrono::seconds minimumAge) const
+{
+    return takeEntryCensus(state_->table, now, minimumAge);
+}
+
 EntryControl::Counts EntryControl::counts() const noexcept
 {
     return state_->counts;
--- a/src/runtime/FleetStoreThread.cpp
+++ b/src/runtime/FleetStoreThread.cpp
@@ -83,11 +83,22 @@
     wake_.notify_all();
 }
 
+void FleetStoreThread::requestLeave()
+{
+    isLeaving_ = true;
+    requestStop();
+}
+
 void FleetStoreThread::removeSelf()
 {
     requestStop();
     if (thread_.joinable())
         thread_.join();
+    removeRecord();
+}
+
+void FleetStoreThread::removeRecord()
+{
     absl::Status status = store_->removeMember(self_.name);
     TimePoint const end = std::chrono::steady_clock::now() + removalTimeout;
     while (!status.ok() && std::chrono::steady_clock::now() < end) {
@@ -109,6 +120,38 @@
     wake_.notify_all();
 }
 
+void FleetStoreThread::setEntryCensus(EntryCensus census)
+{
+    std::lock_guard<std::mutex> const lock(mutex_);
+    census_ = std::move(census);
+}
+
+// Until the membership is known, all records count.
+std::size_t FleetStoreThread::runningEntries()
+{
+    std::lock_guard<std::mutex> const lock(mutex_);
+    return census_ ? std::min(census_->running, entryCount_) : entryCount_;
+}
+
+// Nobody else removes the record of an entry that was killed.
+void FleetStoreThread::removeGoneEntries(std::span<Member const> members)
+{
+    std::vector<std::string> names;
+    {
+        std::lock_guard<std::mutex> const lock(mutex_);
+        for (Member const& member : members) {
+            if (census_ && member.name != self_.name && census_->isGone(member))
+                names.push_back(member.name);
+        }
+    }
+    for (std::string const& name : names) {
+        if (stopping_ || !store_->removeMember(name).ok())
+            return;
+        ++recordsRemoved_;
+        asio::post(loop_, [name] { logEvent(LogLevel::Info, "member_record_removed", { { "name", name } }); });
+    }
+}
+
 std::uint64_t FleetStoreThread::reportedGeneration()
 {
     std::lock_guard<std::mutex> const lock(mutex_);
@@ -147,6 +190,8 @@
         pause(std::chrono::milliseconds { jitter(random_) });
         backoff_ = std::min(backoff_ * 2, maximumBackoff);
     }
+    if (isLeaving_)
+        removeRecord();
 }
 
 // An unexpected answer must not end the process; the call is repeated.
@@ -206,6 +251,7 @@
     scheduleMembersRead(members->size());
     entryCount_ = static_cast<std::size_t>(std::count_if(members->begin(), members->end(), [](Member const& member) { return member.role == MemberRole::Entry; }));
     memberCount_ = members->size();
+    removeGoneEntries(*members);
     bool const isListed = std::any_of(members->begin(), members->end(), [this](Member const& member) {
         bool const sameRole = member.role == self_.role && member.service == self_.service;
         return member.name == self_.name && sameRole && member.data == self_.data && member.control == self_.control && member.dataCentre == self_.dataCentre;
@@ -293,7 +339,7 @@
 // Watches of entries that started together end at different times; a watch does not delay the next read of the members.
 std::chrono::milliseconds FleetStoreThread::drawWatchTimeout()
 {
-    std::chrono::milliseconds const longest = watchTimeoutFor(entryCount_);
+    std::chrono::milliseconds const longest = watchTimeoutFor(runningEntries());
     std::uniform_int_distribution<std::int64_t> jitter(std::max(longest / 2, minimumWatchTimeout).count(), longest.count());
     std::chrono::milliseconds const untilRead = std::chrono::duration_cast<std::chrono::milliseconds>(nextMembersRead_ - std::chrono::steady_clock::now());
     return std::clamp(untilRead, minimumWatchTimeout, std::chrono::milliseconds { jitter(random_) });
@@ -320,6 +366,7 @@
     page.addCounter("plantaindrift_store_skipped_objects_total", "Unusable objects in answers of the store, counted at each read.", {}, static_cast<double>(store_->skippedObjects()));
     page.addGauge("plantaindrift_store_generation", "Generation of the store, which rises when it comes back from an older copy; 0 if unknown.", {}, static_cast<double>(store_->generation()));
     page.addCounter("plantaindrift_store_restores_total", "Rises of the store's generation.", {}, static_cast<double>(generationChanges_));
+    page.addCounter("plantaindrift_store_records_removed_total", "Records of other entries removed because these ended long ago.", {}, static_cast<double>(recordsRemoved_));
     std::string_view const recordsHelp = "Writes of this process's own record.";
     page.addCounter("plantaindrift_store_records_written_total", recordsHelp, { { "repeated", "no" } }, static_cast<double>(recordsWritten_ - recordsRewritten_));
     page.addCounter("plantaindrift_store_records_written_total", recordsHelp, { { "repeated", "yes" } }, static_cast<double>(recordsRewritten_));
--- a/src/runtime/FleetStoreThread.h
+++ b/src/runtime/FleetStoreThread.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "plantaindrift/base/LatencyHistogram.h"
+#include "plantaindrift/membership/EntryCensus.h"
 #include "plantaindrift/store/FleetStore.h"
 #include "runtime/MetricsPage.h"
 
@@ -14,6 +15,7 @@
 #include <mutex>
 #include <optional>
 #include <random>
+#include <span>
 #include <string>
 #include <thread>
 #include <vector>
@@ -57,9 +59,19 @@
     /// \brief Takes a generation of the store that another process knows; a new one makes this process write its record again.
     void noteStoreGeneration(std::uint64_t generation);
 
+    /// \brief Sets which entries the membership has.
+    ///
+    /// The records in the store include those of entries that ended long ago: watches last as long as the running entries
+    /// permit, and records of entries that are gone are removed after the next read. A record that was removed although its
+    /// entry runs is written again after the entry's next read.
+    void setEntryCensus(EntryCensus census);
+
     /// \brief Tells the thread to end after its current call, and cancels a watch. Does not block.
     void requestStop();
 
+    /// \brief Like requestStop(); the thread then removes the record of this process before it ends.
+    void requestLeave();
+
     /// \brief Ends the thread and removes the record of this process; blocks for the current call and the removal.
     void removeSelf();
 
@@ -89,6 +101,9 @@
     std::uint64_t generation_ { 0 }; ///< of the store, as of the last call; 0 if unknown
     std::uint64_t registeredGeneration_ { 0 }; ///< in which the store had or got the record
     std::uint64_t reportedGeneration_ { 0 }; ///< by other processes; guarded by mutex_
+    std::optional<EntryCensus> census_; ///< guarded by mutex_
+    std::atomic<bool> isLeaving_ { false };
+    std::atomic<std::uint64_t> recordsRemoved_ { 0 };
     std::size_t memberCount_ { 0 }; ///< in the list that was read last
     std::size_t entryCount_ { 0 }; ///< entries in the list of members that was read last
     bool hasConfiguration_ { false };
@@ -101,6 +116,9 @@
     [[nodiscard]] absl::Status stepMembers(); ///< reads the members, or writes the record of this process
     [[nodiscard]] absl::Status readMembers();
     void scheduleMembersRead(std::size_t members);
+    [[nodiscard]] std::size_t runningEntries();
+    void removeGoneEntries(std::span<Member const> members);
+    void removeRecord();
     [[nodiscard]] absl::Status writeSelf();
     [[nodiscard]] absl::Status readConfiguration();
     [[nodiscard]] absl::Status awaitConfiguration();
--- a/src/runtime/RelayEntryDaemon.cpp
+++ b/src/runtime/RelayEntryDaemon.cpp
@@ -24,6 +24,11 @@
     // retransmits after 200 ms.
     constexpr std::chrono::milliseconds maximumHoldTime { 500 };
 
+    constexpr std::chrono::seconds censusInterval { 1 };
+
+    // An entry that is cut off or frozen for longer writes its record again when it is back.
+    constexpr std::chrono::seconds goneEntryAge { 300 };
+
     Member entryMember(RelayEntrySettings const& settings)
     {
         Member self;
@@ -131,6 +136,7 @@
         std::optional<FleetStoreThread> store_;
         std::optional<MemberReader> memberReader_;
         TimePoint started_ { std::chrono::steady_clock::now() };
+        TimePoint lastCensus_;
         std::uint64_t configurationVersion_ { 0 };
         std::uint64_t refusedMessages_ { 0 };
         std::uint64_t discardedConfigurations_ { 0 };
@@ -172,9 +178,22 @@
             relay_.setViewsComplete(control_.isCaughtUp(now) || (hasMembers_ && !control_.expectsFullState(now)));
             relay_.tick(now, wallClockSeconds());
             requestMembers();
+            reportEntries(now);
             logReadinessChange();
         }
 
+        void reportEntries(TimePoint now)
+        {
+            if (!store_ || now - lastCensus_ < censusInterval)
+                return;
+            lastCensus_ = now;
+            EntryCensus census = control_.entryCensus(now, goneEntryAge);
+            // Two entries of a data centre are enough to remove records.
+            if (!control_.isWatcher())
+                census.gone.clear();
+            store_->setEntryCensus(std::move(census));
+        }
+
         void requestMembers()
         {
             if (memberReader_ && relay_.needsMemberRead())
@@ -244,7 +263,7 @@
         {
             logReadinessChange();
             if (store_)
-                store_->requestStop();
+                store_->requestLeave();
             stopTimer_.expires_after(settings_.stopDelay);
             stopTimer_.async_wait([this](asio::error_code const& error) {
                 if (!error)
--- a/tests/FleetStoreThreadTests.cpp
+++ b/tests/FleetStoreThreadTests.cpp
@@ -30,6 +30,19 @@
         changed_.notify_all();
     }
 
+    void add(Member const& member)
+    {
+        std::lock_guard<std::mutex> const lock(mutex_);
+        members_[member.name] = member;
+    }
+
+    // Longest watch that was asked for since the last call.
+    [[nodiscard]] std::chrono::milliseconds takeLongestWatch()
+    {
+        std::lock_guard<std::mutex> const lock(mutex_);
+        return std::exchange(longestWatch_, {});
+    }
+
     void failWrites(int count)
     {
         std::lock_guard<std::mutex> const lock(mutex_);
@@ -59,6 +72,7 @@
     {
         std::unique_lock<std::mutex> lock(mutex_);
         ++calls_["await"];
+        longestWatch_ = std::max(longestWatch_, time);
         std::uint64_t const before = generation_;
         changed_.wait_for(lock, std::min(time, std::chrono::milliseconds { 50 }), [&] { return cancelled || generation_ != before; });
     }
@@ -106,6 +120,7 @@
     std::map<std::string, int> calls_;
     std::uint64_t generation_ { 1 };
     int failingWrites_ { 0 };
+    std::chrono::milliseconds longestWatch_ {};
 };
 
 class FakeStore final : public FleetStore {
@@ -170,7 +185,7 @@
 
 // One process with its event loop.
 struct Process {
-    std::shared_ptr<StoreContents> contents { std::make_shared<StoreContents>() };
+    std::shared_ptr<StoreContents> contents;
     asio::io_context loop;
     int memberLists { 0 };
     int configurations { 0 };
@@ -179,7 +194,8 @@
     TimePoint lastFreshRead;
     std::unique_ptr<FleetStoreThread> store;
 
-    explicit Process(MemberRole role)
+    explicit Process(MemberRole role, std::shared_ptr<StoreContents> given = std::make_shared<StoreContents>())
+        : contents(std::move(given))
     {
         FleetStoreThread::Handlers handlers;
         handlers.members = [this](std::vector<Member> const&, bool) { ++memberLists; };
@@ -307,3 +323,67 @@
         BOOST_TEST(!process.contents->has("node-1"));
     }
 }
+
+// Guards against changes of the configuration that are in force only after 8 to 12 s: with 64 records of former entries each watch
+// lasted up to 20 s, so that the four running ones noticed silent channels late.
+BOOST_AUTO_TEST_CASE(RecordsOfFormerEntriesDoNotLengthenTheWatch)
+{
+    std::shared_ptr<StoreContents> const contents = std::make_shared<StoreContents>();
+    for (int index = 0; index < 64; ++index) {
+        Member former = makeSelf(MemberRole::Entry);
+        former.name = "former-" + std::to_string(index);
+        contents->add(former);
+    }
+    Process entry(MemberRole::Entry, contents);
+    entry.runUntil([&contents] { return contents->takeLongestWatch() > 2s; }, 10s);
+    EntryCensus census;
+    census.running = 4;
+    entry.store->setEntryCensus(census);
+    entry.runUntil([] { return false; }, 200ms);
+    (void)contents->takeLongestWatch();
+    entry.runUntil([] { return false; }, 500ms);
+    std::chrono::milliseconds const longest = contents->takeLongestWatch();
+    BOOST_TEST(longest.count() > 0);
+    BOOST_TEST(longest.count() <= watchTimeoutFor(4).count());
+}
+
+BOOST_AUTO_TEST_CASE(RecordsOfEntriesThatAreGoneAreRemoved)
+{
+    std::shared_ptr<StoreContents> const contents = std::make_shared<StoreContents>();
+    for (std::string const& name : { "gone", "reborn", "other" }) {
+        Member former = makeSelf(MemberRole::Entry);
+        former.name = name;
+        former.incarnation = name == "reborn" ? 9 : 5;
+        contents->add(former);
+    }
+    Process entry(MemberRole::Entry, contents);
+    EntryCensus census;
+    census.running = 2;
+    for (std::string const& name : { "gone", "reborn", "node-1" }) {
+        census.gone.push_back(makeSelf(MemberRole::Entry));
+        census.gone.back().name = name;
+        census.gone.back().incarnation = 5;
+    }
+    entry.store->setEntryCensus(census);
+    BOOST_TEST(entry.runUntil([&contents] { return !contents->has("gone"); }, 10s));
+    BOOST_TEST(contents->has("reborn"));
+    BOOST_TEST(contents->has("other"));
+    BOOST_TEST(contents->has("node-1"));
+    BOOST_TEST(entry.metrics().find("plantaindrift_store_records_removed_total 1") != std::string::npos);
+}
+
+// The record of an entry that was removed by mistake would be missing until its end.
+BOOST_AUTO_TEST_CASE(AnEntryWritesARecordAgainThatAnotherRemoved)
+{
+    Process entry(MemberRole::Entry);
+    entry.contents->remove("node-1");
+    BOOST_TEST(entry.runUntil([&entry] { return entry.contents->has("node-1"); }, 15s));
+}
+
+// Records of entries that end are left behind otherwise: 64 after 15 replacements of four.
+BOOST_AUTO_TEST_CASE(AnEntryThatLeavesRemovesItsRecord)
+{
+    Process entry(MemberRole::Entry);
+    entry.store->requestLeave();
+    BOOST_TEST(entry.runUntil([&entry] { return !entry.contents->has("node-1"); }, 5s));
+}
