--- a/include/plantaindrift/relay/RelayMessage.h
+++ b/include/plantaindrift/relay/RelayMessage.h
@@ -49,6 +49,7 @@
     bool isWithdrawn { false }; ///< the target announced that it is draining or leaving
     std::uint16_t coldAllowance { 0 }; ///< new flows a second that the target takes while it is cold; 0 for no limit
     bool isAssumed { false }; ///< the target has not announced itself since its agent started
+    bool isLongRunning { false }; ///< the agent did not start a short time ago, so that its machine kept its power
 
     friend bool operator==(TargetLoad const&, TargetLoad const&) = default;
 };
--- a/src/membership/EntryControl.cpp
+++ b/src/membership/EntryControl.cpp
@@ -433,7 +433,8 @@
         return true;
     control::Envelope answer;
     control::ShardReply& reply = *answer.mutable_shard_reply();
-    reply.set_partial(catchUp.isActive());
+    // Before its first tick this node has fetched nothing yet.
+    reply.set_partial(!lastTick || catchUp.isActive());
     reply.set_position(spread.log().position());
     if (request.everything() || request.versions_size() > 0 || !request.services())
         answerMembers(table, request, now, reply);
@@ -1072,6 +1073,11 @@
     return members;
 }
 
+EntryCensus EntryControl::entryCensus(TimePoint now, std::chrono::seconds minimumAge) const
+{
+    return takeEntryCensus(state_->table, now, minimumAge);
+}
+
 EntryControl::Counts EntryControl::counts() const noexcept
 {
     return state_->counts;
--- a/src/relay/AgentRelayState.h
+++ b/src/relay/AgentRelayState.h
@@ -74,6 +74,7 @@
     ColdLimit coldLimit;
     TimePoint warmUpEnd; ///< end of the time in which the target is cold, as it announced last
     TimePoint evacuationEnd; ///< when an evacuation of the own data centre last ended
+    bool wasAnnouncementReported { false };
     TimePoint lastSweep;
     std::array<std::uint64_t, agentRelayOutcomeCount> outcomes {};
     std::array<std::byte, maximumRelayHeaderBytes + 64> header {};
@@ -158,6 +159,8 @@
 
     // ---- periodic steps ----
 
+    /// Reports the first announcement of the target at once: at 60 targets the next report is due only after 1.7 s.
+    void reportFirstAnnouncement(TimePoint now, std::uint32_t nowSeconds);
     void sendDueLoadReports(TimePoint now, std::uint32_t nowSeconds);
     void sweep(TimePoint now);
 };
--- a/src/runtime/DaemonCore.cpp
+++ b/src/runtime/DaemonCore.cpp
@@ -52,7 +52,7 @@
         return bound;
     waitForStop();
     waitForKeys();
-    waitForTick();
+    waitForTick(std::chrono::milliseconds::zero());
     packetsHeld_ = handlers_.holdPackets;
     if (packetsHeld_)
         ports_.front()->stalledSince = readUptime();
@@ -211,9 +211,9 @@
     });
 }
 
-void DaemonCore::waitForTick()
+void DaemonCore::waitForTick(std::chrono::milliseconds wait)
 {
-    tickTimer_.expires_after(tickInterval);
+    tickTimer_.expires_after(wait);
     tickTimer_.async_wait([this](asio::error_code const& error) {
         if (error || finished_)
             return;
@@ -221,7 +221,8 @@
         TimePoint const now = std::chrono::steady_clock::now();
         control_->tick(now);
         runGuarded("tick", [&] { handlers_.tick(now); });
-        waitForTick();
+        flushLog();
+        waitForTick(tickInterval);
     });
 }
 
--- a/src/runtime/RelayEntryDaemon.cpp
+++ b/src/runtime/RelayEntryDaemon.cpp
@@ -33,6 +33,10 @@
 
     // Listing all members takes noticeable time on a small share of a core.
     constexpr std::chrono::seconds peerUpdateInterval { 1 };
+    constexpr std::chrono::seconds censusInterval { 1 };
+
+    // An entry that is cut off or frozen for longer writes its record again when it is back.
+    constexpr std::chrono::seconds goneEntryAge { 300 };
 
     Member entryMember(RelayEntrySettings const& settings)
     {
@@ -95,6 +99,7 @@
                 handlers.configuration = [this](VersionedConfiguration const& found) { addConfiguration(found); };
                 handlers.generation = [this](std::uint64_t generation) { control_.setStoreGeneration(generation); };
                 handlers.members = [this](std::vector<Member> const& members, bool /*known*/) { addMembers(members); };
+                handlers.freshMembers = [this](TimePoint started) { relay_.recordMemberRead(started); };
                 store_.emplace(core_.loop(), platform_.openStore(settings_.common.platformUrl), self_, std::move(handlers));
                 store_->start();
                 relay_.requireMemberRead();
@@ -151,6 +156,7 @@
         std::optional<MemberReader> memberReader_;
         std::optional<EvacuationReader> evacuationReader_;
         TimePoint started_ { std::chrono::steady_clock::now() };
+        TimePoint lastCensus_;
         std::uint64_t configurationVersion_ { 0 };
         std::uint64_t refusedMessages_ { 0 };
         std::uint64_t discardedConfigurations_ { 0 };
@@ -206,6 +212,7 @@
             updateResources(now);
             relay_.tick(now, wallClockSeconds());
             requestMembers();
+            reportEntries(now);
             logReadinessChange();
             logRotationChange(now);
         }
@@ -247,6 +254,18 @@
             evacuationReader_.emplace(core_.loop(), std::move(store), mixHash(hashText(self_.name), self_.incarnation), std::move(handlers));
         }
 
+        void reportEntries(TimePoint now)
+        {
+            if (!store_ || now - lastCensus_ < censusInterval)
+                return;
+            lastCensus_ = now;
+            EntryCensus census = control_.entryCensus(now, goneEntryAge);
+            // Two entries of a data centre are enough to remove records.
+            if (!control_.isWatcher())
+                census.gone.clear();
+            store_->setEntryCensus(std::move(census));
+        }
+
         void requestMembers()
         {
             if (memberReader_ && relay_.needsMemberRead())
@@ -328,7 +347,7 @@
         {
             logReadinessChange();
             if (store_)
-                store_->requestStop();
+                store_->requestLeave();
             if (evacuationReader_)
                 evacuationReader_->requestStop();
             stopTimer_.expires_after(settings_.stopDelay);
