Leave the data centre by waits, measured distance and bytes

A target of another data centre cost a fixed 2 ms, whatever the distance. With 15 ms one way, 58 percent of the requests crossed data centres and each paid 60 ms for it.

RemotePolicy permits a share of new flows to leave, in steps of a tenth, and remoteCost() charges the measured extra round trips and a price of the bytes. Where the distance is unknown or costs at most 2 ms, the former cost applies and all targets are sampled as before. An opening names one far target as last resort, at no less than 0.75 of the latency limit, so that an agent passes it on before it refuses it.

Ruled out: a share per kind of request. Each flow's own comparison has the price of its kind, so that the share need not.

Three causes made entries leave although local targets were free, found with the simulation of LeavingTests: - An agent that passed an opening on sent nothing to the entry, which took it for silent and added 200 ms until the next load report. It now reports its load. - A flow counted as load only with its first request, a round trip after its opening. It now counts as expected. - A target that was reported as full kept this load for up to 2 s without being tried. Old reports now approach the mean load of the data centre, at most full slots.

--- a/include/plantaindrift/relay/EntryRelay.h
+++ b/include/plantaindrift/relay/EntryRelay.h
@@ -10,6 +10,7 @@
 #include "plantaindrift/relay/RelayMessage.h"
 #include "plantaindrift/relay/RelayObserver.h"
 #include "plantaindrift/relay/RelaySender.h"
+#include "plantaindrift/relay/RemoteOptions.h"
 #include "plantaindrift/relay/Segment.h"
 
 #include <array>
@@ -19,6 +20,7 @@
 #include <span>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace plantaindrift {
 
@@ -50,6 +52,7 @@
     std::uint64_t randomSeed { 1 };
     std::size_t maximumFlows { 1U << 17U }; ///< maximum number of flows whose owner is remembered
     std::uint16_t callerPort { 0 }; ///< UDP port at which callers receive segments
+    RemoteOptions remote; ///< when new flows leave the data centre
 };
 
 /// \brief Chooses a target for each new flow by expected time, and sends segments of known flows to the owner.
@@ -116,6 +119,9 @@
 
     [[nodiscard]] std::size_t flowCount() const noexcept;
 
+    /// \brief New flows by data centre and reason since start, and the measured distances.
+    [[nodiscard]] std::vector<SiteCounts> siteCounts(TimePoint now) const;
+
     /// \brief Number of messages that searches sent to agents since start.
     [[nodiscard]] std::uint64_t searchMessageCount() const noexcept;
 
--- a/include/plantaindrift/relay/RelayMessage.h
+++ b/include/plantaindrift/relay/RelayMessage.h
@@ -33,6 +33,9 @@
     OwnerKnown ///< as Start; the entry already takes this agent for the owner, so that an owner sends no notice
 };
 
+/// \brief Unit of TargetLoad::answerUnits; the field covers answers of up to 16 MB.
+inline constexpr std::uint32_t answerUnitBytes = 256;
+
 /// \brief Load of a target, as measured by its agent.
 struct TargetLoad {
     bool isAccepting { false }; ///< accepts new flows
@@ -41,6 +44,7 @@
     std::uint16_t openFlows { 0 }; ///< open flows
     std::uint16_t serviceTimeTenthMs { 0 }; ///< time that the target takes for one request, in 0.1 ms; 0 if not measured yet
     std::uint8_t failedPercent { 0 }; ///< percentage of recent requests that ended without an answer
+    std::uint16_t answerUnits { 0 }; ///< mean bytes of an answer, in units of answerUnitBytes
     bool hasEnded { false }; ///< the target announced its end; it holds no flows
     bool isMachineRestarted { false }; ///< agent and target started a short time ago, so that no older flow is open
     bool isWithdrawn { false }; ///< the target announced that it is draining or leaving
--- a/include/plantaindrift/relay/RelayObserver.h
+++ b/include/plantaindrift/relay/RelayObserver.h
@@ -17,6 +17,7 @@
     std::uint32_t openAttempt { 0 }; ///< number of the caller's attempt to open the flow; 0 for the first attempt and for later segments
     Endpoint destination; ///< receiver of the segment; unset if the segment was dropped
     std::uint8_t hops { 0 };
+    std::string_view reason; ///< why the data centre or the action was chosen; empty if there is only one
     double costTenthMs { 0 }; ///< expected time at the chosen target, in 0.1 ms; 0 if not known
     TargetLoad load; ///< of the chosen target (entry) or the agent's own target (agent)
     std::chrono::milliseconds loadAge { 0 };
--- a/src/balancing/RequestCount.h
+++ b/src/balancing/RequestCount.h
@@ -4,6 +4,7 @@
 #include "plantaindrift/base/LatencyHistogram.h"
 #include "plantaindrift/base/Types.h"
 
+#include <array>
 #include <cstddef>
 #include <cstdint>
 
@@ -13,6 +14,14 @@
 /// relays.
 class RequestCount {
 public:
+    /// \brief Records that the target was offered a flow; its first request is expected within 100 ms to 200 ms.
+    void expect(TimePoint now) noexcept;
+
+    /// \brief Records that the first request of a flow was delivered, or that the flow ended before.
+    ///
+    /// \param offered  time given to expect()
+    void removeExpected(TimePoint offered) noexcept;
+
     /// \brief Records that a request was delivered to the target.
     void begin() noexcept { ++busy_; }
 
@@ -28,6 +37,9 @@
     /// \param slots  number of requests that the target serves in parallel
     void finish(TimePoint requested, TimePoint now, std::size_t slots) noexcept;
 
+    /// \brief Records data that the target sent to a caller.
+    void addAnswerBytes(std::size_t bytes) noexcept { answerBytes_ += static_cast<double>(bytes); }
+
     /// \brief Sets until when the target is slow after its start.
     void setWarmUpEnd(TimePoint until) noexcept { warmUpEnd_ = until; }
 
@@ -43,14 +55,26 @@
     /// target.
     [[nodiscard]] LatencyHistogram const& times() const noexcept { return times_; }
 
-    [[nodiscard]] std::size_t busy() const noexcept { return busy_; }
+    /// \brief Requests in progress, and first requests that are expected of new flows.
+    ///
+    /// A request arrives one round trip of its caller after its opening segment. In this time a target would look idle to
+    /// all further openings.
+    [[nodiscard]] std::size_t busy() const noexcept { return busy_ + expected_[0] + expected_[1]; }
+
+    /// \brief Mean bytes of an answer, in units of answerUnitBytes; rounded up.
+    [[nodiscard]] std::uint16_t answerUnits() const noexcept;
 
     /// \brief Mean time of a request without its wait, in 0.1 ms; 0 if none was measured.
     [[nodiscard]] std::uint16_t serviceTimeTenthMs() const noexcept;
 
 private:
     std::size_t busy_ { 0 };
+    std::array<std::size_t, 2> expected_ {}; ///< first requests of flows offered since currentTick_ and in the period before
+    TimePoint currentTick_;
+    TimePoint formerTick_;
     double meanServiceTenthMs_ { 0 };
+    double answers_ { 0 }; ///< decaying sum
+    double answerBytes_ { 0 }; ///< of these answers
     FailureShare failures_;
     LatencyHistogram times_; ///< since the start of this process, over all targets
     TimePoint lastFinish_; ///< time when the last request completed
--- a/src/balancing/TargetChoice.h
+++ b/src/balancing/TargetChoice.h
@@ -13,11 +13,23 @@
 struct TargetOffer {
     TargetLoad load; ///< as reported last
     std::uint32_t pendingOpenings { 0 }; ///< opening segments sent since that report
-    bool isLocal { false }; ///< in the entry's data centre
+    double agedRequests { 0 }; ///< requests in progress, as estimated by agedRequests()
+    double remoteCostTenthMs { 0 }; ///< cost of the distance; see remoteCost()
     bool isResponsive { false }; ///< has reported, and neither reports nor answers are overdue
     bool wasOffered { false }; ///< an earlier copy of the opening segment was sent there
 };
 
+/// \brief Requests in progress at a target, estimated from a report of some age.
+///
+/// A target that was reported as full receives little and drains, and one that was reported as idle receives what all entries
+/// send there. The estimate approaches the mean of the targets of its data centre as the report gets older, but no queue:
+/// otherwise targets that have drained would look as full as those that are in use, and would not be tried.
+/// \param meanPerSlot  requests in progress for each slot, by the newest reports of the data centre
+[[nodiscard]] double agedRequests(TargetLoad const& load, Duration age, double meanPerSlot) noexcept;
+
+/// \brief Weight of a report of some age in a mean, 0 to 1.
+[[nodiscard]] double reportWeight(Duration age) noexcept;
+
 /// \brief Upper bound of the random part of a cost, in 0.1 ms. It spreads the choices of entries that have received the
 /// same load reports.
 inline constexpr std::uint64_t maximumJitterTenthMs = 20;
@@ -27,6 +39,11 @@
 /// \param jitterTenthMs  random number below maximumJitterTenthMs
 [[nodiscard]] double offerCost(TargetOffer const& offer, std::uint64_t jitterTenthMs) noexcept;
 
+/// \brief Lower bound of the cost of a far target that an agent may choose although the entry would not, in 0.1 ms.
+///
+/// \param limitTenthMs  latency limit of the new flow, 0 for none
+[[nodiscard]] double lastResortCost(std::uint16_t limitTenthMs) noexcept;
+
 /// \brief The cheapest of the offers that were added, in order of cost.
 class CheapestOffers {
 public:
--- a/src/balancing/TargetCost.cpp
+++ b/src/balancing/TargetCost.cpp
@@ -38,9 +38,9 @@
 
 } // namespace
 
-double targetCost(TargetLoad const& load, std::uint32_t extra) noexcept
+double targetCost(TargetLoad const& load, double extra) noexcept
 {
-    double const requests = static_cast<double>(load.activeRequests) + extra;
+    double const requests = std::max(0.0, load.activeRequests + extra);
     double const served = std::min<double>(requests, std::max<std::uint16_t>(load.slots, 1));
     double const additionalWork = busyShare * served + idleFlowShare * load.openFlows;
     double const failure = failureCostTenthMs * load.failedPercent / percentScale;
--- a/src/balancing/TargetCost.h
+++ b/src/balancing/TargetCost.h
@@ -11,8 +11,8 @@
 /// The sum of the service time, the wait behind queued requests, a small share for work that does not queue yet, and
 /// the expected cost of retrying failed requests. The small share spreads new flows evenly while every target has free
 /// slots.
-/// \param extra  requests that were sent there and are not in the reported load yet
-[[nodiscard]] double targetCost(TargetLoad const& load, std::uint32_t extra) noexcept;
+/// \param extra  requests by which the load is estimated to differ from the reported one
+[[nodiscard]] double targetCost(TargetLoad const& load, double extra) noexcept;
 
 /// \brief Expected time of a request at a target including its wait, in 0.1 ms, by its reported load.
 [[nodiscard]] double expectedTime(TargetLoad const& load) noexcept;
--- a/src/relay/AgentOpenings.cpp
+++ b/src/relay/AgentOpenings.cpp
@@ -26,6 +26,9 @@
     inputs.hops = context.route.hops;
     inputs.candidates = context.route.usedCandidates();
     OpeningDecision const decision = openingPolicy.decide(inputs);
+    // Without a reply, the entry takes the agent for silent until its next load report.
+    if (decision.action != OpeningAction::Admit && context.route.entry.isSet())
+        sendLoadReport(context.route.entry, context.nowSeconds);
     switch (decision.action) {
     case OpeningAction::Admit:
         return admit(context);
@@ -92,6 +95,7 @@
     }
     record->lastSegment = context.now;
     record->entry = context.route.entry;
+    flows.trackOffer(*record, context.now);
     notifyEntry(context);
     return deliver(context, AgentRelayOutcome::Admitted, true);
 }
--- a/src/relay/AgentRelay.cpp
+++ b/src/relay/AgentRelay.cpp
@@ -69,6 +69,7 @@
     load.openFlows = static_cast<std::uint16_t>(std::min<std::size_t>(flows.openCount(), std::numeric_limits<std::uint16_t>::max()));
     load.serviceTimeTenthMs = flows.requests().serviceTimeTenthMs();
     load.failedPercent = flows.requests().failedPercent();
+    load.answerUnits = flows.requests().answerUnits();
     // Queries reach a running agent, so that only its last report has to say this.
     load.hasEnded = isStopping && (target.hasLeft || isTargetUnresponsive(currentTime));
     load.isMachineRestarted = target.isStartObserved && currentTime - started < restartPeriod;
--- a/src/relay/EntryRelay.cpp
+++ b/src/relay/EntryRelay.cpp
@@ -1,5 +1,6 @@
 #include "plantaindrift/relay/EntryRelay.h"
 
+#include "balancing/RequestSizes.h"
 #include "balancing/TargetCost.h"
 #include "plantaindrift/base/Hash.h"
 #include "relay/AddressRoutes.h"
@@ -71,7 +72,7 @@
         , codec(segmentCodec)
         , sender(messageSender)
         , observer(decisionObserver)
-        , directory(given.dataCentre, given.randomSeed)
+        , directory(given.dataCentre, given.randomSeed, given.remote)
         , searches(given.ownEndpoint, static_cast<std::uint32_t>(mixHash(given.randomSeed, querySeed)), directory, messageSender, decisionObserver)
         , flows(given.maximumFlows)
     {
@@ -94,6 +95,7 @@
     OwnerSearches searches;
     HashTable<FlowRecord> flows;
     AddressRoutes routes;
+    RequestSizes requestSizes;
     EvacuationSet evacuations;
     std::array<std::uint64_t, entryRelayOutcomeCount> outcomes {};
     std::array<std::byte, maximumRelayHeaderBytes> header {};
@@ -112,7 +114,7 @@
         return countOutcome(outcome);
     }
 
-    void notifyObserver(SegmentContext const& context, EntryRelayOutcome outcome, Endpoint to, double cost) noexcept
+    void notifyObserver(SegmentContext const& context, EntryRelayOutcome outcome, Endpoint to, double cost, std::string_view reason = {}) noexcept
     {
         RelayDecision decision;
         decision.outcome = entryRelayOutcomeName(outcome);
@@ -120,6 +122,7 @@
         decision.openAttempt = context.segment.isOpenRequest() ? context.segment.acknowledgement : 0;
         decision.destination = to;
         decision.costTenthMs = cost;
+        decision.reason = reason;
         if (DirectoryTarget const* const target = directory.findTarget(to)) {
             decision.load = target->load;
             decision.loadAge = std::chrono::duration_cast<std::chrono::milliseconds>(context.now - target->lastReport);
@@ -148,12 +151,12 @@
 
     // ---- segments ----
 
-    PacketVerdict forward(SegmentContext const& context, RelayRoute& route, EntryRelayOutcome outcome) noexcept
+    PacketVerdict forward(SegmentContext const& context, RelayRoute& route, EntryRelayOutcome outcome, std::string_view reason = {}) noexcept
     {
         ++outcomes[static_cast<std::size_t>(outcome)];
         Endpoint const to = route.candidates.front().agent;
         if (outcome != EntryRelayOutcome::ForwardedToOwner)
-            notifyObserver(context, outcome, to, route.candidates.front().costTenthMs);
+            notifyObserver(context, outcome, to, route.candidates.front().costTenthMs, reason);
         std::copy(route.candidates.begin() + 1, route.candidates.begin() + route.candidateCount, route.candidates.begin());
         --route.candidateCount;
         route.entry = options.ownEndpoint;
@@ -184,11 +187,13 @@
         route.serviceHash = service->hash;
         route.latencyLimitTenthMs = routes.latencyLimit(context.segment.destination, context.now);
         std::array<Endpoint, 2> const asked { record != nullptr ? record->owner : Endpoint {}, record != nullptr ? record->previousOwner : Endpoint {} };
-        directory.chooseTargets(*service, asked, context.now, route);
+        RemoteReason const reason = directory.chooseTargets(*service, asked, context.now, route, requestSizes.meanBytes(context.segment.destination));
         if (route.candidateCount == 0)
             return service->targets.empty() ? drop(context, EntryRelayOutcome::DroppedNoTarget) : refuse(context, EntryRelayOutcome::RefusedNoTarget, EntryRelayOutcome::DroppedNoTarget);
         bool const isCopy = record != nullptr;
         Endpoint const chosen = route.candidates.front().agent;
+        if (!isCopy)
+            requestSizes.recordFlow(context.segment.destination);
         if (!isCopy)
             record = insertFlow(context.hash, { context.segment.source, context.segment.destination }, context.now);
         if (record != nullptr) {
@@ -199,7 +204,7 @@
             record->isInUse = false;
             record->last = context.now;
         }
-        return forward(context, route, isCopy ? EntryRelayOutcome::ForwardedRetransmission : EntryRelayOutcome::ForwardedOpening);
+        return forward(context, route, isCopy ? EntryRelayOutcome::ForwardedRetransmission : EntryRelayOutcome::ForwardedOpening, remoteReasonName(reason));
     }
 
     /// Finds or adds a flow. \returns null if the table is full
@@ -220,6 +225,7 @@
             return search(context);
         record->last = context.now;
         record->isInUse = true;
+        requestSizes.recordSegment(context.segment.destination, context.datagram.size());
         RelayRoute route;
         TargetGroup const* service = directory.findServiceOf(record->owner);
         bool const isListed = service != nullptr;
@@ -321,6 +327,9 @@
             record->previousOwner = record->owner;
             notifyOwnerReport("owner_changed", flow, from);
         }
+        // The time since a retransmitted opening would be too short if the notice answers an earlier copy.
+        if (record->owner == from && !record->isConfirmed && record->opened == record->last)
+            directory.recordRoundTrip(from, now - record->opened, now);
         record->owner = from;
         record->isUnlisted = directory.findServiceOf(from) == nullptr;
         record->unanswered = {};
@@ -522,6 +531,11 @@
     return state_->flows.size();
 }
 
+std::vector<SiteCounts> EntryRelay::siteCounts(TimePoint now) const
+{
+    return state_->directory.siteCounts(now);
+}
+
 std::uint64_t EntryRelay::searchMessageCount() const noexcept
 {
     return state_->searches.messageCount();
--- a/src/relay/RelayMessage.cpp
+++ b/src/relay/RelayMessage.cpp
@@ -46,8 +46,9 @@
         wire::big_uint16_buf_t flows;
         wire::big_uint16_buf_t serviceTenths;
         wire::big_uint8_buf_t failedPercent;
+        wire::big_uint16_buf_t answerUnits;
     };
-    static_assert(sizeof(LoadField) == 10);
+    static_assert(sizeof(LoadField) == 12);
 
     // Bits of LoadField::flags.
     constexpr std::uint8_t acceptingFlag = 1;
@@ -100,6 +101,7 @@
         field.flows = load.openFlows;
         field.serviceTenths = load.serviceTimeTenthMs;
         field.failedPercent = load.failedPercent;
+        field.answerUnits = load.answerUnits;
         return field;
     }
 
@@ -117,6 +119,7 @@
         load.openFlows = field.flows.value();
         load.serviceTimeTenthMs = field.serviceTenths.value();
         load.failedPercent = field.failedPercent.value();
+        load.answerUnits = field.answerUnits.value();
         return load;
     }
 
--- a/src/relay/TargetDirectory.cpp
+++ b/src/relay/TargetDirectory.cpp
@@ -46,19 +46,25 @@
 
     // Received load reports may use this part of the control budget of 3 KB/s.
     constexpr double loadBytesPerSecond = 1500;
-    constexpr double loadMessageBytes = 42;
+    constexpr double loadMessageBytes = 44;
 
     // Number of targets compared for a new flow. Entries that compare all targets by load reports of the same age
     // would choose the same ones.
     constexpr std::size_t sampleSize = 5;
 
+    // Resolution of the share of flows that may leave the data centre.
+    constexpr std::uint64_t shareSteps = 1000;
+
     // Number of top-ranked targets that a search queries in turn.
     constexpr std::size_t searchRanks = 3;
 
 } // namespace
 
-TargetDirectory::TargetDirectory(std::string dataCentre, std::uint64_t randomSeed)
+TargetDirectory::TargetDirectory(std::string dataCentre, std::uint64_t randomSeed, RemoteOptions const& remoteOptions)
     : dataCentre_(std::move(dataCentre))
+    , remoteOptions_(remoteOptions)
+    , delays_(dataCentre_)
+    , siteFlows_(1)
     , random_(randomSeed)
 {
 }
@@ -94,6 +100,8 @@
         target.nameHash = hashText(seen.name);
         target.agent = seen.data;
         target.local = seen.dataCentre == dataCentre_;
+        target.site = delays_.indexOf(seen.dataCentre);
+        siteFlows_.resize(delays_.size());
         target.draining = seen.draining;
         target.deadSince = seen.dead && !target.dead ? now : target.deadSince;
         target.dead = seen.dead;
@@ -102,6 +110,7 @@
     group.targets.swap(targets);
     assignAgents(group, targets);
     group.order.resize(group.targets.size());
+    group.requestsPerSlot.resize(delays_.size());
     std::iota(group.order.begin(), group.order.end(), 0U);
     if (wasTargetAdded)
         group.viewChanged = now;
@@ -227,6 +236,10 @@
 {
     Duration const passed = now - lastTick_.value_or(now);
     lastTick_ = now;
+    for (std::pair<std::string const, TargetGroup>& group : groups_) {
+        updateMeans(group.second, now);
+        group.second.remote.update(remoteInputsOf(group.second, now));
+    }
     if (receivesFromMostTargets(now))
         return;
     for (std::pair<std::string const, TargetGroup>& group : groups_) {
@@ -268,49 +281,167 @@
     return now - target.lastReport > silentReportIntervals * loadInterval() + noticeTimeout;
 }
 
-TargetOffer TargetDirectory::offerOf(DirectoryTarget const& target, std::span<Endpoint const> asked, TimePoint now) const noexcept
+// Newer reports have a higher weight: a target that was reported as full gets no flows, and stays so until its next report.
+void TargetDirectory::updateMeans(TargetGroup& group, TimePoint now) const noexcept
+{
+    std::fill(group.requestsPerSlot.begin(), group.requestsPerSlot.end(), 0.0);
+    for (std::size_t site = 0; site < group.requestsPerSlot.size(); ++site) {
+        double requests = 0;
+        double slots = 0;
+        for (DirectoryTarget const& target : group.targets) {
+            if (target.site != site || !target.hasReported || !acceptsFlows(target))
+                continue;
+            double const weight = reportWeight(now - target.lastReport);
+            requests += weight * target.load.activeRequests;
+            slots += weight * target.load.slots;
+        }
+        group.requestsPerSlot[site] = slots > 0 ? requests / slots : 0;
+    }
+}
+
+TargetOffer TargetDirectory::offerOf(TargetGroup const& group, DirectoryTarget const& target, std::span<Endpoint const> asked, TimePoint now) const noexcept
 {
     TargetOffer offer;
     offer.load = target.load;
     offer.pendingOpenings = target.openingsSinceReport;
-    offer.isLocal = target.local;
+    offer.agedRequests = target.hasReported ? agedRequests(target.load, now - target.lastReport, group.requestsPerSlot[target.site]) : 0;
     offer.isResponsive = target.hasReported && !isSilent(target, now);
     offer.wasOffered = std::find(asked.begin(), asked.end(), target.agent) != asked.end();
     return offer;
 }
 
-// Moves random targets that accept new flows to the front of the order. \returns their number
-std::size_t TargetDirectory::drawSample(TargetGroup& group) noexcept
+bool TargetDirectory::acceptsFlows(DirectoryTarget const& target) const noexcept
+{
+    return !target.draining && !target.isGone() && (!target.hasReported || target.load.isAccepting);
+}
+
+RemoteCost TargetDirectory::remoteCostOf(DirectoryTarget const& target, double bytesFromCaller, TimePoint now) const noexcept
+{
+    if (target.local)
+        return {};
+    double const bytesToCaller = static_cast<double>(target.load.answerUnits) * answerUnitBytes;
+    return remoteCost(delays_.extraTenthMs(target.site, now), { bytesFromCaller, bytesToCaller }, remoteOptions_);
+}
+
+bool TargetDirectory::isWithinReach(DirectoryTarget const& target, TimePoint now) const noexcept
+{
+    if (target.local || remoteOptions_.mode == RemoteMode::Always)
+        return true;
+    return remoteOptions_.mode == RemoteMode::Auto && !remoteCostOf(target, 0, now).isFar;
+}
+
+// Moves random targets that accept new flows, within reach or beyond it, to the front of the order, behind those already
+// drawn. \returns the number of all drawn targets
+std::size_t TargetDirectory::drawSample(TargetGroup& group, std::size_t drawn, bool isWithin, TimePoint now) noexcept
 {
-    std::size_t sampled = 0;
+    std::size_t sampled = drawn;
     std::size_t const all = group.order.size();
-    for (std::size_t index = 0; index < all && sampled < sampleSize; ++index) {
+    for (std::size_t index = drawn; index < all && sampled < drawn + sampleSize; ++index) {
         std::swap(group.order[index], group.order[index + random_.below(all - index)]);
         DirectoryTarget const& target = group.targets[group.order[index]];
-        bool const isCandidate = !target.draining && !target.isGone() && (!target.hasReported || target.load.isAccepting);
-        if (isCandidate)
+        if (acceptsFlows(target) && isWithinReach(target, now) == isWithin)
             std::swap(group.order[sampled++], group.order[index]);
     }
     return sampled;
 }
 
-void TargetDirectory::chooseTargets(TargetGroup& group, std::span<Endpoint const> asked, TimePoint now, RelayRoute& route) noexcept
+RemoteReason TargetDirectory::reasonOf(DirectoryTarget const& target, bool hasTargetWithinReach, TimePoint now) const noexcept
 {
+    if (target.local)
+        return RemoteReason::Local;
+    if (remoteOptions_.mode == RemoteMode::Always)
+        return RemoteReason::AlwaysRemote;
+    if (isWithinReach(target, now))
+        return RemoteReason::Near;
+    return hasTargetWithinReach ? RemoteReason::ShorterWait : RemoteReason::NoLocalTarget;
+}
+
+RemoteReason TargetDirectory::chooseTargets(TargetGroup& group, std::span<Endpoint const> asked, TimePoint now, RelayRoute& route, double bytesFromCaller) noexcept
+{
+    if (route.latencyLimitTenthMs > 0)
+        group.limitTenthMs = group.limitTenthMs > 0 ? std::min<double>(group.limitTenthMs, route.latencyLimitTenthMs) : route.latencyLimitTenthMs;
+    std::size_t const within = drawSample(group, 0, true, now);
+    bool const mayLeave = remoteOptions_.mode == RemoteMode::Auto && static_cast<double>(random_.below(shareSteps)) < group.remote.share() * shareSteps;
+    bool const isLeavingForbidden = remoteOptions_.mode == RemoteMode::Never && within > 0;
+    std::size_t const sampled = isLeavingForbidden ? within : drawSample(group, within, false, now);
+    std::size_t const offered = within == 0 || mayLeave ? sampled : within;
     CheapestOffers best;
-    std::size_t const sampled = drawSample(group);
+    CheapestOffers lastResort;
     for (std::size_t index = 0; index < sampled; ++index) {
         std::size_t const target = group.order[index];
-        best.add(offerCost(offerOf(group.targets[target], asked, now), random_.below(maximumJitterTenthMs)), target);
+        TargetOffer offer = offerOf(group, group.targets[target], asked, now);
+        offer.remoteCostTenthMs = remoteCostOf(group.targets[target], bytesFromCaller, now).total() + (index >= within && within > 0 ? leavingMarginTenthMs : 0);
+        CheapestOffers& offers = index < offered ? best : lastResort;
+        offers.add(offerCost(offer, random_.below(maximumJitterTenthMs)), target);
     }
     route.candidateCount = 0;
     for (CheapestOffers::Ranked const& ranked : best.ranked())
         route.candidates[route.candidateCount++] = { group.targets[ranked.target].agent, toCostTenthMs(ranked.costTenthMs) };
+    // An agent passes a flow on to a far target before it refuses it.
+    if (!lastResort.ranked().empty()) {
+        CheapestOffers::Ranked const& far = lastResort.ranked().front();
+        route.candidateCount = static_cast<std::uint8_t>(std::min<std::size_t>(route.candidateCount, maximumRelayCandidates - 1));
+        route.candidates[route.candidateCount++] = { group.targets[far.target].agent, toCostTenthMs(std::max(far.costTenthMs, lastResortCost(route.latencyLimitTenthMs))) };
+    }
     if (best.ranked().empty())
-        return;
+        return RemoteReason::NoLocalTarget;
     DirectoryTarget& chosen = group.targets[best.ranked().front().target];
     ++chosen.openingsSinceReport;
     if (chosen.oldestUnanswered == TimePoint {})
         chosen.oldestUnanswered = now;
+    RemoteReason const reason = reasonOf(chosen, within > 0, now);
+    ++siteFlows_[chosen.site][static_cast<std::size_t>(reason)];
+    return reason;
+}
+
+// Means over targets that accept new flows, weighted by slots. A far data centre counts with the delay of the distance;
+// the price of the bytes differs by kind of request and is part of each flow's own comparison.
+RemoteInputs TargetDirectory::remoteInputsOf(TargetGroup const& group, TimePoint now) const noexcept
+{
+    struct Mean {
+        double sum { 0 };
+        double weight { 0 };
+    };
+    constexpr std::size_t maximumSites = 16;
+    std::array<Mean, maximumSites> far {};
+    Mean within;
+    for (DirectoryTarget const& target : group.targets) {
+        if (!acceptsFlows(target) || target.site >= maximumSites)
+            continue;
+        bool const isNear = isWithinReach(target, now);
+        double const weight = std::max<std::uint16_t>(target.load.slots, 1);
+        TargetOffer offer = offerOf(group, target, {}, now);
+        offer.remoteCostTenthMs = remoteCostOf(target, 0, now).delayTenthMs;
+        Mean& mean = isNear ? within : far[target.site];
+        mean.sum += weight * offerCost(offer, 0);
+        mean.weight += weight;
+    }
+    RemoteInputs inputs;
+    inputs.hasLocal = within.weight > 0;
+    inputs.localTenthMs = inputs.hasLocal ? within.sum / within.weight : 0;
+    inputs.limitTenthMs = group.limitTenthMs;
+    for (Mean const& mean : far) {
+        if (mean.weight == 0)
+            continue;
+        double const cost = mean.sum / mean.weight;
+        inputs.farTenthMs = inputs.hasFar ? std::min(inputs.farTenthMs, cost) : cost;
+        inputs.hasFar = true;
+    }
+    return inputs;
+}
+
+void TargetDirectory::recordRoundTrip(Endpoint agent, Duration roundTrip, TimePoint now) noexcept
+{
+    if (DirectoryTarget const* const target = findTarget(agent))
+        delays_.record(target->site, roundTrip, now);
+}
+
+std::vector<SiteCounts> TargetDirectory::siteCounts(TimePoint now) const
+{
+    std::vector<SiteCounts> counts;
+    for (std::size_t site = 0; site < siteFlows_.size(); ++site)
+        counts.push_back({ delays_.nameOf(site), siteFlows_[site], delays_.extraTenthMs(site, now) });
+    return counts;
 }
 
 DirectoryTarget const* TargetDirectory::findRanked(TargetGroup const& group, std::uint64_t flowHash, std::size_t rank, TimePoint now) const noexcept
--- a/src/relay/TargetDirectory.h
+++ b/src/relay/TargetDirectory.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "balancing/RemotePolicy.h"
+#include "balancing/SiteDelays.h"
 #include "balancing/TargetChoice.h"
 #include "membership/RandomSource.h"
 #include "plantaindrift/membership/ServiceView.h"
@@ -8,6 +10,7 @@
 #include "absl/container/flat_hash_map.h"
 #include "absl/container/flat_hash_set.h"
 
+#include <array>
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
@@ -27,6 +30,7 @@
     std::uint64_t nameHash { 0 };
     Endpoint agent;
     bool local { false }; ///< in the entry's data centre
+    std::size_t site { 0 }; ///< index of the data centre, see TargetDirectory::siteCounts()
     bool draining { false };
     bool dead { false }; ///< taken for dead by the monitors; see isGone()
     TimePoint deadSince;
@@ -51,6 +55,9 @@
     std::vector<DirectoryTarget> targets;
     std::vector<std::uint32_t> order; ///< indices into targets, shuffled when samples are drawn
     TimePoint viewChanged; ///< when a target was last added
+    RemotePolicy remote;
+    std::vector<double> requestsPerSlot; ///< mean of the newest load reports, by index of the data centre
+    double limitTenthMs { 0 }; ///< tightest latency limit of recent new flows, in 0.1 ms; 0 if none has one
 };
 
 /// \brief Key of an endpoint in hash maps.
@@ -64,7 +71,7 @@
 /// Pointers to targets stay valid until the next call of setView().
 class TargetDirectory {
 public:
-    TargetDirectory(std::string dataCentre, std::uint64_t randomSeed);
+    TargetDirectory(std::string dataCentre, std::uint64_t randomSeed, RemoteOptions const& remoteOptions = {});
 
     /// \brief Finds the group of a service, or adds one without targets; the reference stays valid.
     TargetGroup& findOrAddService(std::string_view service);
@@ -92,8 +99,18 @@
 
     /// \brief Writes the cheapest of a random sample of targets that accept new flows into a route, in order of cost.
     ///
+    /// Targets that are far by RemoteCost::isFar are part of the sample only within the share that RemotePolicy permits, or if
+    /// no other one accepts new flows.
     /// \param asked  agents that were offered an earlier copy of the opening segment; they come last
-    void chooseTargets(TargetGroup& group, std::span<Endpoint const> asked, TimePoint now, RelayRoute& route) noexcept;
+    /// \param bytesFromCaller  mean bytes that callers send on a flow of this kind
+    /// \returns the reason for the data centre of the chosen target
+    RemoteReason chooseTargets(TargetGroup& group, std::span<Endpoint const> asked, TimePoint now, RelayRoute& route, double bytesFromCaller = 0) noexcept;
+
+    /// \brief Records the time from an opening segment to the owner notice that answered it.
+    void recordRoundTrip(Endpoint agent, Duration roundTrip, TimePoint now) noexcept;
+
+    /// \brief New flows by data centre since the start.
+    [[nodiscard]] std::vector<SiteCounts> siteCounts(TimePoint now) const;
 
     /// \brief The target at a rank for a flow; targets with a recent load report that accept new flows rank first.
     ///
@@ -120,6 +137,9 @@
 
 private:
     std::string dataCentre_;
+    RemoteOptions remoteOptions_;
+    SiteDelays delays_;
+    std::vector<std::array<std::uint64_t, remoteReasonCount>> siteFlows_; ///< by index of the data centre
     RandomSource random_;
     std::map<std::string, TargetGroup, std::less<>> groups_;
     absl::flat_hash_map<std::uint64_t, TargetGroup*> agentGroups_; ///< by agent endpoint
@@ -131,8 +151,14 @@
     [[nodiscard]] Duration goneTimeout() const noexcept;
     [[nodiscard]] bool receivesFromMostTargets(TimePoint now) const noexcept;
     [[nodiscard]] bool isSilent(DirectoryTarget const& target, TimePoint now) const noexcept;
-    [[nodiscard]] TargetOffer offerOf(DirectoryTarget const& target, std::span<Endpoint const> asked, TimePoint now) const noexcept;
-    [[nodiscard]] std::size_t drawSample(TargetGroup& group) noexcept;
+    void updateMeans(TargetGroup& group, TimePoint now) const noexcept;
+    [[nodiscard]] TargetOffer offerOf(TargetGroup const& group, DirectoryTarget const& target, std::span<Endpoint const> asked, TimePoint now) const noexcept;
+    [[nodiscard]] bool acceptsFlows(DirectoryTarget const& target) const noexcept;
+    [[nodiscard]] RemoteCost remoteCostOf(DirectoryTarget const& target, double bytesFromCaller, TimePoint now) const noexcept;
+    [[nodiscard]] bool isWithinReach(DirectoryTarget const& target, TimePoint now) const noexcept;
+    [[nodiscard]] std::size_t drawSample(TargetGroup& group, std::size_t drawn, bool isWithin, TimePoint now) noexcept;
+    [[nodiscard]] RemoteReason reasonOf(DirectoryTarget const& target, bool hasTargetWithinReach, TimePoint now) const noexcept;
+    [[nodiscard]] RemoteInputs remoteInputsOf(TargetGroup const& group, TimePoint now) const noexcept;
 };
 
 } // namespace plantaindrift
--- a/src/relay/TargetFlows.cpp
+++ b/src/relay/TargetFlows.cpp
@@ -39,6 +39,21 @@
     return flow;
 }
 
+void TargetFlows::trackOffer(TargetFlow& flow, TimePoint now) noexcept
+{
+    if (flow.offered != TimePoint {})
+        return;
+    flow.offered = now;
+    requests_.expect(now);
+}
+
+void TargetFlows::removeExpected(TargetFlow& flow) noexcept
+{
+    if (flow.offered != TimePoint {})
+        requests_.removeExpected(flow.offered);
+    flow.offered = {};
+}
+
 void TargetFlows::trackRequest(TargetFlow& flow, Segment const& segment, TimePoint now) noexcept
 {
     flow.lastSegment = now;
@@ -53,6 +68,7 @@
     if (segment.dataBytes == 0 || !isNew)
         return;
     flow.hasRequest = true;
+    removeExpected(flow);
     flow.requestEnd = end;
     flow.lastRequestData = now;
     if (!flow.hasPendingRequest) {
@@ -70,6 +86,7 @@
     }
     // A target sends later segments only on flows that are open there.
     flow.isEstablished = flow.isEstablished || !segment.isOpening;
+    requests_.addAnswerBytes(segment.dataBytes);
     if (segment.dataBytes > 0 && flow.hasPendingRequest) {
         flow.hasPendingRequest = false;
         requests_.finish(flow.lastRequestData, now, slots);
@@ -93,6 +110,7 @@
 // Removes the flow from the load counts; the caller then marks it as closing or lost.
 void TargetFlows::removeFromLoad(TargetFlow& flow) noexcept
 {
+    removeExpected(flow);
     if (flow.hasPendingRequest)
         requests_.cancel();
     flow.hasPendingRequest = false;
--- a/src/relay/TargetFlows.h
+++ b/src/relay/TargetFlows.h
@@ -20,6 +20,7 @@
     bool isLost { false }; ///< the target was replaced or no longer holds the flow
     bool hasPendingRequest { false }; ///< a request is in progress
     bool hasRequest { false };
+    TimePoint offered; ///< time of the last opening segment that was delivered; the epoch if its request is not expected
     std::uint32_t targetSequence { 0 }; ///< sequence number of the target's answer to the opening segment
     std::uint32_t requestEnd { 0 }; ///< sequence number after the caller's last data
     Endpoint entry; ///< the entry that sends the flow's segments
@@ -45,6 +46,9 @@
     /// \brief Adds a flow. \returns null if the table is full
     TargetFlow* insert(std::uint64_t hash);
 
+    /// \brief Counts the first request of a flow as expected, because its opening segment is delivered.
+    void trackOffer(TargetFlow& flow, TimePoint now) noexcept;
+
     /// \brief Updates the flow and the load counts for a caller's segment that is delivered to the target.
     void trackRequest(TargetFlow& flow, Segment const& segment, TimePoint now) noexcept;
 
@@ -80,6 +84,7 @@
     void removeFromLoad(TargetFlow& flow) noexcept;
     void failRequest(TargetFlow& flow) noexcept;
     void close(TargetFlow& flow) noexcept;
+    void removeExpected(TargetFlow& flow) noexcept;
 };
 
 } // namespace plantaindrift
--- a/src/runtime/DecisionLog.cpp
+++ b/src/runtime/DecisionLog.cpp
@@ -11,7 +11,7 @@
 {
     if (!consume(decisions_))
         return;
-    logEvent(LogLevel::Info, "flow", { { "outcome", decision.outcome }, { "caller", formatEndpoint(decision.flow.caller) }, { "address", formatEndpoint(decision.flow.serviceEndpoint) }, { "copy", decision.openAttempt }, { "to", decision.destination.isSet() ? formatEndpoint(decision.destination) : "none" }, { "hops", decision.hops }, { "cost_ms", static_cast<std::int64_t>(decision.costTenthMs / 10) }, { "accepting", decision.load.isAccepting }, { "busy", decision.load.activeRequests }, { "slots", decision.load.slots }, { "flows", decision.load.openFlows }, { "service_ms", decision.load.serviceTimeTenthMs / 10 }, { "failed_percent", static_cast<std::uint32_t>(decision.load.failedPercent) }, { "load_age_ms", decision.loadAge.count() } });
+    logEvent(LogLevel::Info, "flow", { { "outcome", decision.outcome }, { "caller", formatEndpoint(decision.flow.caller) }, { "address", formatEndpoint(decision.flow.serviceEndpoint) }, { "copy", decision.openAttempt }, { "to", decision.destination.isSet() ? formatEndpoint(decision.destination) : "none" }, { "hops", decision.hops }, { "reason", decision.reason.empty() ? std::string_view("none") : decision.reason }, { "cost_ms", static_cast<std::int64_t>(decision.costTenthMs / 10) }, { "accepting", decision.load.isAccepting }, { "busy", decision.load.activeRequests }, { "slots", decision.load.slots }, { "flows", decision.load.openFlows }, { "service_ms", decision.load.serviceTimeTenthMs / 10 }, { "failed_percent", static_cast<std::uint32_t>(decision.load.failedPercent) }, { "load_age_ms", decision.loadAge.count() } });
 }
 
 void DecisionLog::onFlowLost(LostFlowEvidence const& evidence) noexcept
--- a/src/runtime/RelayEntryDaemon.cpp
+++ b/src/runtime/RelayEntryDaemon.cpp
@@ -55,9 +55,20 @@
         options.randomSeed = mixHash(hashText(self.name), self.incarnation);
         options.maximumFlows = settings.maximumRememberedFlows;
         options.callerPort = settings.common.data.port;
+        options.remote = settings.remote;
         return options;
     }
 
+    void addSiteMetrics(MetricsPage& page, SiteCounts const& site)
+    {
+        for (std::size_t reason = 0; reason < remoteReasonCount; ++reason) {
+            std::string const name(remoteReasonName(static_cast<RemoteReason>(reason)));
+            page.addCounter("plantaindrift_entry_new_flows_total", "New flows by data centre of the chosen target and reason.", { { "data_centre", site.dataCentre }, { "reason", name } }, static_cast<double>(site.flows[reason]));
+        }
+        if (site.extraTenthMs)
+            page.addGauge("plantaindrift_entry_extra_round_trip_seconds", "Time by which a round trip to the data centre exceeds a local one.", { { "data_centre", site.dataCentre } }, *site.extraTenthMs / 10000);
+    }
+
     class RelayEntryDaemon final : public PacketFilter, private RelaySender {
     public:
         RelayEntryDaemon(RelayEntrySettings const& settings, FleetKeys const& keys, RelayPlatform const& platform)
@@ -266,6 +277,8 @@
                 page.addCounter("plantaindrift_entry_segments_total", "Segments of callers by outcome.", { { "outcome", name } }, static_cast<double>(relay_.outcomeCounts()[outcome]));
             }
             page.addGauge("plantaindrift_entry_flows", "Flows whose owner is remembered.", {}, static_cast<double>(relay_.flowCount()));
+            for (SiteCounts const& site : relay_.siteCounts(std::chrono::steady_clock::now()))
+                addSiteMetrics(page, site);
             page.addCounter("plantaindrift_flow_messages_refused_total", "Relay messages that are malformed, stale or not authenticated.", {}, static_cast<double>(refusedMessages_));
             page.addGauge("plantaindrift_configuration_position", "Applied version of the configuration.", {}, static_cast<double>(control_.changeLog().position()));
             page.addCounter("plantaindrift_configurations_discarded_total", "Configurations that the store gave and that are older than the one in force.", {}, static_cast<double>(discardedConfigurations_));
--- a/src/runtime/Settings.cpp
+++ b/src/runtime/Settings.cpp
@@ -371,6 +371,8 @@
     bindings.push_back(bindEndpoints("seeds", settings.seeds));
     bindings.push_back(bindUnsigned("limits.control_bytes_per_second", 500, 1U << 30U, settings.controlBytesPerSecond));
     bindings.push_back(bindUnsigned("limits.remembered_flows", 1024, 1U << 24U, settings.maximumRememberedFlows));
+    bindings.push_back(bindChoice<RemoteMode>("balancing.remote", { { "auto", RemoteMode::Auto }, { "never", RemoteMode::Never }, { "always", RemoteMode::Always } }, settings.remote.mode));
+    bindings.push_back(bindNumber("balancing.remote_ms_per_mb", 0, 100000, [&settings](std::int64_t value) { settings.remote.msPerMegabyte = static_cast<double>(value); }));
     bindings.push_back(bindDuration("forward_after_stop_ms", 0, 600000, settings.stopDelay));
     absl::Status const status = readSettingsFile(file, settings.common, std::move(bindings));
     if (!status.ok())
--- a/src/runtime/Settings.h
+++ b/src/runtime/Settings.h
@@ -2,6 +2,7 @@
 
 #include "plantaindrift/base/Types.h"
 #include "plantaindrift/packet/Encapsulation.h"
+#include "plantaindrift/relay/RemoteOptions.h"
 #include "plantaindrift/runtime/Keys.h"
 #include "plantaindrift/runtime/Log.h"
 
@@ -97,6 +98,7 @@
     std::vector<Endpoint> seeds; ///< control endpoints of other entries
     std::uint32_t controlBytesPerSecond { 3000 };
     std::uint32_t maximumRememberedFlows { 1U << 17U };
+    RemoteOptions remote;
     std::chrono::milliseconds stopDelay { 2500 };
 };
 
