--- a/include/plantaindrift/relay/EntryRelay.h
+++ b/include/plantaindrift/relay/EntryRelay.h
@@ -11,6 +11,7 @@
 #include "plantaindrift/relay/RelayMessage.h"
 #include "plantaindrift/relay/RelayObserver.h"
 #include "plantaindrift/relay/RelaySender.h"
+#include "plantaindrift/relay/RemoteOptions.h"
 #include "plantaindrift/relay/Segment.h"
 
 #include <array>
@@ -62,6 +63,7 @@
     std::uint16_t callerPort { 0 }; ///< UDP port at which callers receive segments
     std::string name; ///< of the entry; identifies it to the entries of its data centre
     EntryResources resources; ///< limits of the instance
+    RemoteOptions remote; ///< when new flows leave the data centre
 };
 
 /// \brief Chooses a target for each new flow by expected time, and sends segments of known flows to the owner.
@@ -163,6 +165,9 @@
     /// start.
     [[nodiscard]] std::uint64_t evacuatedFlowCount() const noexcept;
 
+    /// \brief New flows by data centre and reason since start, and the measured distances.
+    [[nodiscard]] std::vector<SiteCounts> siteCounts(TimePoint now) const;
+
     /// \brief Number of messages that searches sent to agents since start.
     [[nodiscard]] std::uint64_t searchMessageCount() const noexcept;
 
--- a/src/relay/AgentOpenings.cpp
+++ b/src/relay/AgentOpenings.cpp
@@ -59,6 +59,9 @@
 PacketVerdict AgentRelay::State::processOpening(SegmentContext& context) noexcept
 {
     OpeningDecision const decision = decideOpening(context);
+    // Without a reply, the entry takes the agent for silent until its next load report.
+    if (decision.action != OpeningAction::Admit && decision.action != OpeningAction::ReturnToEntry && context.route.entry.isSet())
+        sendLoadReport(context.route.entry, context.nowSeconds);
     switch (decision.action) {
     case OpeningAction::Admit:
         return admit(context);
@@ -199,6 +202,7 @@
     record->lastSegment = context.now;
     record->entry = context.route.entry;
     coldLimit.recordDelivery(context.now);
+    flows.trackOffer(*record, context.now);
     notifyEntry(context);
     return deliver(context, AgentRelayOutcome::Admitted, true);
 }
--- a/src/relay/EntryRelay.cpp
+++ b/src/relay/EntryRelay.cpp
@@ -1,5 +1,6 @@
 #include "plantaindrift/relay/EntryRelay.h"
 
+#include "balancing/RequestSizes.h"
 #include "balancing/TargetCost.h"
 #include "plantaindrift/base/Hash.h"
 #include "relay/AddressRoutes.h"
@@ -53,7 +54,7 @@
         , sender(messageSender)
         , resources(given.resources, entryNameHash(given.name), given.randomSeed, sender)
         , observer(decisionObserver)
-        , directory(given.dataCentre, given.randomSeed)
+        , directory(given.dataCentre, given.randomSeed, given.remote)
         , searches(given.ownEndpoint, static_cast<std::uint32_t>(mixHash(given.randomSeed, querySeed)), directory, sender, decisionObserver)
         , flows(given.maximumFlows)
     {
@@ -82,6 +83,7 @@
     AddressRoutes routes;
     TimePoint evacuationChanged; ///< when the evacuated data centres last changed
     std::uint64_t evacuatedFlows { 0 }; ///< new flows that reached an evacuated data centre
+    RequestSizes requestSizes;
     std::array<std::uint64_t, entryRelayOutcomeCount> outcomes {};
     std::map<EntryRelayOutcome, std::array<std::uint64_t, openingReasonCount>> returnCounts; ///< of openings that agents returned
     std::array<std::byte, maximumRelayHeaderBytes> header {};
@@ -103,7 +105,7 @@
         return countOutcome(outcome);
     }
 
-    void notifyObserver(SegmentContext const& context, EntryRelayOutcome outcome, Endpoint to, double cost) noexcept
+    void notifyObserver(SegmentContext const& context, EntryRelayOutcome outcome, Endpoint to, double cost, std::string_view reason = {}) noexcept
     {
         RelayDecision decision;
         decision.outcome = entryRelayOutcomeName(outcome);
@@ -112,6 +114,7 @@
         decision.reason = context.reason;
         decision.destination = to;
         decision.costTenthMs = cost;
+        decision.reason = reason;
         if (DirectoryTarget const* const target = directory.findTarget(to)) {
             decision.load = target->load;
             decision.loadAge = std::chrono::duration_cast<std::chrono::milliseconds>(context.now - target->lastReport);
@@ -140,12 +143,12 @@
 
     // ---- segments ----
 
-    PacketVerdict forward(SegmentContext const& context, RelayRoute& route, EntryRelayOutcome outcome) noexcept
+    PacketVerdict forward(SegmentContext const& context, RelayRoute& route, EntryRelayOutcome outcome, std::string_view reason = {}) noexcept
     {
         ++outcomes[static_cast<std::size_t>(outcome)];
         Endpoint const to = route.candidates.front().agent;
         if (outcome != EntryRelayOutcome::ForwardedToOwner)
-            notifyObserver(context, outcome, to, route.candidates.front().costTenthMs);
+            notifyObserver(context, outcome, to, route.candidates.front().costTenthMs, reason);
         std::copy(route.candidates.begin() + 1, route.candidates.begin() + route.candidateCount, route.candidates.begin());
         --route.candidateCount;
         route.entry = options.ownEndpoint;
@@ -182,13 +185,15 @@
         route.latencyLimitTenthMs = routes.latencyLimit(context.segment.destination, context.now);
         route.mayBeOpen = context.segment.acknowledgement != 0 || record != nullptr || context.waited >= originalLifetime;
         std::array<Endpoint, 2> const asked { record != nullptr ? record->owner : Endpoint {}, record != nullptr ? record->previousOwner : Endpoint {} };
-        directory.chooseTargets(*service, asked, context.now, route);
+        RemoteReason const reason = directory.chooseTargets(*service, asked, context.now, route, requestSizes.meanBytes(context.segment.destination));
         if (route.candidateCount == 0 && TargetDirectory::isWhollyEvacuated(*service))
             return refuse(context, EntryRelayOutcome::RefusedEvacuated, EntryRelayOutcome::DroppedEvacuated);
         if (route.candidateCount == 0)
             return service->targets.empty() ? drop(context, EntryRelayOutcome::DroppedNoTarget) : refuse(context, EntryRelayOutcome::RefusedNoTarget, EntryRelayOutcome::DroppedNoTarget);
         bool const isCopy = record != nullptr;
         Endpoint const chosen = route.candidates.front().agent;
+        if (!isCopy)
+            requestSizes.recordFlow(context.segment.destination);
         if (!isCopy)
             record = insertFlow(context.hash, { context.segment.source, context.segment.destination }, context.now);
         if (record != nullptr) {
@@ -201,7 +206,7 @@
             record->isReturnable = !route.mayBeOpen;
             record->last = context.now;
         }
-        return forward(context, route, isCopy ? EntryRelayOutcome::ForwardedRetransmission : EntryRelayOutcome::ForwardedOpening);
+        return forward(context, route, isCopy ? EntryRelayOutcome::ForwardedRetransmission : EntryRelayOutcome::ForwardedOpening, remoteReasonName(reason));
     }
 
     /// Finds or adds a flow. \returns null if the table is full
@@ -223,6 +228,7 @@
         record->last = context.now;
         record->isReturnable = false;
         record->isInUse = true;
+        requestSizes.recordSegment(context.segment.destination, context.datagram.size());
         RelayRoute route;
         TargetGroup const* service = directory.findServiceOf(record->owner);
         bool const isListed = service != nullptr;
@@ -351,6 +357,9 @@
             record->previousOwner = record->owner;
             notifyOwnerReport("owner_changed", flow, from);
         }
+        // The time since a retransmitted opening would be too short if the notice answers an earlier copy.
+        if (record->owner == from && !record->isConfirmed && record->opened == record->last)
+            directory.recordRoundTrip(from, now - record->opened, now);
         record->owner = from;
         record->isUnlisted = directory.findServiceOf(from) == nullptr;
         record->unanswered = {};
@@ -614,6 +623,11 @@
     return state_->evacuatedFlows;
 }
 
+std::vector<SiteCounts> EntryRelay::siteCounts(TimePoint now) const
+{
+    return state_->directory.siteCounts(now);
+}
+
 std::uint64_t EntryRelay::searchMessageCount() const noexcept
 {
     return state_->searches.messageCount();
--- a/src/relay/RelayMessage.cpp
+++ b/src/relay/RelayMessage.cpp
@@ -47,8 +47,10 @@
         wire::big_uint16_buf_t serviceTenths;
         wire::big_uint8_buf_t failedPercent;
         wire::big_uint16_buf_t coldAllowance;
+        wire::big_uint16_buf_t flowLoadMilli;
+        wire::big_uint16_buf_t answerUnits;
     };
-    static_assert(sizeof(LoadField) == 12);
+    static_assert(sizeof(LoadField) == 16);
 
     // Bits of LoadField::flags.
     constexpr std::uint8_t acceptingFlag = 1;
@@ -105,7 +107,7 @@
         wire::big_uint8_buf_t reason;
         LoadField load;
     };
-    static_assert(sizeof(DeclineFields) == 13);
+    static_assert(sizeof(DeclineFields) == 17);
     static_assert(sizeof(CommonFields) + sizeof(RouteFields) + maximumRelayCandidates * sizeof(CandidateField) + sizeof(DeclineFields) <= maximumRelayHeaderBytes);
 
     /// Number of segment bytes that the tag covers; the header of every format is shorter.
@@ -138,6 +140,8 @@
         field.serviceTenths = load.serviceTimeTenthMs;
         field.failedPercent = load.failedPercent;
         field.coldAllowance = load.coldAllowance;
+        field.flowLoadMilli = load.flowLoadMilli;
+        field.answerUnits = load.answerUnits;
         return field;
     }
 
@@ -157,6 +161,8 @@
         load.serviceTimeTenthMs = field.serviceTenths.value();
         load.failedPercent = field.failedPercent.value();
         load.coldAllowance = field.coldAllowance.value();
+        load.flowLoadMilli = field.flowLoadMilli.value();
+        load.answerUnits = field.answerUnits.value();
         return load;
     }
 
--- a/src/relay/TargetFlows.cpp
+++ b/src/relay/TargetFlows.cpp
@@ -39,6 +39,21 @@
     return flow;
 }
 
+void TargetFlows::trackOffer(TargetFlow& flow, TimePoint now) noexcept
+{
+    if (flow.offered != TimePoint {})
+        return;
+    flow.offered = now;
+    requests_.expect(now);
+}
+
+void TargetFlows::removeExpected(TargetFlow& flow) noexcept
+{
+    if (flow.offered != TimePoint {})
+        requests_.removeExpected(flow.offered);
+    flow.offered = {};
+}
+
 void TargetFlows::trackRequest(TargetFlow& flow, Segment const& segment, TimePoint now) noexcept
 {
     flow.lastSegment = now;
@@ -49,16 +64,19 @@
         return;
     }
     std::uint32_t const end = segment.sequence + segment.dataBytes;
-    bool const isNew = !flow.hasRequest || static_cast<std::int32_t>(end - flow.requestEnd) > 0;
+    bool const isFirst = !flow.hasRequest;
+    bool const isNew = isFirst || static_cast<std::int32_t>(end - flow.requestEnd) > 0;
     if (segment.dataBytes == 0 || !isNew)
         return;
     flow.hasRequest = true;
+    removeExpected(flow);
     flow.requestEnd = end;
+    if (flow.hasPendingRequest)
+        requests_.restart(flow.lastRequestData, now);
+    else
+        requests_.begin(now, isFirst);
+    flow.hasPendingRequest = true;
     flow.lastRequestData = now;
-    if (!flow.hasPendingRequest) {
-        flow.hasPendingRequest = true;
-        requests_.begin();
-    }
 }
 
 void TargetFlows::trackAnswer(TargetFlow& flow, Segment const& segment, TimePoint now, std::size_t slots) noexcept
@@ -70,6 +88,7 @@
     }
     // A target sends later segments only on flows that are open there.
     flow.isEstablished = flow.isEstablished || !segment.isOpening;
+    requests_.addAnswerBytes(segment.dataBytes);
     if (segment.dataBytes > 0 && flow.hasPendingRequest) {
         flow.hasPendingRequest = false;
         requests_.finish(flow.lastRequestData, now, slots);
@@ -87,14 +106,15 @@
     if (!flow.hasPendingRequest)
         return;
     flow.hasPendingRequest = false;
-    requests_.fail();
+    requests_.fail(flow.lastRequestData);
 }
 
 // Removes the flow from the load counts; the caller then marks it as closing or lost.
 void TargetFlows::removeFromLoad(TargetFlow& flow) noexcept
 {
+    removeExpected(flow);
     if (flow.hasPendingRequest)
-        requests_.cancel();
+        requests_.cancel(flow.lastRequestData);
     flow.hasPendingRequest = false;
     open_ -= flow.isOver() ? 0 : 1;
 }
--- a/src/runtime/Settings.cpp
+++ b/src/runtime/Settings.cpp
@@ -388,6 +388,8 @@
     bindings.push_back(bindReal("limits.cpu_share", 0.01, 1024, settings.resources.processorShare));
     bindings.push_back(bindUnsigned("limits.descriptors", 16, 1U << 30U, settings.resources.descriptors));
     bindings.push_back(bindUnsigned("limits.memory_mb", 8, 1U << 24U, settings.resources.memoryMb));
+    bindings.push_back(bindChoice<RemoteMode>("balancing.remote", { { "auto", RemoteMode::Auto }, { "never", RemoteMode::Never }, { "always", RemoteMode::Always } }, settings.remote.mode));
+    bindings.push_back(bindNumber("balancing.remote_ms_per_mb", 0, 100000, [&settings](std::int64_t value) { settings.remote.msPerMegabyte = static_cast<double>(value); }));
     bindings.push_back(bindDuration("forward_after_stop_ms", 0, 600000, settings.stopDelay));
     bindings.push_back(bindBoolean("evacuation.enabled", settings.handlesEvacuations));
     absl::Status const status = readSettingsFile(file, settings.common, std::move(bindings));
--- a/src/runtime/Settings.h
+++ b/src/runtime/Settings.h
@@ -3,6 +3,7 @@
 #include "plantaindrift/base/Types.h"
 #include "plantaindrift/packet/Encapsulation.h"
 #include "plantaindrift/relay/EntryResources.h"
+#include "plantaindrift/relay/RemoteOptions.h"
 #include "plantaindrift/runtime/Keys.h"
 #include "plantaindrift/runtime/Log.h"
 
@@ -99,6 +100,7 @@
     std::uint32_t controlBytesPerSecond { 3000 };
     std::uint32_t maximumRememberedFlows { 1U << 17U };
     EntryResources resources; ///< limits of the instance; none if absent
+    RemoteOptions remote;
     std::chrono::milliseconds stopDelay { 2500 };
     bool handlesEvacuations { false };
 };
--- a/tests/SettingsTests.cpp
+++ b/tests/SettingsTests.cpp
@@ -302,12 +302,6 @@
     BOOST_TEST(exitCode(runAgent(agent.path(), true)) == 0);
 }
 
-namespace {
-
-std::string const relayEntryText = entryText + "relay = \"127.0.0.1:6084\"\n";
-
-} // namespace
-
 BOOST_AUTO_TEST_CASE(LimitsOfAnEntryAreRead)
 {
     TemporaryFile const file(relayEntryText + "[limits]\nlink_mbps = 10.5\ncpu_share = 0.09\ndescriptors = 256\nmemory_mb = 64\n");
