--- a/tests/EntryResourcesTests.cpp
+++ b/tests/EntryResourcesTests.cpp
@@ -121,6 +121,7 @@
     BOOST_REQUIRE(scene->entries[0]->relay->shouldLeaveRotation());
     BOOST_TEST(!scene->entries[1]->relay->shouldLeaveRotation());
     std::vector<CallerFlow*> moving;
+    moving.reserve(40);
     // The surge has moved; flows still arrive until the fabric has missed two probes.
     scene->runFor(200ms);
     for (int index = 0; index < 40; ++index)
