Take a limit of 0 as none

Cause: the platform's template writes the limits of each instance; a 0 or a small number would have kept the entry from starting. Change: the ranges of [limits] begin at 0. Test: ALimitOfZeroIsNone failed before; the rows of WrongLimitsAreRefused keep their problems with values that are still wrong.

--- a/src/runtime/Settings.cpp
+++ b/src/runtime/Settings.cpp
@@ -384,10 +384,10 @@
     bindings.push_back(bindEndpoints("seeds", settings.seeds));
     bindings.push_back(bindUnsigned("limits.control_bytes_per_second", 500, 1U << 30U, settings.controlBytesPerSecond));
     bindings.push_back(bindUnsigned("limits.remembered_flows", 1024, 1U << 24U, settings.maximumRememberedFlows));
-    bindings.push_back(bindReal("limits.link_mbps", 0.1, 1e6, settings.resources.linkMbps));
-    bindings.push_back(bindReal("limits.cpu_share", 0.01, 1024, settings.resources.processorShare));
-    bindings.push_back(bindUnsigned("limits.descriptors", 16, 1U << 30U, settings.resources.descriptors));
-    bindings.push_back(bindUnsigned("limits.memory_mb", 8, 1U << 24U, settings.resources.memoryMb));
+    bindings.push_back(bindReal("limits.link_mbps", 0, 1e6, settings.resources.linkMbps));
+    bindings.push_back(bindReal("limits.cpu_share", 0, 1024, settings.resources.processorShare));
+    bindings.push_back(bindUnsigned("limits.descriptors", 0, 1U << 30U, settings.resources.descriptors));
+    bindings.push_back(bindUnsigned("limits.memory_mb", 0, 1U << 24U, settings.resources.memoryMb));
     bindings.push_back(bindDuration("forward_after_stop_ms", 0, 600000, settings.stopDelay));
     absl::Status const status = readSettingsFile(file, settings.common, std::move(bindings));
     if (!status.ok())
