Do not refuse returned openings while their targets start

Cause: an agent whose target had not announced itself dropped an opening that no other target took; returned to the entry, the same opening was refused at once, and callers fail with all of their attempts before a target has started. Change: the entry drops a return of such an agent if no target has room, unless the data centre is evacuated; the caller's retransmission reaches a target that has started. A set of the same data centres does not reset the count of flows that opened after an evacuation. Tests: OpeningsAreNotRefusedWhileTheTargetsStart failed with a refused caller.

--- a/include/plantaindrift/relay/EntryRelay.h
+++ b/include/plantaindrift/relay/EntryRelay.h
@@ -40,7 +40,7 @@
     DroppedEvacuated, ///< as RefusedEvacuated, but an earlier copy may have opened the flow
     OfferedAgain, ///< request to open a flow that an agent returned, sent to the target with most room
     RefusedNoRoom, ///< request to open a flow that an agent returned, and no other target has room
-    DroppedReturned ///< request to open a flow that an agent returned, and the flow may be open
+    DroppedReturned ///< request to open a flow that an agent returned; the flow may be open, or the target is still starting
 };
 
 inline constexpr std::size_t entryRelayOutcomeCount = 16;
--- a/src/relay/EntryRelay.cpp
+++ b/src/relay/EntryRelay.cpp
@@ -341,7 +341,11 @@
         if (!segment || !segment->isOpenRequest())
             return;
         SegmentContext const context { decoded.segment, *segment, hashRelayFlow({ segment->source, segment->destination }), now, nowSeconds, {}, openingReasonName(decoded.declineReason) };
-        EntryRelayOutcome const outcome = offerAgain(context, from, decoded.route);
+        EntryRelayOutcome outcome = offerAgain(context, from, decoded.route);
+        // A target that is still starting may admit a retransmission.
+        bool const isStarting = decoded.load.isAssumed && decoded.declineReason != OpeningReason::Evacuated;
+        if (outcome == EntryRelayOutcome::RefusedNoRoom && isStarting)
+            outcome = EntryRelayOutcome::DroppedReturned;
         ++returnCounts[outcome][static_cast<std::size_t>(decoded.declineReason)];
         if (outcome == EntryRelayOutcome::RefusedNoRoom)
             sendReset(context, outcome);
@@ -456,8 +460,8 @@
 
 void EntryRelay::setEvacuations(EvacuationSet const& evacuations, TimePoint now)
 {
-    state_->directory.setEvacuations(evacuations);
-    state_->evacuationChanged = now;
+    if (state_->directory.setEvacuations(evacuations))
+        state_->evacuationChanged = now;
 }
 
 void EntryRelay::setViewsComplete(bool complete) noexcept
--- a/src/relay/TargetDirectory.cpp
+++ b/src/relay/TargetDirectory.cpp
@@ -115,13 +115,15 @@
     return newIndices;
 }
 
-void TargetDirectory::setEvacuations(EvacuationSet const& evacuations)
+bool TargetDirectory::setEvacuations(EvacuationSet const& evacuations)
 {
+    bool const isChanged = evacuations.dataCentres != evacuations_.dataCentres;
     evacuations_ = evacuations;
     for (std::pair<std::string const, TargetGroup>& group : groups_) {
         for (DirectoryTarget& target : group.second.targets)
             target.isEvacuated = evacuations_.contains(target.dataCentre);
     }
+    return isChanged;
 }
 
 bool TargetDirectory::isWhollyEvacuated(TargetGroup const& group) noexcept
--- a/src/relay/TargetDirectory.h
+++ b/src/relay/TargetDirectory.h
@@ -79,8 +79,8 @@
     /// \returns new index of each target of the old list, or removedTarget
     std::vector<std::uint32_t> setView(ServiceView const& view, TimePoint now);
 
-    /// \brief Replaces the data centres whose targets are left out of the choice for new flows.
-    void setEvacuations(EvacuationSet const& evacuations);
+    /// \brief Replaces the data centres whose targets are left out of the choice for new flows. \returns true if they change
+    bool setEvacuations(EvacuationSet const& evacuations);
 
     /// \brief True if targets of the service would take new flows, but for the evacuation of their data centres.
     [[nodiscard]] static bool isWhollyEvacuated(TargetGroup const& group) noexcept;
--- a/tests/DeclinedOpeningsTests.cpp
+++ b/tests/DeclinedOpeningsTests.cpp
@@ -124,6 +124,31 @@
     BOOST_TEST(outcomesOf(scene).unanswered == outcomesOf(scene).refused);
 }
 
+// Failure: all targets restart at the same moment. Callers that are refused at once fail with all of their attempts before a target
+// has started; the retransmission of a dropped opening reaches one that has.
+BOOST_AUTO_TEST_CASE(OpeningsAreNotRefusedWhileTheTargetsStart)
+{
+    Scene scene(2, 6);
+    for (std::unique_ptr<Agent> const& agent : scene.agents) {
+        agent->state.isAnnounced = false;
+        agent->state.isAccepting = false;
+        agent->relay->setTargetState(agent->state, scene.now());
+    }
+    for (std::size_t index = 0; index < 10; ++index)
+        scene.open(index % 2);
+    scene.runFor(20ms);
+    BOOST_TEST(scene.decisions.count("returned") > 0U);
+    BOOST_TEST(outcomesOf(scene).refused == 0U);
+    for (std::unique_ptr<Agent> const& agent : scene.agents) {
+        agent->state.isAnnounced = true;
+        agent->state.isAccepting = true;
+        agent->relay->setTargetState(agent->state, scene.now());
+    }
+    scene.runFor(1s);
+    BOOST_TEST(outcomesOf(scene).refused == 0U);
+    BOOST_TEST(outcomesOf(scene).unanswered == 0U);
+}
+
 // Load: 3 times what the targets serve. What none can serve in time is refused at once, with the reason.
 BOOST_AUTO_TEST_CASE(WhatNoTargetServesInTimeIsRefusedAtOnce)
 {
