Return a request without a copy

Cause: scripts/lint reports that a constant result cannot be moved in StatusObjects.cpp. Change: the result is no longer constant. StatusObjectsTests passes; lint is clean.

--- a/src/store/StatusObjects.cpp
+++ b/src/store/StatusObjects.cpp
@@ -122,7 +122,7 @@
     template <typename Value>
     absl::StatusOr<Value> createOnce(ObjectStore& store, std::string const& key, std::string const& text, absl::StatusOr<Value> (*decodeOne)(std::string_view), std::string const& what)
     {
-        absl::StatusOr<Value> const checked = decodeOne(text);
+        absl::StatusOr<Value> checked = decodeOne(text);
         if (!checked.ok())
             return makeError(ErrorKind::Refused, "the " + what + " request would not be accepted: " + std::string(checked.status().message()));
         for (int trial = 0; trial < writeTrials; ++trial) {
