Test that heartbeats pass on a new version of the same data centres

Cause: with the revision left out of the hash (a trial), all tests of the spread passed, although an older set between two versions of the same data centres could then win. Tests: HeartbeatsPassOnANewVersionOfTheSameDataCentres; it fails without the revision in the hash.

--- a/tests/EvacuationSpreadTests.cpp
+++ b/tests/EvacuationSpreadTests.cpp
@@ -203,6 +203,18 @@
     BOOST_TEST(!reply.has_evacuations());
 }
 
+// Guards against a set that wins over a newer one because a process holds the same data centres with an old version.
+BOOST_AUTO_TEST_CASE(HeartbeatsPassOnANewVersionOfTheSameDataCentres)
+{
+    Process entry;
+    Process agent;
+    entry.spread.takeStored(stored(1, 30, { "north" }), start);
+    agent.spread.takeStored(stored(1, 10, { "north" }), start);
+    entry.heartbeatFrom(agent, start + 1s);
+    BOOST_TEST(agent.spread.take(message(1, 20, {}), start + 2s));
+    BOOST_TEST(agent.current() == Names { "north" }, boost::test_tools::per_element());
+}
+
 // Guards against processes that exchange what they know at every heartbeat for ever because they never agree.
 BOOST_AUTO_TEST_CASE(RandomHistoriesEndInEqualKnowledge)
 {
