Measure slow, recovered and busy targets sooner

The service time was a mean with weight 0.05 over finished requests. A target of 200 ms that became four times slower showed nothing for 0.8 s, and one that lost its requests because it was slow kept its mean for good. A request of seven times the mean raised it by a third. Each open flow counted as 0.05 requests, whether it was a standing feed or sent 20 a second.

RequestCount now bounds a sample to three times the mean, weights it by the time since the last one, takes the age of the requests in progress as a lower bound, and lets the slowness of an idle target decay to its usual mean. Load reports have the measured requests of an open flow.

Ruled out: the median of requests, which is no measure of capacity; the exact age of each request, which needs a list.

--- a/include/plantaindrift/relay/RelayMessage.h
+++ b/include/plantaindrift/relay/RelayMessage.h
@@ -44,6 +44,7 @@
     std::uint16_t openFlows { 0 }; ///< open flows
     std::uint16_t serviceTimeTenthMs { 0 }; ///< time that the target takes for one request, in 0.1 ms; 0 if not measured yet
     std::uint8_t failedPercent { 0 }; ///< percentage of recent requests that ended without an answer
+    std::uint16_t flowLoadMilli { 0 }; ///< requests in progress that an open flow causes on average, in thousandths; 0 if not measured
     std::uint16_t answerUnits { 0 }; ///< mean bytes of an answer, in units of answerUnitBytes
     bool hasEnded { false }; ///< the target announced its end; it holds no flows
     bool isMachineRestarted { false }; ///< agent and target started a short time ago, so that no older flow is open
--- a/src/balancing/RequestCount.h
+++ b/src/balancing/RequestCount.h
@@ -23,13 +23,20 @@
     void removeExpected(TimePoint offered) noexcept;
 
     /// \brief Records that a request was delivered to the target.
-    void begin() noexcept { ++busy_; }
+    ///
+    /// \param isFirst  false for a further request of a flow
+    void begin(TimePoint now, bool isFirst = true) noexcept;
+
+    /// \brief Records that more of a request was delivered; its time counts from then on.
+    void restart(TimePoint begun, TimePoint now) noexcept { begunSum_ += now - begun; }
 
     /// \brief Records that a request ended without a sign that the target failed it.
-    void cancel() noexcept;
+    ///
+    /// \param begun  time given to begin() or restart()
+    void cancel(TimePoint begun) noexcept;
 
     /// \brief Records that the target did not answer a request.
-    void fail() noexcept;
+    void fail(TimePoint begun) noexcept;
 
     /// \brief Records the first segment of an answer from the target.
     ///
@@ -43,7 +50,10 @@
     /// \brief Sets until when the target is slow after its start.
     void setWarmUpEnd(TimePoint until) noexcept { warmUpEnd_ = until; }
 
-    void tick(TimePoint now) noexcept;
+    /// \brief Periodic work, every 100 ms.
+    ///
+    /// \param openFlows  open flows of the target
+    void tick(TimePoint now, std::size_t openFlows, std::size_t slots) noexcept;
 
     /// \brief Clears the requests and the means, because the target was replaced.
     void reset() noexcept;
@@ -61,6 +71,10 @@
     /// all further openings.
     [[nodiscard]] std::size_t busy() const noexcept { return busy_ + expected_[0] + expected_[1]; }
 
+    /// \brief Requests in progress that an open flow causes on average after its first request, in thousandths; 0 if not
+    /// measured.
+    [[nodiscard]] std::uint16_t flowLoadMilli() const noexcept;
+
     /// \brief Mean bytes of an answer, in units of answerUnitBytes; rounded up.
     [[nodiscard]] std::uint16_t answerUnits() const noexcept;
 
@@ -72,7 +86,13 @@
     std::array<std::size_t, 2> expected_ {}; ///< first requests of flows offered since currentTick_ and in the period before
     TimePoint currentTick_;
     TimePoint formerTick_;
+    Duration begunSum_ { 0 }; ///< sum of the times since the epoch at which the requests in progress were delivered
     double meanServiceTenthMs_ { 0 };
+    double usualServiceTenthMs_ { 0 }; ///< mean of many more requests
+    double pendingServiceTenthMs_ { 0 }; ///< lower bound by the age of the requests in progress; 0 if there is none
+    std::size_t furtherRequests_ { 0 }; ///< requests other than the first of their flow, since the last tick
+    double furtherPerSecond_ { 0 };
+    std::size_t openFlows_ { 0 };
     double answers_ { 0 }; ///< decaying sum
     double answerBytes_ { 0 }; ///< of these answers
     FailureShare failures_;
@@ -81,6 +101,8 @@
     bool wereSlotsFull_ { false }; ///< all slots were taken after that request
     TimePoint warmUpEnd_;
     TimePoint now_;
+
+    void updatePending(TimePoint now, std::size_t slots) noexcept;
 };
 
 } // namespace plantaindrift
--- a/src/balancing/TargetCost.cpp
+++ b/src/balancing/TargetCost.cpp
@@ -14,8 +14,10 @@
     // Part of the service time by which a fully busy target costs more than an idle one.
     constexpr double busyShare = 0.5;
 
-    // A flow without a request in progress sends a request of 55 ms about once a second.
-    constexpr double idleFlowShare = 0.05;
+    // A flow that sends a request of 55 ms about once a second. Flows with fewer requests count as much, so that those that open
+    // while all targets are idle are spread evenly.
+    constexpr double minimumFlowLoadMilli = 50;
+    constexpr double flowLoadScale = 1000;
 
     // A failed request is retried once the failure is noticed, or lost; 500 ms exceeds the latency objective of most
     // routes.
@@ -42,7 +44,8 @@
 {
     double const requests = std::max(0.0, load.activeRequests + extra);
     double const served = std::min<double>(requests, std::max<std::uint16_t>(load.slots, 1));
-    double const additionalWork = busyShare * served + idleFlowShare * load.openFlows;
+    double const flowLoad = std::max<double>(load.flowLoadMilli, minimumFlowLoadMilli) / flowLoadScale;
+    double const additionalWork = busyShare * served + flowLoad * load.openFlows;
     double const failure = failureCostTenthMs * load.failedPercent / percentScale;
     return expectedTimeBehind(load, requests, additionalWork) + failure;
 }
--- a/src/relay/AgentRelay.cpp
+++ b/src/relay/AgentRelay.cpp
@@ -69,6 +69,7 @@
     load.openFlows = static_cast<std::uint16_t>(std::min<std::size_t>(flows.openCount(), std::numeric_limits<std::uint16_t>::max()));
     load.serviceTimeTenthMs = flows.requests().serviceTimeTenthMs();
     load.failedPercent = flows.requests().failedPercent();
+    load.flowLoadMilli = flows.requests().flowLoadMilli();
     load.answerUnits = flows.requests().answerUnits();
     // Queries reach a running agent, so that only its last report has to say this.
     load.hasEnded = isStopping && (target.hasLeft || isTargetUnresponsive(currentTime));
@@ -256,7 +257,7 @@
 void AgentRelay::tick(TimePoint now, std::uint32_t nowSeconds)
 {
     state_->currentTime = now;
-    state_->flows.requests().tick(now);
+    state_->flows.requests().tick(now, state_->flows.openCount(), std::max<std::size_t>(state_->target.slots, 1));
     state_->sendDueLoadReports(now, nowSeconds);
     state_->sweep(now);
 }
--- a/src/relay/RelayMessage.cpp
+++ b/src/relay/RelayMessage.cpp
@@ -46,9 +46,10 @@
         wire::big_uint16_buf_t flows;
         wire::big_uint16_buf_t serviceTenths;
         wire::big_uint8_buf_t failedPercent;
+        wire::big_uint16_buf_t flowLoadMilli;
         wire::big_uint16_buf_t answerUnits;
     };
-    static_assert(sizeof(LoadField) == 12);
+    static_assert(sizeof(LoadField) == 14);
 
     // Bits of LoadField::flags.
     constexpr std::uint8_t acceptingFlag = 1;
@@ -101,6 +102,7 @@
         field.flows = load.openFlows;
         field.serviceTenths = load.serviceTimeTenthMs;
         field.failedPercent = load.failedPercent;
+        field.flowLoadMilli = load.flowLoadMilli;
         field.answerUnits = load.answerUnits;
         return field;
     }
@@ -119,6 +121,7 @@
         load.openFlows = field.flows.value();
         load.serviceTimeTenthMs = field.serviceTenths.value();
         load.failedPercent = field.failedPercent.value();
+        load.flowLoadMilli = field.flowLoadMilli.value();
         load.answerUnits = field.answerUnits.value();
         return load;
     }
--- a/src/relay/TargetDirectory.cpp
+++ b/src/relay/TargetDirectory.cpp
@@ -46,7 +46,7 @@
 
     // Received load reports may use this part of the control budget of 3 KB/s.
     constexpr double loadBytesPerSecond = 1500;
-    constexpr double loadMessageBytes = 44;
+    constexpr double loadMessageBytes = 46;
 
     // Number of targets compared for a new flow. Entries that compare all targets by load reports of the same age
     // would choose the same ones.
--- a/src/relay/TargetFlows.cpp
+++ b/src/relay/TargetFlows.cpp
@@ -64,17 +64,19 @@
         return;
     }
     std::uint32_t const end = segment.sequence + segment.dataBytes;
-    bool const isNew = !flow.hasRequest || static_cast<std::int32_t>(end - flow.requestEnd) > 0;
+    bool const isFirst = !flow.hasRequest;
+    bool const isNew = isFirst || static_cast<std::int32_t>(end - flow.requestEnd) > 0;
     if (segment.dataBytes == 0 || !isNew)
         return;
     flow.hasRequest = true;
     removeExpected(flow);
     flow.requestEnd = end;
+    if (flow.hasPendingRequest)
+        requests_.restart(flow.lastRequestData, now);
+    else
+        requests_.begin(now, isFirst);
+    flow.hasPendingRequest = true;
     flow.lastRequestData = now;
-    if (!flow.hasPendingRequest) {
-        flow.hasPendingRequest = true;
-        requests_.begin();
-    }
 }
 
 void TargetFlows::trackAnswer(TargetFlow& flow, Segment const& segment, TimePoint now, std::size_t slots) noexcept
@@ -104,7 +106,7 @@
     if (!flow.hasPendingRequest)
         return;
     flow.hasPendingRequest = false;
-    requests_.fail();
+    requests_.fail(flow.lastRequestData);
 }
 
 // Removes the flow from the load counts; the caller then marks it as closing or lost.
@@ -112,7 +114,7 @@
 {
     removeExpected(flow);
     if (flow.hasPendingRequest)
-        requests_.cancel();
+        requests_.cancel(flow.lastRequestData);
     flow.hasPendingRequest = false;
     open_ -= flow.isOver() ? 0 : 1;
 }
--- a/tests/BalancingScene.h
+++ b/tests/BalancingScene.h
@@ -66,6 +66,8 @@
     std::size_t kind { 0 };
     std::optional<double> tookMs; ///< until the answer; empty if the caller gave up
     std::size_t refusals { 0 };
+    double workMs { 0 }; ///< of the request, at speed 1
+    TimePoint began; ///< arrival of the request at its target
 };
 
 struct Target {
@@ -164,7 +166,7 @@
     /// \brief A caller opens a flow and sends one request on it.
     void ask(std::size_t dataCentre)
     {
-        results.push_back({ now_, dataCentre, dataCentre, drawKind(), {}, 0 });
+        results.push_back({ now_, dataCentre, dataCentre, drawKind(), {}, 0, 0, {} });
         attempt(results.back(), 0);
     }
 
@@ -224,13 +226,14 @@
         load.openFlows = static_cast<std::uint16_t>(target.openFlows);
         load.serviceTimeTenthMs = target.count.serviceTimeTenthMs();
         load.failedPercent = target.count.failedPercent();
+        load.flowLoadMilli = target.count.flowLoadMilli();
         return load;
     }
 
     void tick()
     {
         for (std::unique_ptr<Target> const& target : targets)
-            target->count.tick(now_);
+            target->count.tick(now_, target->openFlows, target->slots);
         for (std::unique_ptr<Entry> const& entry : entries)
             entry->directory->tick(now_);
         after(100ms, [this] { tick(); });
@@ -392,8 +395,10 @@
         double work = settings.serviceMs * (settings.isServiceTimeRandom ? 0.5 + uniform() : 1);
         work *= uniform() < settings.longShare ? 7 : 1;
         target.workMs += work;
+        made->result.workMs = work;
+        made->result.began = now_;
         target.count.removeExpected(made->admitted);
-        target.count.begin();
+        target.count.begin(now_);
         TimePoint const requested = now_;
         std::function<void()> serve = [this, made, &target, work, requested] {
             after(fromMilliseconds(work / target.speed), [this, made, &target, requested] { finishRequest(made, target, requested); });
--- a/tests/RequestCountTests.cpp
+++ b/tests/RequestCountTests.cpp
@@ -50,7 +50,7 @@
             count.finish(running.front().arrival, running.front().end, slots);
             running.pop_front();
         }
-        count.begin();
+        count.begin(now);
         running.push_back({ now, now + target.finishAfter(now) });
         now += interval;
     }
@@ -75,18 +75,18 @@
     RequestCount count;
     TimePoint now { 1000s };
     for (int index = 0; index < 40; ++index) {
-        count.begin();
+        count.begin(now);
         count.finish(now, now + 50ms, 3);
         now += 100ms;
     }
     BOOST_TEST(count.serviceTimeTenthMs() == 500U);
-    for (int index = 0; index < 9; ++index)
-        count.begin();
     TimePoint const arrival = now;
+    for (int index = 0; index < 9; ++index)
+        count.begin(arrival);
     // Three slots complete a request every 80 ms, which is 240 ms for each.
     for (int index = 0; index < 60; ++index) {
         now += 80ms;
-        count.begin();
+        count.begin(arrival);
         count.finish(arrival, now, 3);
     }
     BOOST_TEST(count.serviceTimeTenthMs() > 2000U);
@@ -95,9 +95,9 @@
 BOOST_AUTO_TEST_CASE(ARequestThatIsCancelledLeavesNoLoad)
 {
     RequestCount count;
-    count.begin();
-    count.cancel();
-    count.cancel();
+    count.begin(TimePoint { 1000s });
+    count.cancel(TimePoint { 1000s });
+    count.cancel(TimePoint { 1000s });
     BOOST_TEST(count.busy() == 0U);
     BOOST_TEST(count.serviceTimeTenthMs() == 0U);
 }
