--- a/src/balancing/OpeningPolicy.cpp
+++ b/src/balancing/OpeningPolicy.cpp
@@ -43,6 +43,19 @@
         return isWorthForwarding ? std::optional(index) : std::nullopt;
     }
 
+    OpeningDecision decline(OpeningInputs const& inputs, OpeningReason reason) noexcept
+    {
+        bool const isOriginal = inputs.copy == 0 && !inputs.mayBeOpen;
+        if (isOriginal && inputs.hasEntry)
+            return { inputs.isLastOffer ? OpeningAction::Refuse : OpeningAction::ReturnToEntry, reason };
+        // Another target may take what this one must not.
+        if (reason != OpeningReason::OverLimit)
+            return { OpeningAction::ForwardToPeer, reason };
+        // A retransmission is not refused, because an earlier copy may have opened the flow. An original is refused at once: its
+        // caller reaches two other entries within 200 ms, while retransmissions have less and less time left.
+        return { isOriginal ? OpeningAction::Refuse : OpeningAction::Drop, reason };
+    }
+
 } // namespace
 
 std::string_view openingReasonName(OpeningReason reason) noexcept
@@ -68,8 +81,6 @@
     if (inputs.isEvacuated)
         return decline(inputs, OpeningReason::Evacuated);
     bool const isOverLimit = !isWithinLimit(inputs.load, inputs.latencyLimitTenthMs, inputs.copy);
-    if (inputs.copy == 0)
-        lateShare_.record(isOverLimit);
     if (isOverLimit)
         return decline(inputs, OpeningReason::OverLimit);
     if (closed)
@@ -77,18 +88,4 @@
     return { OpeningAction::Admit, OpeningReason::HasRoom };
 }
 
-OpeningDecision OpeningPolicy::decline(OpeningInputs const& inputs, OpeningReason reason) const noexcept
-{
-    bool const isOriginal = inputs.copy == 0 && !inputs.mayBeOpen;
-    if (isOriginal && inputs.hasEntry)
-        return { inputs.isLastOffer ? OpeningAction::Refuse : OpeningAction::ReturnToEntry, reason };
-    // Another target may take what this one must not.
-    if (reason != OpeningReason::OverLimit)
-        return { OpeningAction::ForwardToPeer, reason };
-    // A retransmission is not refused, because an earlier copy may have opened the flow. A dropped original is followed by
-    // retransmissions.
-    bool const isRefused = isOriginal && lateShare_.isRetryUseful();
-    return { isRefused ? OpeningAction::Refuse : OpeningAction::Drop, reason };
-}
-
 } // namespace plantaindrift
--- a/src/balancing/OpeningPolicy.h
+++ b/src/balancing/OpeningPolicy.h
@@ -63,12 +63,7 @@
 /// target can answer in time.
 class OpeningPolicy {
 public:
-    [[nodiscard]] OpeningDecision decide(OpeningInputs const& inputs) noexcept;
-
-private:
-    [[nodiscard]] OpeningDecision decline(OpeningInputs const& inputs, OpeningReason reason) const noexcept;
-
-    LateShare lateShare_;
+    [[nodiscard]] static OpeningDecision decide(OpeningInputs const& inputs) noexcept;
 };
 
 } // namespace plantaindrift
--- a/src/balancing/TargetCost.cpp
+++ b/src/balancing/TargetCost.cpp
@@ -14,8 +14,9 @@
     // Part of the service time by which a fully busy target costs more than an idle one.
     constexpr double busyShare = 0.5;
 
-    // Until it is measured: a flow sends a request of 55 ms about once a second.
-    constexpr double assumedFlowLoadMilli = 50;
+    // A flow that sends a request of 55 ms about once a second. Flows with fewer requests count as much, so that those that open
+    // while all targets are idle are spread evenly.
+    constexpr double minimumFlowLoadMilli = 50;
     constexpr double flowLoadScale = 1000;
 
     // A failed request is retried once the failure is noticed, or lost; 500 ms exceeds the latency objective of most
@@ -43,7 +44,7 @@
 {
     double const requests = std::max(0.0, load.activeRequests + extra);
     double const served = std::min<double>(requests, std::max<std::uint16_t>(load.slots, 1));
-    double const flowLoad = (load.flowLoadMilli > 0 ? load.flowLoadMilli : assumedFlowLoadMilli) / flowLoadScale;
+    double const flowLoad = std::max<double>(load.flowLoadMilli, minimumFlowLoadMilli) / flowLoadScale;
     double const additionalWork = busyShare * served + flowLoad * load.openFlows;
     double const failure = failureCostTenthMs * load.failedPercent / percentScale;
     return expectedTimeBehind(load, requests, additionalWork) + failure;
