Return an opening once more if only targets that take no flows were offered it

Change: an agent that takes no flows returns a last offer too, at most twice for an opening; the entry has the loads of all agents that passed it on. PowerLossTests cuts off a machine that holds flows; the middle one held none. Tests: DeclinedOpeningsTests (AnOpeningIsOfferedElsewhereBeforeItIsRefused and WhatNoTargetServesInTimeIsRefusedAtOnce failed).

--- a/src/balancing/OpeningPolicy.cpp
+++ b/src/balancing/OpeningPolicy.cpp
@@ -46,8 +46,10 @@
     OpeningDecision decline(OpeningInputs const& inputs, OpeningReason reason) noexcept
     {
         bool const isOriginal = inputs.copy == 0 && !inputs.mayBeOpen;
+        // Targets that take no flows may still look idle to the entry, so that it may have offered the flow only to such ones.
+        bool const mayReturn = !inputs.isLastOffer || reason == OpeningReason::NotAccepting;
         if (isOriginal && inputs.hasEntry)
-            return { inputs.isLastOffer ? OpeningAction::Refuse : OpeningAction::ReturnToEntry, reason };
+            return { mayReturn ? OpeningAction::ReturnToEntry : OpeningAction::Refuse, reason };
         // Another target may take what this one must not.
         if (reason != OpeningReason::OverLimit)
             return { OpeningAction::ForwardToPeer, reason };
--- a/src/relay/EntryRelay.cpp
+++ b/src/relay/EntryRelay.cpp
@@ -28,6 +28,10 @@
         "refused_evacuated", "dropped_evacuated", "offered_again", "refused_no_room", "dropped_returned", "refused_link", "refused_processor"
     };
 
+    // Half of a service's targets may stop accepting at once; a second return finds the others by what the agents have reported
+    // meanwhile.
+    constexpr std::uint8_t maximumReturns = 2;
+
     // A caller keeps a flow open for at most 60 s without a packet.
     constexpr std::chrono::seconds flowIdleTimeout { 60 };
 
@@ -111,10 +115,9 @@
         decision.outcome = entryRelayOutcomeName(outcome);
         decision.flow = { context.segment.source, context.segment.destination };
         decision.openAttempt = context.segment.isOpenRequest() ? context.segment.acknowledgement : 0;
-        decision.reason = context.reason;
+        decision.reason = reason.empty() ? context.reason : reason;
         decision.destination = to;
         decision.costTenthMs = cost;
-        decision.reason = reason;
         if (DirectoryTarget const* const target = directory.findTarget(to)) {
             decision.load = target->load;
             decision.loadAge = std::chrono::duration_cast<std::chrono::milliseconds>(context.now - target->lastReport);
@@ -204,6 +207,7 @@
             record->isConfirmed = false;
             record->isInUse = false;
             record->isReturnable = !route.mayBeOpen;
+            record->returns = 0;
             record->last = context.now;
         }
         return forward(context, route, isCopy ? EntryRelayOutcome::ForwardedRetransmission : EntryRelayOutcome::ForwardedOpening, remoteReasonName(reason));
@@ -398,7 +402,7 @@
         bool const isCurrent = record != nullptr && record->isReturnable && context.now - record->opened < originalLifetime;
         if (!isCurrent || service == nullptr || context.segment.acknowledgement != 0)
             return EntryRelayOutcome::DroppedReturned;
-        record->isReturnable = false;
+        record->isReturnable = ++record->returns < maximumReturns;
         std::vector<Endpoint> offered { from, record->owner };
         for (RelayCandidate const& agent : declined.offeredAgents())
             offered.push_back(agent.agent);
--- a/src/relay/FlowRecord.h
+++ b/src/relay/FlowRecord.h
@@ -12,7 +12,8 @@
     bool used { false };
     bool isConfirmed { false }; ///< the owner sent a notice, and no other target may have answered the opening segment
     bool isUnlisted { false }; ///< the owner sent its last notice while the view of the service lacked it
-    bool isReturnable { false }; ///< only the original opening was sent, and no agent has reported what became of it
+    bool isReturnable { false }; ///< only the original opening was sent, no agent has admitted it, and an agent may return it
+    std::uint8_t returns { 0 }; ///< number of times that agents returned the opening
     bool isTimed { false }; ///< the first copy of the opening segment was forwarded, and no notice has answered it
     bool isInUse { false }; ///< the caller has sent later segments, so that one of the answers is acknowledged
     Endpoint owner;
--- a/tests/PowerLossTests.cpp
+++ b/tests/PowerLossTests.cpp
@@ -258,7 +258,9 @@
 {
     for (Size const size : sizes) {
         PowerLoss fleet(size.entries, size.agents, 200);
-        std::size_t const cutOff = size.agents / 2;
+        std::size_t cutOff = size.agents / 2;
+        while (cutOff + 2 < size.agents && fleet.scene.agents[cutOff]->target.flows.empty())
+            ++cutOff;
         fleet.strike({}, { cutOff, cutOff + 1 });
         Agent& agent = *fleet.scene.agents[cutOff];
         agent.up = false;
