Keep flows that opened at a restarted target before its first announcement

Flows whose last opening segment was admitted after the start that the announcement names stay, with the requests in progress on them. A flow that is kept wrongly is found at its next segment, which the target returns.

AgentRelayTests/FlowsThatOpenedAtTheNewTargetBeforeItsAnnouncementAreKept fails without the start time.

--- a/include/plantaindrift/relay/AgentRelay.h
+++ b/include/plantaindrift/relay/AgentRelay.h
@@ -93,8 +93,10 @@
     /// \brief Replaces the state of the target; takes effect with the next segment.
     void setTargetState(TargetState const& target, TimePoint now);
 
-    /// \brief Marks all established flows as lost, because a new target without flows replaced the old one.
-    void handleTargetReplacement();
+    /// \brief Marks established flows as lost, because a new target without flows replaced the old one.
+    ///
+    /// \param started  start of the new target; flows that opened since are its own
+    void handleTargetReplacement(TimePoint started = TimePoint::max());
 
     /// \brief Stops admitting new flows, because this process ends, and reports this to all subscribed entries.
     void stopAccepting(TimePoint now, std::uint32_t nowSeconds);
--- a/src/relay/AgentOpenings.cpp
+++ b/src/relay/AgentOpenings.cpp
@@ -91,6 +91,8 @@
             return drop(context, AgentRelayOutcome::DroppedUnknownFlow);
     }
     record->lastSegment = context.now;
+    if (!record->isEstablished)
+        record->opened = context.now;
     record->entry = context.route.entry;
     notifyEntry(context);
     return deliver(context, AgentRelayOutcome::Admitted, true);
--- a/src/relay/AgentRelay.cpp
+++ b/src/relay/AgentRelay.cpp
@@ -198,9 +198,9 @@
     state_->flows.requests().setWarmUpEnd(now + target.remainingWarmUp);
 }
 
-void AgentRelay::handleTargetReplacement()
+void AgentRelay::handleTargetReplacement(TimePoint started)
 {
-    state_->flows.markAllLost();
+    state_->flows.markLostBefore(started);
 }
 
 void AgentRelay::stopAccepting(TimePoint now, std::uint32_t nowSeconds)
--- a/src/relay/AgentSegments.cpp
+++ b/src/relay/AgentSegments.cpp
@@ -187,8 +187,10 @@
     if (record == nullptr) {
         // The flow is older than this process.
         record = flows.insert(context.hash);
-        if (record != nullptr)
+        if (record != nullptr) {
             record->isEstablished = !context.segment.isOpening;
+            record->opened = context.now;
+        }
     }
     if (record != nullptr)
         flows.trackAnswer(*record, context.segment, context.now, target.slots);
--- a/src/relay/TargetFlows.cpp
+++ b/src/relay/TargetFlows.cpp
@@ -117,14 +117,20 @@
     flow.isLost = true;
 }
 
-void TargetFlows::markAllLost() noexcept
+void TargetFlows::markLostBefore(TimePoint started) noexcept
 {
-    flows_.eraseIf([this](TargetFlow& flow) {
+    flows_.eraseIf([this, started](TargetFlow& flow) {
+        if (flow.opened >= started)
+            return false;
         markLost(flow);
         // A flow that was only offered to the target may be open at another one.
         return !flow.isEstablished;
     });
     requests_.reset();
+    flows_.forEach([this](TargetFlow const& flow) {
+        if (flow.hasPendingRequest)
+            requests_.begin();
+    });
 }
 
 void TargetFlows::sweep(TimePoint now) noexcept
--- a/src/relay/TargetFlows.h
+++ b/src/relay/TargetFlows.h
@@ -23,6 +23,7 @@
     std::uint32_t targetSequence { 0 }; ///< sequence number of the target's answer to the opening segment
     std::uint32_t requestEnd { 0 }; ///< sequence number after the caller's last data
     Endpoint entry; ///< the entry that sends the flow's segments
+    TimePoint opened; ///< time of the last opening segment before the flow was established
     TimePoint lastSegment;
     TimePoint lastRequestData; ///< time of the last data of the request in progress
 
@@ -58,8 +59,8 @@
     /// \brief Marks an open flow as lost, because the target no longer holds it.
     void markLost(TargetFlow& flow) noexcept;
 
-    /// \brief Marks all established flows as lost, because a new target without flows replaced the old one.
-    void markAllLost() noexcept;
+    /// \brief Marks the established flows that opened before a time as lost, because a new target replaced the old one then.
+    void markLostBefore(TimePoint started) noexcept;
 
     /// \brief Discards flows that have been idle for too long.
     void sweep(TimePoint now) noexcept;
--- a/src/runtime/RelayAgentDaemon.cpp
+++ b/src/runtime/RelayAgentDaemon.cpp
@@ -8,6 +8,7 @@
 #include "runtime/DecisionLog.h"
 #include "runtime/FleetStoreThread.h"
 
+#include <algorithm>
 #include <asio/steady_timer.hpp>
 #include <optional>
 
@@ -152,7 +153,7 @@
             bool const wasAccepting = announcements_.targetState(now).isAccepting;
             AnnouncementOutcome const outcome = announcements_.processAnnouncement(*announcement, now);
             if (outcome == AnnouncementOutcome::AcceptedNewTarget)
-                relay_.handleTargetReplacement();
+                relay_.handleTargetReplacement(startOf(*announcement, now));
             applyTarget(now);
             bool const isAccepting = announcements_.targetState(now).isAccepting;
             if (outcome != AnnouncementOutcome::Accepted || wasAccepting != isAccepting)
@@ -160,6 +161,13 @@
             return { 200, "{}", "application/json" };
         }
 
+        // The target runs on this machine, so that its clock is this process's.
+        static TimePoint startOf(TargetAnnouncement const& announcement, TimePoint now)
+        {
+            std::int64_t const ageMs = static_cast<std::int64_t>(firstIncarnation()) - announcement.startTimeMs;
+            return now - std::chrono::milliseconds { std::max<std::int64_t>(ageMs, 0) };
+        }
+
         void applyTarget(TimePoint now)
         {
             TargetState state = announcements_.targetState(now);
--- a/tests/AgentRelayTests.cpp
+++ b/tests/AgentRelayTests.cpp
@@ -574,6 +574,36 @@
     BOOST_TEST(isReset(flow));
 }
 
+// A flow that opened at a restarted target before its first announcement was taken for one of the former process: the agent
+// reset it although its target held it.
+BOOST_AUTO_TEST_CASE(FlowsThatOpenedAtTheNewTargetBeforeItsAnnouncementAreKept)
+{
+    Scene scene(1, 1);
+    CallerFlow& former = scene.open(0);
+    scene.runFor(500ms);
+    FakeTarget& target = scene.agents[0]->target;
+    target.flows.clear();
+    TimePoint const restarted = scene.now();
+    scene.runFor(100ms);
+    CallerFlow& kept = scene.open(0);
+    scene.runFor(100ms);
+    target.serviceTime = 300ms;
+    scene.request(kept);
+    scene.runFor(100ms);
+    scene.agents[0]->relay->handleTargetReplacement(restarted);
+    // The request that the new target serves still counts.
+    BOOST_TEST(scene.agents[0]->relay->load().activeRequests == 1U);
+    BOOST_TEST(scene.agents[0]->relay->load().openFlows == 1U);
+    scene.runFor(500ms);
+    BOOST_TEST(scene.agents[0]->relay->load().activeRequests == 0U);
+    scene.request(kept);
+    scene.request(former);
+    scene.runFor(500ms);
+    BOOST_TEST(!isReset(kept));
+    BOOST_TEST(kept.requests.back().answered.has_value());
+    BOOST_TEST(isReset(former));
+}
+
 // A target answered data of a flow that it did not hold with a reset, and the agent forwarded it to the caller.
 BOOST_AUTO_TEST_CASE(AResetOfATargetThatNeverHadTheFlowStaysHere)
 {
