--- a/tests/PowerLossTests.cpp
+++ b/tests/PowerLossTests.cpp
@@ -50,7 +50,7 @@
         }
         scene.runFor(1s);
         returned.resize(entries);
-        nextRead.resize(entries);
+        nextRead_.resize(entries);
     }
 
     /// \brief Ends all processes but those of some agents; their machines return after a random time.
@@ -139,7 +139,7 @@
     TimePoint lost;
 
 private:
-    std::vector<TimePoint> nextRead;
+    std::vector<TimePoint> nextRead_;
     std::mt19937 random_ { 5 };
 
     Duration outage()
@@ -178,9 +178,9 @@
     void readMembersIfNeeded(std::size_t index)
     {
         Entry const& entry = *scene.entries[index];
-        if (!entry.up || !entry.relay->needsMemberRead() || scene.now() < nextRead[index])
+        if (!entry.up || !entry.relay->needsMemberRead() || scene.now() < nextRead_[index])
             return;
-        nextRead[index] = scene.now() + memberReadInterval;
+        nextRead_[index] = scene.now() + memberReadInterval;
         scene.after(memberReadTime, [&relay = *entry.relay, started = scene.now()] { relay.recordMemberRead(started); });
     }
 
