--- a/src/relay/AgentRelay.cpp
+++ b/src/relay/AgentRelay.cpp
@@ -214,9 +214,9 @@
     state_->flows.requests().setWarmUpEnd(state_->warmUpEnd);
 }
 
-void AgentRelay::handleTargetReplacement()
+void AgentRelay::handleTargetReplacement(TimePoint started)
 {
-    state_->flows.markAllLost();
+    state_->flows.markLostBefore(started);
 }
 
 void AgentRelay::stopAccepting(TimePoint now, std::uint32_t nowSeconds)
