--- a/include/plantaindrift/relay/AgentRelay.h
+++ b/include/plantaindrift/relay/AgentRelay.h
@@ -19,6 +19,7 @@
 #include <span>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace plantaindrift {
 
@@ -69,6 +70,13 @@
     std::chrono::milliseconds remainingWarmUp { 0 }; ///< remaining time in which the target is slow after its start
 };
 
+/// \brief Number of opening segments that an agent treated in one way for one reason.
+struct OpeningCount {
+    std::string_view action;
+    std::string_view reason;
+    std::uint64_t segments { 0 };
+};
+
 /// \brief Admits flows to the local target, delivers their segments and counts the target's load.
 ///
 /// This is the only place where flow state is kept; after a restart it is rebuilt from the segments that the target
@@ -124,6 +132,9 @@
     /// \brief Number of segments for each outcome since start.
     [[nodiscard]] std::array<std::uint64_t, agentRelayOutcomeCount> const& outcomeCounts() const noexcept;
 
+    /// \brief Decisions about opening segments since start; combinations that did not occur are left out.
+    [[nodiscard]] std::vector<OpeningCount> openingCounts() const;
+
     /// \brief Times from a request's last segment to the first segment of its answer, since start.
     [[nodiscard]] LatencyHistogram const& requestTimes() const noexcept;
 
--- a/src/balancing/OpeningPolicy.cpp
+++ b/src/balancing/OpeningPolicy.cpp
@@ -3,12 +3,16 @@
 #include "balancing/TargetCost.h"
 
 #include <algorithm>
+#include <array>
 #include <optional>
 
 namespace plantaindrift {
 
 namespace {
 
+    constexpr std::array<std::string_view, openingActionCount> actionNames { "admit", "forward_to_candidate", "forward_to_peer", "refuse", "drop" };
+    constexpr std::array<std::string_view, openingReasonCount> reasonNames { "known_flow", "has_room", "cheaper_candidate", "not_accepting", "over_limit" };
+
     // Minimum gain for which a segment is forwarded: both loads may have changed since they were sent.
     constexpr double minimumForwardGainShare = 0.5;
     constexpr double minimumForwardGainTenthMs = 30;
@@ -30,6 +34,16 @@
 
 } // namespace
 
+std::string_view openingActionName(OpeningAction action) noexcept
+{
+    return actionNames[static_cast<std::size_t>(action)];
+}
+
+std::string_view openingReasonName(OpeningReason reason) noexcept
+{
+    return reasonNames[static_cast<std::size_t>(reason)];
+}
+
 OpeningDecision OpeningPolicy::decide(OpeningInputs const& inputs) noexcept
 {
     if (inputs.isKnownFlow)
--- a/src/balancing/OpeningPolicy.h
+++ b/src/balancing/OpeningPolicy.h
@@ -6,6 +6,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <span>
+#include <string_view>
 
 namespace plantaindrift {
 
@@ -31,6 +32,11 @@
 };
 
 inline constexpr std::size_t openingReasonCount = 5;
+inline constexpr std::size_t openingActionCount = 5;
+
+/// \brief Lower-case names, as in logs and metrics.
+[[nodiscard]] std::string_view openingActionName(OpeningAction action) noexcept;
+[[nodiscard]] std::string_view openingReasonName(OpeningReason reason) noexcept;
 
 /// \brief What the decision about an opening segment depends on.
 struct OpeningInputs {
--- a/src/relay/AgentOpenings.cpp
+++ b/src/relay/AgentOpenings.cpp
@@ -26,6 +26,8 @@
     inputs.hops = context.route.hops;
     inputs.candidates = context.route.usedCandidates();
     OpeningDecision const decision = openingPolicy.decide(inputs);
+    context.reason = openingReasonName(decision.reason);
+    ++openings[static_cast<std::size_t>(decision.action)][static_cast<std::size_t>(decision.reason)];
     // Without a reply, the entry takes the agent for silent until its next load report.
     if (decision.action != OpeningAction::Admit && context.route.entry.isSet())
         sendLoadReport(context.route.entry, context.nowSeconds);
--- a/src/relay/AgentRelay.cpp
+++ b/src/relay/AgentRelay.cpp
@@ -96,6 +96,7 @@
     decision.openAttempt = context.segment.isOpenRequest() ? context.segment.acknowledgement : 0;
     decision.destination = to;
     decision.hops = context.route.hops;
+    decision.reason = context.reason;
     decision.load = load();
     decision.costTenthMs = targetCost(decision.load, 0);
     observer.onDecision(decision);
@@ -280,6 +281,18 @@
     return state_->outcomes;
 }
 
+std::vector<OpeningCount> AgentRelay::openingCounts() const
+{
+    std::vector<OpeningCount> counts;
+    for (std::size_t action = 0; action < openingActionCount; ++action) {
+        for (std::size_t reason = 0; reason < openingReasonCount; ++reason) {
+            if (state_->openings[action][reason] > 0)
+                counts.push_back({ openingActionName(static_cast<OpeningAction>(action)), openingReasonName(static_cast<OpeningReason>(reason)), state_->openings[action][reason] });
+        }
+    }
+    return counts;
+}
+
 LatencyHistogram const& AgentRelay::requestTimes() const noexcept
 {
     return state_->flows.requests().times();
--- a/src/relay/AgentRelayState.h
+++ b/src/relay/AgentRelayState.h
@@ -12,6 +12,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <span>
+#include <string_view>
 #include <vector>
 
 namespace plantaindrift {
@@ -37,6 +38,7 @@
         RelayRoute route;
         TimePoint now;
         std::uint32_t nowSeconds { 0 };
+        std::string_view reason {}; ///< of the decision about an opening segment
     };
 
     State(AgentRelayOptions const& given, SegmentCodec const& segmentCodec, RelaySender& messageSender, RelayObserver& decisionObserver, TimePoint now);
@@ -64,6 +66,7 @@
     EvacuationSet evacuations;
     TimePoint lastSweep;
     std::array<std::uint64_t, agentRelayOutcomeCount> outcomes {};
+    std::array<std::array<std::uint64_t, openingReasonCount>, openingActionCount> openings {}; ///< decisions by action and reason
     std::array<std::byte, maximumRelayHeaderBytes + 64> header {};
     std::array<std::byte, 2048> queryBuffer {};
 
--- a/src/runtime/RelayAgentDaemon.cpp
+++ b/src/runtime/RelayAgentDaemon.cpp
@@ -262,6 +262,8 @@
                 std::string const name(agentRelayOutcomeName(static_cast<AgentRelayOutcome>(outcome)));
                 page.addCounter("plantaindrift_agent_segments_total", "Segments by outcome.", { { "service", self_.service }, { "outcome", name } }, static_cast<double>(relay_.outcomeCounts()[outcome]));
             }
+            for (OpeningCount const& count : relay_.openingCounts())
+                page.addCounter("plantaindrift_agent_openings_total", "Opening segments by action and reason.", { { "service", self_.service }, { "action", std::string(count.action) }, { "reason", std::string(count.reason) } }, static_cast<double>(count.segments));
             TargetLoad const load = relay_.load();
             page.addGauge("plantaindrift_agent_open_flows", "Flows in the flow table.", service, load.openFlows);
             page.addGauge("plantaindrift_agent_busy", "Requests in progress or queued at the target.", service, load.activeRequests);
--- a/tests/BalancingScene.h
+++ b/tests/BalancingScene.h
@@ -127,7 +127,7 @@
         for (std::size_t index = 0; index < settings.dataCentres * settings.entriesPerDataCentre; ++index) {
             std::unique_ptr<Entry> entry = std::make_unique<Entry>();
             entry->dataCentre = index / settings.entriesPerDataCentre;
-            entry->directory = std::make_unique<TargetDirectory>(nameOf(entry->dataCentre), settings.seed * 100 + index, settings.remote);
+            entry->directory = std::make_unique<TargetDirectory>(nameOf(entry->dataCentre), std::uint64_t { 100 } * settings.seed + index, settings.remote);
             entry->directory->setView(view, now_);
             entry->group = &entry->directory->findOrAddService("desk");
             entries.push_back(std::move(entry));
--- a/tests/EntryRelayTests.cpp
+++ b/tests/EntryRelayTests.cpp
@@ -270,3 +270,27 @@
     for (std::unique_ptr<CallerFlow> const& flow : scene.flows)
         BOOST_TEST(flow->requests.back().answered.has_value());
 }
+
+// Guards against decisions that operators cannot trace: every new flow has a reason at its entry and at its agent.
+BOOST_AUTO_TEST_CASE(NewFlowsAreCountedByReason)
+{
+    Scene scene(1, 3);
+    constexpr std::uint64_t flowCount = 30;
+    for (std::uint64_t count = 0; count < flowCount; ++count) {
+        scene.open(0);
+        scene.runFor(50ms);
+    }
+    std::vector<SiteCounts> const sites = scene.entries[0]->relay->siteCounts(scene.now());
+    BOOST_TEST_REQUIRE(sites.size() == 1U);
+    BOOST_TEST(sites[0].dataCentre == "north");
+    BOOST_TEST(sites[0].flows[static_cast<std::size_t>(RemoteReason::Local)] == flowCount);
+    BOOST_TEST((sites[0].extraTenthMs == 0.0));
+    std::uint64_t admitted = 0;
+    for (std::unique_ptr<Agent> const& agent : scene.agents) {
+        for (OpeningCount const& count : agent->relay->openingCounts())
+            admitted += count.action == "admit" && count.reason == "has_room" ? count.segments : 0;
+    }
+    BOOST_TEST(admitted == flowCount);
+    std::vector<RelayDecision> const& decisions = scene.decisions.decisions;
+    BOOST_TEST(std::all_of(decisions.begin(), decisions.end(), [](RelayDecision const& decision) { return decision.outcome == "first_forwarded" ? decision.reason == "local" : decision.outcome != "admitted" || decision.reason == "has_room"; }));
+}
--- a/tests/SettingsTests.cpp
+++ b/tests/SettingsTests.cpp
@@ -90,6 +90,23 @@
     BOOST_TEST((settings->common.logLevel == LogLevel::Debug));
 }
 
+// Without these keys, the price depends on the distance.
+BOOST_AUTO_TEST_CASE(SettingsOfOtherDataCentresAreRead)
+{
+    std::string const text = entryText + "relay = \"127.0.0.1:7735\"\n";
+    TemporaryFile const plain(text);
+    absl::StatusOr<RelayEntrySettings> settings = readRelayEntrySettings(plain.path());
+    BOOST_REQUIRE_MESSAGE(settings.ok(), settings.status().message());
+    BOOST_TEST((settings->remote.mode == RemoteMode::Auto));
+    BOOST_TEST(!settings->remote.msPerMegabyte.has_value());
+    TemporaryFile const given(text + "[balancing]\nremote = \"never\"\nremote_ms_per_mb = 80\n");
+    settings = readRelayEntrySettings(given.path());
+    BOOST_REQUIRE_MESSAGE(settings.ok(), settings.status().message());
+    BOOST_TEST((settings->remote.mode == RemoteMode::Never));
+    BOOST_TEST((settings->remote.msPerMegabyte == 80.0));
+    BOOST_TEST(!readRelayEntrySettings(TemporaryFile(text + "[balancing]\nremote = \"often\"\n").path()).ok());
+}
+
 BOOST_AUTO_TEST_CASE(ValidAgentSettingsAreRead)
 {
     TemporaryFile const file(replaced(agentText, "[target]", "on_stop = \"handover\"\nweight = 50\n[target]"));
