--- a/include/plantaindrift/relay/RemoteOptions.h
+++ b/include/plantaindrift/relay/RemoteOptions.h
@@ -25,7 +25,7 @@
 /// \brief Why a new flow was sent to the data centre of its target.
 enum class RemoteReason : std::uint8_t {
     Local, ///< the entry's own data centre
-    Near, ///< at no more than the assumed distance, or not measured yet
+    Near, ///< at a small distance, or at one that is not measured yet
     ShorterWait, ///< the wait is shorter by more than the distance and the price of the bytes
     NoLocalTarget, ///< no target within reach accepts new flows
     AlwaysRemote ///< required by the settings
--- a/src/balancing/RemotePolicy.cpp
+++ b/src/balancing/RemotePolicy.cpp
@@ -12,6 +12,10 @@
     // Two round trips of 1 ms: half a millisecond one way, as between neighbouring data centres.
     constexpr double assumedCostTenthMs = 20;
 
+    // Up to this delay a flow chooses by cost alone: it is a twentieth of an objective of 200 ms, and far less than the wait at
+    // targets that a surge has filled, which the share of far flows would relieve only after some tenths of a second.
+    constexpr double maximumNearTenthMs = 100;
+
     // The opening segment and the request; both go through the entry to the agent, whose answers go to the caller.
     constexpr double baseRoundTrips = 2;
 
@@ -44,10 +48,10 @@
 {
     RemoteCost cost;
     double const baseTenthMs = baseRoundTrips * extraTenthMs.value_or(0);
-    cost.isFar = baseTenthMs > assumedCostTenthMs;
+    cost.isFar = baseTenthMs > maximumNearTenthMs;
     double const furtherRoundTrips = std::floor(bytes.fromCaller / windowBytes) + std::floor(bytes.toCaller / windowBytes);
-    cost.delayTenthMs = cost.isFar ? baseTenthMs + furtherRoundTrips * *extraTenthMs : assumedCostTenthMs;
-    double const msPerMegabyte = options.msPerMegabyte.value_or(cost.isFar ? defaultMsPerMegabyte : 0);
+    cost.delayTenthMs = std::max(assumedCostTenthMs, baseTenthMs + furtherRoundTrips * extraTenthMs.value_or(0));
+    double const msPerMegabyte = options.msPerMegabyte.value_or(baseTenthMs > assumedCostTenthMs ? defaultMsPerMegabyte : 0);
     if (options.mode != RemoteMode::Always)
         cost.priceTenthMs = (bytes.fromCaller + bytes.toCaller) / bytesPerMegabyte * msPerMegabyte * tenthsPerMillisecond;
     return cost;
--- a/src/balancing/RemotePolicy.h
+++ b/src/balancing/RemotePolicy.h
@@ -23,8 +23,8 @@
 
 /// \brief Cost of sending a new flow to a target of another data centre.
 ///
-/// Where the distance is not measured or costs no more than the fixed 2 ms that entries assumed before they measured it,
-/// the result is these 2 ms, and a price applies only if the settings state one.
+/// The cost is at least the fixed 2 ms that entries assumed before they measured the distance. Up to this cost, a price applies
+/// only if the settings state one.
 /// \param extraTenthMs  time by which a round trip is longer, in 0.1 ms; empty if it was not measured
 [[nodiscard]] RemoteCost remoteCost(std::optional<double> extraTenthMs, RequestBytes const& bytes, RemoteOptions const& options) noexcept;
 
--- a/src/relay/TargetDirectory.cpp
+++ b/src/relay/TargetDirectory.cpp
@@ -364,29 +364,41 @@
     return remoteCost(delays_.extraTenthMs(target.site, now), { bytesFromCaller, bytesToCaller }, remoteOptions_);
 }
 
-bool TargetDirectory::isWithinReach(DirectoryTarget const& target, TimePoint now) const noexcept
+TargetDirectory::Reach TargetDirectory::reachOf(DirectoryTarget const& target, TimePoint now) const noexcept
 {
-    if (target.local || remoteOptions_.mode == RemoteMode::Always)
-        return true;
-    return remoteOptions_.mode == RemoteMode::Auto && !remoteCostOf(target, 0, now).isFar;
+    if (target.local)
+        return Reach::Local;
+    if (remoteOptions_.mode == RemoteMode::Always)
+        return Reach::Near;
+    bool const isNear = remoteOptions_.mode == RemoteMode::Auto && !remoteCostOf(target, 0, now).isFar;
+    return isNear ? Reach::Near : Reach::Far;
 }
 
-// Moves random targets that accept new flows, within reach or beyond it, to the front of the order, behind those already
-// drawn. \returns the number of all drawn targets
-std::size_t TargetDirectory::drawSample(TargetGroup& group, std::size_t drawn, bool isWithin, TimePoint now, bool includeCold) noexcept
+// Moves random targets at one reach that accept new flows to the front of the order, behind those already drawn.
+// \returns the number of all drawn targets
+std::size_t TargetDirectory::drawSample(TargetGroup& group, std::size_t drawn, Reach reach, TimePoint now, bool includeCold) noexcept
 {
     std::size_t sampled = drawn;
     std::size_t const all = group.order.size();
     for (std::size_t index = drawn; index < all && sampled < drawn + sampleSize; ++index) {
         std::swap(group.order[index], group.order[index + random_.below(all - index)]);
         DirectoryTarget const& target = group.targets[group.order[index]];
-        bool const isCandidate = acceptsFlows(target) && isWithinReach(target, now) == isWithin;
+        bool const isCandidate = acceptsFlows(target) && reachOf(target, now) == reach;
         if (isCandidate && (includeCold || !isColdShareUsed(target, now)))
             std::swap(group.order[sampled++], group.order[index]);
     }
     return sampled;
 }
 
+TargetDirectory::Sample TargetDirectory::drawSamples(TargetGroup& group, TimePoint now, bool includeCold) noexcept
+{
+    Sample sample;
+    std::size_t const local = drawSample(group, 0, Reach::Local, now, includeCold);
+    sample.withinReach = drawSample(group, local, Reach::Near, now, includeCold);
+    sample.all = drawSample(group, sample.withinReach, Reach::Far, now, includeCold);
+    return sample;
+}
+
 void TargetDirectory::recordOffer(DirectoryTarget& target, TimePoint now) noexcept
 {
     ++target.openingsSinceReport;
@@ -402,7 +414,7 @@
         return RemoteReason::Local;
     if (remoteOptions_.mode == RemoteMode::Always)
         return RemoteReason::AlwaysRemote;
-    if (isWithinReach(target, now))
+    if (reachOf(target, now) == Reach::Near)
         return RemoteReason::Near;
     return hasTargetWithinReach ? RemoteReason::ShorterWait : RemoteReason::NoLocalTarget;
 }
@@ -411,16 +423,14 @@
 {
     if (route.latencyLimitTenthMs > 0)
         group.limitTenthMs = group.limitTenthMs > 0 ? std::min<double>(group.limitTenthMs, route.latencyLimitTenthMs) : route.latencyLimitTenthMs;
-    std::size_t within = drawSample(group, 0, true, now, false);
-    std::size_t reachable = drawSample(group, within, false, now, false);
+    Sample sample = drawSamples(group, now, false);
     // Cold targets whose share is used are drawn only if no other target accepts new flows.
-    if (reachable == 0) {
-        within = drawSample(group, 0, true, now, true);
-        reachable = drawSample(group, within, false, now, true);
-    }
+    if (sample.all == 0)
+        sample = drawSamples(group, now, true);
+    std::size_t const within = sample.withinReach;
     bool const mayLeave = remoteOptions_.mode == RemoteMode::Auto && static_cast<double>(random_.below(shareSteps)) < group.remote.share() * shareSteps;
     bool const isLeavingForbidden = remoteOptions_.mode == RemoteMode::Never && within > 0;
-    std::size_t const sampled = isLeavingForbidden ? within : reachable;
+    std::size_t const sampled = isLeavingForbidden ? within : sample.all;
     std::size_t const offered = within == 0 || mayLeave ? sampled : within;
     CheapestOffers best;
     CheapestOffers lastResort;
@@ -508,7 +518,7 @@
     for (DirectoryTarget const& target : group.targets) {
         if (!acceptsFlows(target) || target.site >= maximumSites)
             continue;
-        bool const isNear = isWithinReach(target, now);
+        bool const isNear = reachOf(target, now) != Reach::Far;
         double const weight = std::max<std::uint16_t>(target.load.slots, 1);
         TargetOffer offer = offerOf(group, target, {}, now);
         offer.remoteCostTenthMs = remoteCostOf(target, 0, now).delayTenthMs;
--- a/src/relay/TargetDirectory.h
+++ b/src/relay/TargetDirectory.h
@@ -165,6 +165,19 @@
     [[nodiscard]] bool hasLiveTarget() const noexcept;
 
 private:
+    /// How far a target is from the entry.
+    enum class Reach : std::uint8_t {
+        Local, ///< in the entry's data centre
+        Near, ///< the distance costs so little that flows choose by cost alone
+        Far ///< flows leave within the share that RemotePolicy permits
+    };
+
+    /// Numbers of targets at the front of TargetGroup::order.
+    struct Sample {
+        std::size_t withinReach { 0 }; ///< local and near ones
+        std::size_t all { 0 };
+    };
+
     std::string dataCentre_;
     EvacuationSet evacuations_;
     RemoteOptions remoteOptions_;
@@ -187,8 +200,9 @@
     [[nodiscard]] TargetOffer offerOf(TargetGroup const& group, DirectoryTarget const& target, std::span<Endpoint const> asked, TimePoint now) const noexcept;
     [[nodiscard]] bool acceptsFlows(DirectoryTarget const& target) const noexcept;
     [[nodiscard]] RemoteCost remoteCostOf(DirectoryTarget const& target, double bytesFromCaller, TimePoint now) const noexcept;
-    [[nodiscard]] bool isWithinReach(DirectoryTarget const& target, TimePoint now) const noexcept;
-    [[nodiscard]] std::size_t drawSample(TargetGroup& group, std::size_t drawn, bool isWithin, TimePoint now, bool includeCold) noexcept;
+    [[nodiscard]] Reach reachOf(DirectoryTarget const& target, TimePoint now) const noexcept;
+    [[nodiscard]] std::size_t drawSample(TargetGroup& group, std::size_t drawn, Reach reach, TimePoint now, bool includeCold) noexcept;
+    [[nodiscard]] Sample drawSamples(TargetGroup& group, TimePoint now, bool includeCold) noexcept;
     [[nodiscard]] RemoteReason reasonOf(DirectoryTarget const& target, bool hasTargetWithinReach, TimePoint now) const noexcept;
     [[nodiscard]] RemoteInputs remoteInputsOf(TargetGroup const& group, TimePoint now) const noexcept;
     [[nodiscard]] bool isColdShareUsed(DirectoryTarget const& target, TimePoint now) const noexcept;
--- a/src/relay/TargetFlows.cpp
+++ b/src/relay/TargetFlows.cpp
@@ -148,8 +148,10 @@
     });
     requests_.reset();
     flows_.forEach([this](TargetFlow const& flow) {
+        if (flow.offered != TimePoint {})
+            requests_.expect(flow.offered);
         if (flow.hasPendingRequest)
-            requests_.begin();
+            requests_.begin(flow.lastRequestData, false);
     });
 }
 
--- a/tests/FleetStoreThreadTests.cpp
+++ b/tests/FleetStoreThreadTests.cpp
@@ -350,7 +350,7 @@
 BOOST_AUTO_TEST_CASE(RecordsOfEntriesThatAreGoneAreRemoved)
 {
     std::shared_ptr<StoreContents> const contents = std::make_shared<StoreContents>();
-    for (std::string const& name : { "gone", "reborn", "other" }) {
+    for (std::string const name : { "gone", "reborn", "other" }) {
         Member former = makeSelf(MemberRole::Entry);
         former.name = name;
         former.incarnation = name == "reborn" ? 9 : 5;
@@ -359,7 +359,7 @@
     Process entry(MemberRole::Entry, contents);
     EntryCensus census;
     census.running = 2;
-    for (std::string const& name : { "gone", "reborn", "node-1" }) {
+    for (std::string const name : { "gone", "reborn", "node-1" }) {
         census.gone.push_back(makeSelf(MemberRole::Entry));
         census.gone.back().name = name;
         census.gone.back().incarnation = 5;
