Spread flows over near data centres; keep bulk local

Cause: flows that stay open bind their requests to the targets of one data centre. Change: the delay of near data centres counts as the assumed 2 ms, further round trips and bytes in full; near and local targets are sampled together.

--- a/src/balancing/RemotePolicy.cpp
+++ b/src/balancing/RemotePolicy.cpp
@@ -12,8 +12,9 @@
     // Two round trips of 1 ms: half a millisecond one way, as between neighbouring data centres.
     constexpr double assumedCostTenthMs = 20;
 
-    // Up to this delay a flow chooses by cost alone: it is a twentieth of an objective of 200 ms, and far less than the wait at
-    // targets that a surge has filled, which the share of far flows would relieve only after some tenths of a second.
+    // Up to this delay, a twentieth of an objective of 200 ms, a data centre is near. Its delay then counts as the assumed cost:
+    // a flow that stays open binds all of its requests to the targets of one data centre, whose demand may rise by half, so
+    // that open flows are better spread over all of them. Only bytes keep a flow local.
     constexpr double maximumNearTenthMs = 100;
 
     // The opening segment and the request; both go through the entry to the agent, whose answers go to the caller.
@@ -51,7 +52,8 @@
     cost.isFar = baseTenthMs > maximumNearTenthMs;
     double const furtherRoundTrips = std::floor(bytes.fromCaller / windowBytes) + std::floor(bytes.toCaller / windowBytes);
     bool const isBeyondAssumed = baseTenthMs > assumedCostTenthMs;
-    cost.delayTenthMs = isBeyondAssumed ? baseTenthMs + furtherRoundTrips * *extraTenthMs : assumedCostTenthMs;
+    cost.delayTenthMs = cost.isFar ? baseTenthMs : assumedCostTenthMs;
+    cost.delayTenthMs += isBeyondAssumed ? furtherRoundTrips * *extraTenthMs : 0;
     double const msPerMegabyte = options.msPerMegabyte.value_or(isBeyondAssumed ? defaultMsPerMegabyte : 0);
     if (options.mode != RemoteMode::Always)
         cost.priceTenthMs = (bytes.fromCaller + bytes.toCaller) / bytesPerMegabyte * msPerMegabyte * tenthsPerMillisecond;
--- a/src/relay/TargetDirectory.cpp
+++ b/src/relay/TargetDirectory.cpp
@@ -320,15 +320,12 @@
 // Newer reports have a higher weight: a target that was reported as full gets no flows, and stays so until its next report.
 void TargetDirectory::updateMeans(TargetGroup& group, TimePoint now) const noexcept
 {
-    group.hasNear = false;
     group.hasFar = false;
     std::vector<double>& requests = group.requestsPerSlot;
     std::vector<double> slots(requests.size(), 0.0);
     std::fill(requests.begin(), requests.end(), 0.0);
     for (DirectoryTarget const& target : group.targets) {
-        Reach const reach = reachOf(target, now);
-        group.hasNear = group.hasNear || reach == Reach::Near;
-        group.hasFar = group.hasFar || reach == Reach::Far;
+        group.hasFar = group.hasFar || reachOf(target, now) == Reach::Far;
         if (!target.hasReported || !acceptsFlows(target))
             continue;
         double const weight = reportWeight(now - target.lastReport);
@@ -378,16 +375,16 @@
     return isNear ? Reach::Near : Reach::Far;
 }
 
-// Moves random targets at one reach that accept new flows to the front of the order, behind those already drawn.
+// Moves random targets that accept new flows, far ones or others, to the front of the order, behind those already drawn.
 // \returns the number of all drawn targets
-std::size_t TargetDirectory::drawSample(TargetGroup& group, std::size_t drawn, Reach reach, TimePoint now, bool includeCold) noexcept
+std::size_t TargetDirectory::drawSample(TargetGroup& group, std::size_t drawn, bool isFar, TimePoint now, bool includeCold) noexcept
 {
     std::size_t sampled = drawn;
     std::size_t const all = group.order.size();
     for (std::size_t index = drawn; index < all && sampled < drawn + sampleSize; ++index) {
         std::swap(group.order[index], group.order[index + random_.below(all - index)]);
         DirectoryTarget const& target = group.targets[group.order[index]];
-        bool const isCandidate = acceptsFlows(target) && reachOf(target, now) == reach;
+        bool const isCandidate = acceptsFlows(target) && (reachOf(target, now) == Reach::Far) == isFar;
         if (isCandidate && (includeCold || !isColdShareUsed(target, now)))
             std::swap(group.order[sampled++], group.order[index]);
     }
@@ -397,9 +394,8 @@
 TargetDirectory::Sample TargetDirectory::drawSamples(TargetGroup& group, TimePoint now, bool includeCold) noexcept
 {
     Sample sample;
-    std::size_t const local = drawSample(group, 0, Reach::Local, now, includeCold);
-    sample.withinReach = group.hasNear ? drawSample(group, local, Reach::Near, now, includeCold) : local;
-    sample.all = group.hasFar ? drawSample(group, sample.withinReach, Reach::Far, now, includeCold) : sample.withinReach;
+    sample.withinReach = drawSample(group, 0, false, now, includeCold);
+    sample.all = group.hasFar ? drawSample(group, sample.withinReach, true, now, includeCold) : sample.withinReach;
     return sample;
 }
 
--- a/src/relay/TargetDirectory.h
+++ b/src/relay/TargetDirectory.h
@@ -62,7 +62,6 @@
     std::vector<std::uint32_t> order; ///< indices into targets, shuffled when samples are drawn
     TimePoint viewChanged; ///< when a target was last added
     RemotePolicy remote;
-    bool hasNear { true }; ///< some target is at Reach::Near; updated every 100 ms
     bool hasFar { true }; ///< some target is at Reach::Far; updated every 100 ms
     std::vector<double> requestsPerSlot; ///< mean of the newest load reports, by index of the data centre
     double limitTenthMs { 0 }; ///< tightest latency limit of recent new flows, in 0.1 ms; 0 if none has one
@@ -170,7 +169,7 @@
     /// How far a target is from the entry.
     enum class Reach : std::uint8_t {
         Local, ///< in the entry's data centre
-        Near, ///< the distance costs so little that flows choose by cost alone
+        Near, ///< flows choose by cost alone, among local and near targets together
         Far ///< flows leave within the share that RemotePolicy permits
     };
 
@@ -203,7 +202,7 @@
     [[nodiscard]] bool acceptsFlows(DirectoryTarget const& target) const noexcept;
     [[nodiscard]] RemoteCost remoteCostOf(DirectoryTarget const& target, double bytesFromCaller, TimePoint now) const noexcept;
     [[nodiscard]] Reach reachOf(DirectoryTarget const& target, TimePoint now) const noexcept;
-    [[nodiscard]] std::size_t drawSample(TargetGroup& group, std::size_t drawn, Reach reach, TimePoint now, bool includeCold) noexcept;
+    [[nodiscard]] std::size_t drawSample(TargetGroup& group, std::size_t drawn, bool isFar, TimePoint now, bool includeCold) noexcept;
     [[nodiscard]] Sample drawSamples(TargetGroup& group, TimePoint now, bool includeCold) noexcept;
     [[nodiscard]] RemoteReason reasonOf(DirectoryTarget const& target, bool hasTargetWithinReach, TimePoint now) const noexcept;
     [[nodiscard]] RemoteInputs remoteInputsOf(TargetGroup const& group, TimePoint now) const noexcept;
