--- a/src/balancing/EntryAdmission.cpp
+++ b/src/balancing/EntryAdmission.cpp
@@ -1,5 +1,7 @@
 #include "balancing/EntryAdmission.h"
 
+#include "base/EndpointKey.h"
+
 #include <algorithm>
 #include <chrono>
 #include <cmath>
@@ -27,11 +29,6 @@
     // where the link enters the entry.
     constexpr double maximumBacklogSeconds = 0.1;
 
-    std::uint64_t keyOf(Endpoint address) noexcept
-    {
-        return (std::uint64_t { address.address } << 16U) | address.port;
-    }
-
 } // namespace
 
 std::string_view entryRefusalName(EntryRefusal refusal) noexcept
@@ -51,7 +48,7 @@
 
 void EntryAdmission::recordSegment(Endpoint address, std::size_t dataBytes, std::size_t linkBytes) noexcept
 {
-    AddressUse& use = addresses_[keyOf(address)];
+    AddressUse& use = addresses_[endpointKey(address)];
     use.tickBytes += linkBytes;
     use.bytes += static_cast<double>(linkBytes);
     use.bulkBytes += dataBytes >= minimumBulkSegmentBytes ? static_cast<double>(linkBytes) : 0;
@@ -86,7 +83,7 @@
 
 EntryRefusal EntryAdmission::decide(Endpoint address) noexcept
 {
-    AddressUse& use = addresses_[keyOf(address)];
+    AddressUse& use = addresses_[endpointKey(address)];
     EntryRefusal const refusal = checkRoom(use);
     if (refusal != EntryRefusal::None) {
         refusedBytes_ += use.bytesPerFlow();
@@ -125,13 +122,13 @@
 
 double EntryAdmission::bytesPerFlow(Endpoint address) const noexcept
 {
-    absl::flat_hash_map<std::uint64_t, AddressUse>::const_iterator const use = addresses_.find(keyOf(address));
+    absl::flat_hash_map<std::uint64_t, AddressUse>::const_iterator const use = addresses_.find(endpointKey(address));
     return use != addresses_.end() ? use->second.bytesPerFlow() : 0;
 }
 
 bool EntryAdmission::isBulk(Endpoint address) const noexcept
 {
-    absl::flat_hash_map<std::uint64_t, AddressUse>::const_iterator const use = addresses_.find(keyOf(address));
+    absl::flat_hash_map<std::uint64_t, AddressUse>::const_iterator const use = addresses_.find(endpointKey(address));
     return use != addresses_.end() && use->second.isBulk();
 }
 
--- a/src/balancing/OpeningPolicy.cpp
+++ b/src/balancing/OpeningPolicy.cpp
@@ -70,7 +70,7 @@
     return actionNames[static_cast<std::size_t>(action)];
 }
 
-OpeningDecision OpeningPolicy::decide(OpeningInputs const& inputs) noexcept
+OpeningDecision decideOpening(OpeningInputs const& inputs) noexcept
 {
     if (inputs.isKnownFlow && inputs.isColdLimitReached)
         return { OpeningAction::Drop, OpeningReason::Cold };
--- a/src/balancing/OpeningPolicy.h
+++ b/src/balancing/OpeningPolicy.h
@@ -61,9 +61,6 @@
 /// target takes. What the target cannot take goes to the candidates that the entry named, then back to the entry, before it is
 /// refused. Answers surges in which entries that know the same old load reports choose the same targets, and overload in which no
 /// target can answer in time.
-class OpeningPolicy {
-public:
-    [[nodiscard]] static OpeningDecision decide(OpeningInputs const& inputs) noexcept;
-};
+[[nodiscard]] OpeningDecision decideOpening(OpeningInputs const& inputs) noexcept;
 
 } // namespace plantaindrift
--- a/src/balancing/RequestSizes.h
+++ b/src/balancing/RequestSizes.h
@@ -28,8 +28,6 @@
     };
 
     absl::flat_hash_map<std::uint64_t, Sums> sums_; ///< by address
-
-    [[nodiscard]] static std::uint64_t keyOf(Endpoint address) noexcept { return (std::uint64_t { address.address } << 16U) | address.port; }
 };
 
 } // namespace plantaindrift
--- a/src/relay/AgentOpenings.cpp
+++ b/src/relay/AgentOpenings.cpp
@@ -45,7 +45,7 @@
     inputs.mayBeOpen = context.mayBeOpen;
     inputs.hops = context.route.hops;
     inputs.candidates = context.route.usedCandidates();
-    OpeningDecision const decision = openingPolicy.decide(inputs);
+    OpeningDecision const decision = plantaindrift::decideOpening(inputs);
     countOpening(context, decision);
     return decision;
 }
--- a/src/relay/AgentRelayState.h
+++ b/src/relay/AgentRelayState.h
@@ -62,7 +62,6 @@
     bool hasReturnedOpening { false }; ///< the target returned an opening segment before its first announcement
     TimePoint admissionPausedUntil; ///< the target returned an opening segment: it is full or still starting
     TimePoint currentTime; ///< time of the last call
-    OpeningPolicy openingPolicy;
     TargetFlows flows;
     OwnerRecords ownerRecords;
     ReturnableDeliveries returnableDeliveries;
--- a/src/relay/TargetDirectory.h
+++ b/src/relay/TargetDirectory.h
@@ -4,6 +4,7 @@
 #include "balancing/RemotePolicy.h"
 #include "balancing/SiteDelays.h"
 #include "balancing/TargetChoice.h"
+#include "base/EndpointKey.h"
 #include "membership/RandomSource.h"
 #include "plantaindrift/membership/EvacuationSet.h"
 #include "plantaindrift/membership/ServiceView.h"
@@ -67,12 +68,6 @@
     double limitTenthMs { 0 }; ///< tightest latency limit of recent new flows, in 0.1 ms; 0 if none has one
 };
 
-/// \brief Key of an endpoint in hash maps.
-[[nodiscard]] constexpr std::uint64_t endpointKey(Endpoint endpoint) noexcept
-{
-    return (std::uint64_t { endpoint.address } << 16U) | endpoint.port;
-}
-
 /// \brief The targets of all services; selects targets for new flows and searches.
 ///
 /// Pointers to targets stay valid until the next call of setView().
--- a/src/runtime/DaemonCore.cpp
+++ b/src/runtime/DaemonCore.cpp
@@ -324,9 +324,14 @@
     return static_cast<std::uint32_t>(std::chrono::duration_cast<std::chrono::seconds>(std::chrono::system_clock::now().time_since_epoch()).count());
 }
 
+std::int64_t wallClockMilliseconds() noexcept
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::system_clock::now().time_since_epoch()).count();
+}
+
 std::uint64_t firstIncarnation() noexcept
 {
-    return static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::system_clock::now().time_since_epoch()).count());
+    return static_cast<std::uint64_t>(wallClockMilliseconds());
 }
 
 std::string_view statusMessage(absl::Status const& status) noexcept
--- a/src/runtime/DaemonCore.h
+++ b/src/runtime/DaemonCore.h
@@ -138,6 +138,9 @@
 /// \brief Wall-clock time in seconds since 1970.
 [[nodiscard]] std::uint32_t wallClockSeconds() noexcept;
 
+/// \brief Wall-clock time in milliseconds since 1970.
+[[nodiscard]] std::int64_t wallClockMilliseconds() noexcept;
+
 /// \brief Initial incarnation of a process: the wall-clock time, so that a later start has a higher one.
 [[nodiscard]] std::uint64_t firstIncarnation() noexcept;
 
--- a/src/runtime/RelayAgentDaemon.cpp
+++ b/src/runtime/RelayAgentDaemon.cpp
@@ -168,7 +168,7 @@
         // The target runs on this machine, so that its clock is this process's.
         static TimePoint startOf(TargetAnnouncement const& announcement, TimePoint now)
         {
-            std::int64_t const ageMs = static_cast<std::int64_t>(firstIncarnation()) - announcement.startTimeMs;
+            std::int64_t const ageMs = wallClockMilliseconds() - announcement.startTimeMs;
             return now - std::chrono::milliseconds { std::max<std::int64_t>(ageMs, 0) };
         }
 
--- a/standins/division/Store.h
+++ b/standins/division/Store.h
@@ -26,7 +26,7 @@
     static constexpr std::chrono::seconds evacuationRepeatDelay { 3 };
 
     /// \param configured  is told of each configuration that is written
-    /// \param evacuated   is told of each evacuation that the operator writes or removes; may be empty
+    /// \param evacuated   called for each evacuation that the operator writes or removes; may be empty
     Store(asio::io_context& loop, Endpoint listen, ConfigurationObserver configured, EvacuationObserver evacuated = {});
 
     void start() { server_.start(); }
--- a/tests/AdmissionLimitTests.cpp
+++ b/tests/AdmissionLimitTests.cpp
@@ -108,20 +108,19 @@
 // originals were dropped, and with 1.2 times the capacity 9 percent of the requests of the second priority failed instead of 2.
 BOOST_AUTO_TEST_CASE(AnOriginalOverTheLimitIsRefusedAtAnyShareOfSuch)
 {
-    OpeningPolicy policy;
     OpeningInputs inputs;
     inputs.load = loadOf(50);
     inputs.latencyLimitTenthMs = admissionLimit(objective, 0);
     for (int index = 0; index < 100; ++index) {
         inputs.copy = 0;
-        BOOST_TEST((policy.decide(inputs).action == OpeningAction::Refuse));
+        BOOST_TEST((decideOpening(inputs).action == OpeningAction::Refuse));
         // An earlier copy may have opened the flow.
         inputs.copy = 1;
-        BOOST_TEST((policy.decide(inputs).action == OpeningAction::Drop));
+        BOOST_TEST((decideOpening(inputs).action == OpeningAction::Drop));
     }
     inputs.copy = 0;
     inputs.load = loadOf(slots - 1);
-    BOOST_TEST((policy.decide(inputs).action == OpeningAction::Admit));
+    BOOST_TEST((decideOpening(inputs).action == OpeningAction::Admit));
 }
 
 // Guards against a less urgent route with a longer objective, or with none, whose requests fill the queues beyond the limit of
--- a/tests/BalancingScene.h
+++ b/tests/BalancingScene.h
@@ -79,7 +79,6 @@
     std::size_t busy { 0 };
     std::deque<std::function<void()>> waiting;
     RequestCount count;
-    OpeningPolicy policy;
     std::size_t openFlows { 0 };
     double workMs { 0 }; ///< work given to it, in ms at speed 1
     std::size_t openings { 0 };
@@ -370,7 +369,7 @@
         inputs.copy = copy;
         inputs.hops = route->hops;
         inputs.candidates = route->usedCandidates();
-        OpeningDecision const decision = target.policy.decide(inputs);
+        OpeningDecision const decision = decideOpening(inputs);
         ++decisions[{ decision.action, decision.reason }];
         if (decision.action != OpeningAction::Admit)
             sendLoad(target, *entries[made->entry]);
--- a/tests/CommandLineTests.cpp
+++ b/tests/CommandLineTests.cpp
@@ -382,7 +382,7 @@
     Result const first = deployment.run({ "evacuate", "Kegalle", "--author=ana", "--reason=power works" });
     BOOST_TEST(first.exitCode == 0);
     BOOST_TEST(first.errors.empty(), first.errors);
-    // The second operator is told who was first.
+    // The second operator gets the name of the first.
     BOOST_TEST(contains(deployment.run({ "evacuate", "Kegalle", "--author=bor", "--reason=flood" }).output, "requested by ana"));
     nlohmann::json const status = nlohmann::json::parse(deployment.run({ "status", "--output=json" }).output);
     BOOST_TEST_REQUIRE(status.at("evacuations").size() == 1U);
--- a/tests/EvacuationSpreadTests.cpp
+++ b/tests/EvacuationSpreadTests.cpp
@@ -45,7 +45,7 @@
         return inForce;
     }
 
-    // What the process tells a peer that knows nothing.
+    // What the process sends to a peer without a set.
     control::Evacuations knowledge(TimePoint now)
     {
         control::Heartbeat heartbeat;
@@ -183,7 +183,7 @@
     BOOST_TEST(process.current() == Names { "north" }, boost::test_tools::per_element());
 }
 
-// Guards against an entry that restarts while the store is unavailable: an agent is ahead of it and must tell it.
+// Guards against an entry that restarts while the store is unavailable: an agent is ahead of it and must send it the set.
 BOOST_AUTO_TEST_CASE(KnowledgePassesInBothDirectionsOfAHeartbeat)
 {
     Process entry;
