--- a/review/6/case.py
+++ b/review/6/case.py
@@ -7,7 +7,9 @@
 sys.path.insert(0, os.path.dirname(FOLDER))
 from platform2 import Bed, Requester, STABLE_WINDOW, play  # noqa: E402
 
-TROUBLE = os.environ.get("TROUBLE", "1")  # 0: no disruption; "restarts": the restarts without the change of weights
+# 0: no disruption; "restarts": the restarts without a change; "move": the route names the other service alone; "scale": 90 to 10
+# becomes 9 to 1.
+TROUBLE = os.environ.get("TROUBLE", "1")
 ADDRESS = ("198.18.0.1", 8443)
 FLOWS = 40
 PAUSE = 2.5
@@ -31,6 +33,13 @@
         await asyncio.sleep(3)
         if TROUBLE == "1":
             bed.configure(configuration(9, 90, 10))
+        elif TROUBLE == "scale":
+            bed.configure(configuration(9, 1, 9))
+        elif TROUBLE == "move":
+            moved = configuration(9, 90, 10)
+            moved["routes"][0] |= {"service": "desk-next"}
+            del moved["routes"][0]["backends"]
+            bed.configure(moved)
         await asyncio.sleep(5)
         if TROUBLE != "0":
             for front in bed.fronts:
