--- a/review/platform2.py
+++ b/review/platform2.py
@@ -172,6 +172,8 @@
         self.kinds = {}
         self.events = []
         self.revision = 10
+        self.era = 1
+        self.is_away = False
         self.changed = asyncio.Event()
 
     async def serve(self, address, port):
@@ -181,9 +183,12 @@
         try:
             while request := await read_http(reader):
                 method, target, _ = request[0].split(" ", 2)
+                era = self.era
                 status, answer = await self.answer(method, target, request[2])
+                if self.is_away or era != self.era:
+                    break
                 text = json.dumps(answer).encode()
-                writer.write(f"HTTP/1.1 {status} S\r\nContent-Type: application/json\r\nStore-Era: 1\r\nContent-Length: {len(text)}\r\n\r\n".encode() + text)
+                writer.write(f"HTTP/1.1 {status} S\r\nContent-Type: application/json\r\nStore-Era: {era}\r\nContent-Length: {len(text)}\r\n\r\n".encode() + text)
                 await writer.drain()
         except (OSError, asyncio.IncompleteReadError, asyncio.CancelledError):
             pass
@@ -191,6 +196,8 @@
             writer.close()
 
     async def answer(self, method, target, body):
+        if self.is_away:
+            return 503, {}
         parts = urlsplit(target)
         query = {key: values[0] for key, values in parse_qs(parts.query).items()}
         words = [unquote(word) for word in parts.path.split("/") if word]
@@ -216,7 +223,7 @@
         end = time.monotonic() + min(wait, 30)
         while True:
             found = [{"object": event[2], "deleted": event[3]} for event in self.events if event[0] > revision and event[1] == kind]
-            left = end - time.monotonic()
+            left = -1 if self.is_away else end - time.monotonic()
             if found or left <= 0:
                 return 200, {"events": found, "store-revision": self.revision}
             try:
@@ -250,10 +257,37 @@
 
     def note(self, kind, entry, deleted):
         self.revision += 1
-        self.events.append((self.revision, kind, entry, deleted))
+        self.events.append((self.revision, kind, entry, deleted, time.monotonic()))
+        self.wake()
+
+    def wake(self):
         self.changed.set()
         self.changed = asyncio.Event()
 
+    async def restore(self, age_s, away_s):
+        """The store is away and comes back from a copy; the operator writes again what the copy lacks."""
+        self.is_away = True
+        self.wake()
+        self.record.add("store-away")
+        await asyncio.sleep(away_s)
+        copy = time.monotonic() - age_s
+        lost = [event for event in self.events if event[4] > copy]
+        self.events = [event for event in self.events if event[4] <= copy]
+        self.revision = self.events[-1][0] if self.events else 10
+        operators = self.kinds.get("config", {}).get("main", {}).get("spec")
+        self.kinds = {}
+        for _, kind, entry, deleted, _ in self.events:
+            objects = self.kinds.setdefault(kind, {})
+            if deleted:
+                objects.pop(entry["meta"]["name"], None)
+            else:
+                objects[entry["meta"]["name"]] = entry
+        self.era += 1
+        self.is_away = False
+        self.record.add("store-restored", era=self.era, lost=" ".join(sorted({f"{event[1]}/{event[2]['meta']['name']}" for event in lost})) or "nothing")
+        if operators is not None and self.kinds.get("config", {}).get("main", {}).get("spec") != operators:
+            self.write("PUT" if "main" in self.kinds.get("config", {}) else "POST", "config", None, {"meta": {"name": "main"}, "spec": operators}, {}, False)
+
 
 class End:
     """One end of an open flow: sends bytes in order, acknowledges, and repeats what is not acknowledged."""
@@ -510,6 +544,7 @@
         self.fronts = [Machine(f"front-{number}", f"127.31.0.{number}", ZONES[0]) for number in range(1, fronts + 1)]
         self.sides = [Machine(f"side-{number}", f"127.32.0.{number}", ZONES[number % len(ZONES)], service) for number, service in enumerate(sides, 1)]
         self.reopens = reopens
+        self.later = set()  # names of side machines that the case starts itself
         self.port = {}
         self.processes = []
         self.tasks = set()
@@ -612,10 +647,10 @@
         self.configure(configuration)
         self.callers = await open_udp(REQUESTERS, self.port["data"], self.requester_packet)
         for side in self.sides:
-            side.server = Server(self, side)
-            await side.server.start()
-        for machine in self.fronts + self.sides:
-            self.start_process(machine)
+            if side.name not in self.later:
+                await self.start_side(side)
+        for front in self.fronts:
+            self.start_process(front)
         for front in self.fronts:
             self.spawn(self.check_ready(front))
         self.spawn(self.tick_always())
@@ -627,6 +662,11 @@
         # Status reports and load reports of all servers.
         await asyncio.sleep(3)
 
+    async def start_side(self, side):
+        side.server = Server(self, side)
+        await side.server.start()
+        self.start_process(side)
+
     def configure(self, configuration):
         """The operator writes the whole configuration; the store's answer is the confirmation."""
         body = {"meta": {"name": "main"}, "spec": configuration}
