Review case 6: no agent is found again when all entries are lost while the store comes back from a copy

Cause: an agent that is registered reads the store no more and learns of a restore from entries alone; those that it knows are gone, and the store's list, from which new entries know agents, has lost its record. The requesters of the stand-in may have a time limit.

--- a/review/platform2.py
+++ b/review/platform2.py
@@ -438,11 +438,13 @@
 class Requester:
     """One requester with one flow at a time, on which it sends requests with pauses between them."""
 
-    def __init__(self, bed, number, address, pause):
-        self.bed, self.number, self.address, self.pause = bed, number, address, pause
+    def __init__(self, bed, number, address, pause, limit=None):
+        """limit: seconds after which the requester gives a request up; it then opens a new flow."""
+        self.bed, self.number, self.address, self.pause, self.limit = bed, number, address, pause, limit
         self.flow = None
         self.requests = 0
         self.answered = 0
+        self.attempts = 0  # requests, and flows that were to carry one and did not open
         self.unanswered = 0
 
     def open(self):
@@ -461,6 +463,7 @@
 
     def ask(self, now):
         self.requests += 1
+        self.attempts += 1
         self.waiting = f"r{self.number}-{self.requests}"
         self.asked = now
         self.bed.record.add("request", id=self.waiting, flow=flow_text(self.flow))
@@ -505,6 +508,7 @@
 
     def stop(self, why):
         self.bed.record.add("flow-over", flow=flow_text(self.flow), why=why, waiting=self.waiting)
+        self.attempts += 1 if why in ("refused", "not opened") else 0
         self.state = "reset" if why == "reset" else "over"
         self.unanswered += 1 if self.waiting else 0
 
@@ -517,7 +521,10 @@
                 self.stop("not opened")
         elif self.state == "open":
             self.end.tick(now)
-            if self.waiting is None and now >= self.next and not self.bed.is_ending:
+            if self.limit is not None and self.waiting is not None and now - self.asked > self.limit:
+                self.end.finish()
+                self.stop("time limit")
+            elif self.waiting is None and now >= self.next and not self.bed.is_ending:
                 self.ask(now)
         elif self.bed.reopens and not self.bed.is_ending and now - self.opened > 2:
             self.open()
@@ -544,6 +551,7 @@
         self.fronts = [Machine(f"front-{number}", f"127.31.0.{number}", ZONES[0]) for number in range(1, fronts + 1)]
         self.sides = [Machine(f"side-{number}", f"127.32.0.{number}", ZONES[number % len(ZONES)], service) for number, service in enumerate(sides, 1)]
         self.reopens = reopens
+        self.further_addresses = []  # of machines that are added
         self.later = set()  # names of side machines that the case starts itself
         self.port = {}
         self.processes = []
@@ -566,6 +574,7 @@
     def take_ports(self):
         """Ports that are free at all addresses of the case, for TCP and UDP."""
         addresses = [machine.ip for machine in self.fronts + self.sides] + [REQUESTERS, "127.0.0.1"]
+        addresses += self.further_addresses
         for name in ("data", "ready", "control", "outbound", "app", "first", "second", "store"):
             for _ in range(1000):
                 port = random.SystemRandom().randrange(21000, 32000)
@@ -595,14 +604,15 @@
                   "listen": {"data-addr": f"{machine.ip}:{self.port['data']}", "ready": f"{machine.ip}:{self.port['ready']}",
                              "control": f"{machine.ip}:{self.port['control']}", "outbound": f"{machine.ip}:{self.port['outbound']}"},
                   "internal-port-range": [self.port["first"], self.port["second"]],
-                  "seeds": [f"{front.ip}:{self.port['control']}" for front in self.fronts[:3]],
+                  "seeds": [f"{front.ip}:{self.port['control']}" for front in self.fronts if front.service is None][:3],
                   "limits": {"cpu-share": 0.25 if machine.service is None else 0.15, "link-mbps": 1000.0, "max-fds": 4096, "memory-mb": 260 if machine.service is None else 128},
                   "heartbeat-ms": HEARTBEAT_MS, "platform": {"address": f"127.0.0.1:{self.port['store']}"}, "bounds": {}}
         if machine.service is not None:
             fields |= {"service": machine.service, "app": f"{machine.ip}:{self.port['app']}"}
         return fields
 
-    def start_process(self, machine):
+    def write_settings(self, machine):
+        """The platform fills the template in at every start, and when the settings change. Returns the path and the role's entry."""
         role = "entry" if machine.service is None else "agent"
         declared = next(entry for name, entry in self.deploy["roles"].items() if name == role)
         with open(os.path.join(ROOT, declared["template"]), encoding="utf-8") as file:
@@ -610,6 +620,10 @@
         settings = os.path.join(self.folder, machine.name + ".toml")
         with open(settings, "w", encoding="utf-8") as file:
             file.write(text)
+        return settings, declared
+
+    def start_process(self, machine):
+        settings, declared = self.write_settings(machine)
         command = re.sub(r"--settings=\S+", f"--settings={settings}", declared["run"]).split(" ")
         if not os.path.exists(os.path.join(ROOT, command[0])):
             raise CannotRun(f"{command[0]} is missing; run the build of the deploy file")
