--- a/review/6/case.py
+++ b/review/6/case.py
@@ -23,7 +23,7 @@
 
 
 async def case():
-    bed = Bed(FOLDER, 3, ["desk"] * 5)
+    bed = Bed(os.path.join(FOLDER, "record.txt"), 3, ["desk"] * 5)
     bed.later = {side.name for side in bed.sides[1:]}
     new = [Machine(f"front-{number}", f"127.31.0.{number}", ZONES[0]) for number in range(11, 14)]
     bed.further_addresses = [machine.ip for machine in new]
--- a/review/7/case.py
+++ b/review/7/case.py
@@ -23,7 +23,7 @@
 
 
 async def case():
-    bed = Bed(FOLDER, 3, ["desk", "desk", "desk", "desk-next", "desk-next", "desk-next"])
+    bed = Bed(os.path.join(FOLDER, "record.txt"), 3, ["desk", "desk", "desk", "desk-next", "desk-next", "desk-next"])
     try:
         await bed.start(configuration(7, 10, 90))
         requesters = [Requester(bed, number, ADDRESS, PAUSE) for number in range(1, FLOWS + 1)]
--- a/review/platform2.py
+++ b/review/platform2.py
@@ -543,10 +543,10 @@
 
 
 class Bed:
-    def __init__(self, folder, fronts, sides, seed=1, reopens=True):
-        """sides: the service of each side machine."""
+    def __init__(self, record, fronts, sides, seed=1, reopens=True):
+        """record: path of the record.txt of the case; sides: the service of each side machine."""
         self.random = random.Random(seed)
-        self.record = Record(os.path.join(folder, "record.txt"))
+        self.record = Record(record)
         self.folder = tempfile.mkdtemp(prefix="plantaindrift-case-")
         self.fronts = [Machine(f"front-{number}", f"127.31.0.{number}", ZONES[0]) for number in range(1, fronts + 1)]
         self.sides = [Machine(f"side-{number}", f"127.32.0.{number}", ZONES[number % len(ZONES)], service) for number, service in enumerate(sides, 1)]
