Log how entries exchange configurations with peers

Cause: neither logs nor metrics told why an entry that the store refuses gets no configuration from its peers: that no peer is known to be ahead, that a request is not answered, or that a fetch does not end.

--- a/include/plantaindrift/membership/EntryControl.h
+++ b/include/plantaindrift/membership/EntryControl.h
@@ -2,6 +2,7 @@
 
 #include "plantaindrift/base/Types.h"
 #include "plantaindrift/configuration/ChangeLog.h"
+#include "plantaindrift/membership/ConfigurationEvent.h"
 #include "plantaindrift/membership/Detector.h"
 #include "plantaindrift/membership/EntryCensus.h"
 #include "plantaindrift/membership/EvacuationSet.h"
@@ -65,6 +66,9 @@
     /// \brief Members that this entry took for suspect or dead since the last call, with the evidence.
     [[nodiscard]] std::vector<Detector::Verdict> takeVerdicts();
 
+    /// \brief Steps of the exchange of configurations with peers since the last call.
+    [[nodiscard]] std::vector<ConfigurationEvent> takeConfigurationEvents();
+
     /// \brief Takes changes read from the platform; also spreads those that are new.
     void addChanges(std::span<ConfigurationChange const> changes, TimePoint now);
 
@@ -122,6 +126,8 @@
         std::uint64_t heartbeatRequests { 0 };
         std::uint64_t suspicions { 0 }; ///< members that this entry took for suspect
         std::uint64_t deaths { 0 }; ///< members that this entry took for dead
+        std::uint64_t configurationRequests { 0 }; ///< requests to peers for newer configurations
+        std::uint64_t answersWithheld { 0 }; ///< requests of peers that the control budget did not allow to answer
     };
     [[nodiscard]] Counts counts() const noexcept;
 
--- a/src/membership/EntryControl.cpp
+++ b/src/membership/EntryControl.cpp
@@ -125,6 +125,8 @@
     void fetchChanges(TimePoint now);
 
     // Configuration.
+    void notePosition(std::uint64_t position, Endpoint peer);
+    void recordStep(ConfigurationStep step, Endpoint peer, std::uint64_t peerPosition);
     void spreadChanges(std::span<ConfigurationChange const> applied);
     void takeChange(ConfigurationChange const& change);
     bool takeCopy(std::uint64_t position, control::Service const& message);
@@ -160,6 +162,8 @@
     std::map<std::string, std::uint32_t, std::less<>> reportedViews; ///< of agents whose view differed
     std::set<std::string> changedServices;
     std::vector<Detector::Verdict> verdicts; ///< not taken yet
+    std::vector<ConfigurationEvent> configurationEvents; ///< not taken yet
+    std::uint64_t knownPosition { 0 }; ///< newest that a peer or this entry is known to have
     bool neighboursOutdated { true };
     std::uint64_t storeGeneration { 0 };
     std::optional<TimePoint> lastTick;
@@ -353,7 +357,7 @@
     control::HeartbeatReply const& reply = envelope.heartbeat_reply();
     if (reply.refute_incarnation() > maximumIncarnation || !evacuations.takeReply(reply, from, outbox, now))
         return false;
-    spread.notePosition(reply.position(), from);
+    notePosition(reply.position(), from);
     if (reply.refute_incarnation() >= std::max<std::uint64_t>(self.incarnation, 1))
         raiseIncarnation(reply.refute_incarnation(), now);
     auto const contact = heartbeats.find(from);
@@ -395,7 +399,7 @@
         if (spread.knows(change->position))
             gossip.noteDuplicate(change->position);
         takeChange(*change);
-        spread.notePosition(change->position, from);
+        notePosition(change->position, from);
     }
     for (control::ServiceCopy const& copy : envelope.gossip().copies())
         valid = takeCopy(copy.position(), copy.service()) && valid;
@@ -416,7 +420,7 @@
             antiEntropy.hurry(now);
         outbox.send(from, answer);
     }
-    spread.notePosition(request.position(), from);
+    notePosition(request.position(), from);
     if (request.position() < spread.log().position())
         pushChangesTo(from, request.position());
     return true;
@@ -429,8 +433,11 @@
         return false;
     answers.refill(now);
     // Without an answer the peer asks somebody else; changes are answered at any time because they are due in 4 s.
-    if (!request.changes() && !answers.canTake(0))
+    if (!request.changes() && !answers.canTake(0)) {
+        ++counts.answersWithheld;
+        recordStep(ConfigurationStep::AnswerWithheld, from, 0);
         return true;
+    }
     control::Envelope answer;
     control::ShardReply& reply = *answer.mutable_shard_reply();
     // Before its first tick this node has fetched nothing yet.
@@ -505,7 +512,7 @@
         if (change)
             takeChange(*change);
     }
-    spread.notePosition(reply.position(), from);
+    notePosition(reply.position(), from);
     return valid;
 }
 
@@ -517,11 +524,15 @@
     }
     catchUp.take(from, reply, now);
     std::optional<CatchUp::Assembled> const assembled = catchUp.takeConfiguration();
-    if (assembled)
+    if (assembled) {
         spread.takeSnapshot(assembled->position, assembled->configuration);
+        recordStep(ConfigurationStep::FetchCompleted, {}, assembled->position);
+    }
     bool const lacksChanges = reply.shards().empty() && reply.changes().empty() && reply.position() > spread.log().position();
-    if (lacksChanges && !catchUp.isActive())
+    if (lacksChanges && !catchUp.isActive()) {
         catchUp.start(now, false);
+        recordStep(ConfigurationStep::FetchStarted, from, reply.position());
+    }
 }
 
 // ---- records ----
@@ -833,6 +844,8 @@
         *envelope.mutable_shard_request() = request;
         outbox.send(peer, envelope);
     }
+    if (!catchUp.isActive())
+        recordStep(ConfigurationStep::FetchAbandoned, {}, 0);
 }
 
 void EntryControl::State::fetchChanges(TimePoint now)
@@ -847,10 +860,27 @@
     request.set_changes(true);
     request.set_after_position(spread.log().position());
     outbox.send(*peer, envelope);
+    ++counts.configurationRequests;
+    recordStep(ConfigurationStep::ChangesRequested, *peer, 0);
 }
 
 // ---- configuration ----
 
+void EntryControl::State::notePosition(std::uint64_t position, Endpoint peer)
+{
+    knownPosition = std::max(knownPosition, spread.log().position());
+    if (position > knownPosition) {
+        knownPosition = position;
+        recordStep(ConfigurationStep::PeerAhead, peer, position);
+    }
+    spread.notePosition(position, peer);
+}
+
+void EntryControl::State::recordStep(ConfigurationStep step, Endpoint peer, std::uint64_t peerPosition)
+{
+    configurationEvents.push_back({ step, peer, spread.log().position(), peerPosition });
+}
+
 void EntryControl::State::takeChange(ConfigurationChange const& change)
 {
     spreadChanges(spread.take(change));
@@ -987,6 +1017,11 @@
     return std::exchange(state_->verdicts, {});
 }
 
+std::vector<ConfigurationEvent> EntryControl::takeConfigurationEvents()
+{
+    return std::exchange(state_->configurationEvents, {});
+}
+
 void EntryControl::addChanges(std::span<ConfigurationChange const> changes, TimePoint /*now*/)
 {
     std::vector<ConfigurationChange> applied;
--- a/src/runtime/EntryDaemon.cpp
+++ b/src/runtime/EntryDaemon.cpp
@@ -5,6 +5,7 @@
 #include "plantaindrift/entry/EntryPipeline.h"
 #include "plantaindrift/membership/EntryControl.h"
 #include "plantaindrift/packet/FlowMessage.h"
+#include "runtime/ConfigurationLog.h"
 #include "runtime/DaemonCore.h"
 #include "runtime/PlatformThread.h"
 #include "runtime/VerdictLog.h"
@@ -169,6 +170,7 @@
         {
             control_.tick(now);
             logVerdicts(control_.takeVerdicts());
+            logConfigurationEvents(control_.takeConfigurationEvents());
             applyControl();
             if (platform_)
                 platform_->setState(control_.completePosition(), control_.isWatcher());
@@ -283,6 +285,7 @@
             page.addCounter("plantaindrift_control_malformed_total", "Control messages that cannot be decoded.", {}, static_cast<double>(counts.malformed));
             page.addCounter("plantaindrift_control_deferred_total", "Changes that waited for the control budget.", {}, static_cast<double>(counts.deferred));
             addDetectorMetrics(page, counts);
+            addConfigurationMetrics(page, counts);
             addMemberMetrics(page);
         }
 
--- a/src/runtime/RelayEntryDaemon.cpp
+++ b/src/runtime/RelayEntryDaemon.cpp
@@ -3,6 +3,7 @@
 #include "plantaindrift/base/Hash.h"
 #include "plantaindrift/membership/EntryControl.h"
 #include "plantaindrift/relay/EntryRelay.h"
+#include "runtime/ConfigurationLog.h"
 #include "runtime/DaemonCore.h"
 #include "runtime/DecisionLog.h"
 #include "runtime/EntryResourcePage.h"
@@ -218,6 +219,7 @@
                 core_.releasePackets();
             control_.tick(now);
             logVerdicts(control_.takeVerdicts());
+            logConfigurationEvents(control_.takeConfigurationEvents());
             applyControl();
             relay_.setViewsComplete(control_.isCaughtUp(now) || (hasMembers_ && !control_.expectsFullState(now)));
             updateResources(now);
@@ -302,7 +304,7 @@
                 logEvent(LogLevel::Info, "configuration_discarded", { { "version", found.version }, { "position", position } });
             }
             control_.addSnapshot(found.version, found.configuration, std::chrono::steady_clock::now());
-            applyControl();
+            applyControl("store");
         }
 
         void addMembers(std::vector<Member> const& members)
@@ -318,11 +320,11 @@
         }
 
         // Applies new configuration and views to the packet path and sends the pending control messages.
-        void applyControl()
+        void applyControl(std::string_view source = "peers")
         {
             applyEvacuations();
             if (control_.configurationVersion() != configurationVersion_)
-                applyConfiguration();
+                applyConfiguration(source);
             for (ServiceView const& view : control_.takeChangedViews())
                 applyView(view);
             core_.sendControl(control_.takeMessages());
@@ -337,7 +339,7 @@
             evacuationLog_.record(*change, std::chrono::system_clock::now());
         }
 
-        void applyConfiguration()
+        void applyConfiguration(std::string_view source)
         {
             configurationVersion_ = control_.configurationVersion();
             Configuration const& configuration = control_.changeLog().configuration();
@@ -345,7 +347,7 @@
             std::size_t addresses = 0;
             for (Service const& service : configuration.services)
                 addresses += service.addresses.size();
-            logEvent(LogLevel::Info, "configuration_applied", { { "version", control_.changeLog().position() }, { "services", configuration.services.size() }, { "addresses", addresses } });
+            logEvent(LogLevel::Info, "configuration_applied", { { "version", control_.changeLog().position() }, { "services", configuration.services.size() }, { "addresses", addresses }, { "source", source } });
         }
 
         void applyView(ServiceView const& view)
@@ -399,6 +401,7 @@
             page.addHistogram("plantaindrift_entry_search_seconds", searchHelp, { { "outcome", "lost" } }, relay_.failedSearchTimes());
             addResourceMetrics(page, settings_.resources, relay_.resourceReport(std::chrono::steady_clock::now()));
             addDetectorMetrics(page, control_.counts());
+            addConfigurationMetrics(page, control_.counts());
             if (store_)
                 store_->addMetrics(page);
             if (memberReader_)
