Give peers the whole configuration from one entry, outside the control budget

Cause: an entry that cannot read the store got a configuration that others had read as a whole from all peers, in 64 parts. Peers dropped the requests while their allowance for answers was used up, by lists for agents and by entries that start together; the parts had to be of one version, which does not happen while versions follow each other; a fetch blocked the next for 10 s or longer; and peers learnt of a version from heartbeats only. Change: entries tell neighbours the version that they applied; one that lags requests the whole configuration from one peer, which sends it in parts of about 6,000 bytes and one version, whatever its budget; missing parts are requested again. Full state for entries that start still comes from many peers; its configuration counts if all parts are of one version.

--- a/include/plantaindrift/membership/ConfigurationEvent.h
+++ b/include/plantaindrift/membership/ConfigurationEvent.h
@@ -11,9 +11,8 @@
 enum class ConfigurationStep : std::uint8_t {
     PeerAhead, ///< a peer has applied a newer position than any known before
     ChangesRequested, ///< the peer was asked for the changes
-    FetchStarted, ///< the peer no longer has the changes; the whole configuration is fetched
-    FetchCompleted,
-    FetchAbandoned, ///< no peer answered in time
+    SnapshotRequested, ///< the peer no longer has the changes and was asked for the whole configuration
+    SnapshotTaken, ///< the whole configuration of the peer is in force
     AnswerWithheld, ///< a request of the peer was not answered because the control budget is used up
 };
 
--- a/include/plantaindrift/membership/EntryControl.h
+++ b/include/plantaindrift/membership/EntryControl.h
@@ -127,6 +127,7 @@
         std::uint64_t suspicions { 0 }; ///< members that this entry took for suspect
         std::uint64_t deaths { 0 }; ///< members that this entry took for dead
         std::uint64_t configurationRequests { 0 }; ///< requests to peers for newer configurations
+        std::uint64_t snapshotsSent { 0 }; ///< whole configurations, or missing parts of them, sent to peers
         std::uint64_t answersWithheld { 0 }; ///< requests of peers that the control budget did not allow to answer
     };
     [[nodiscard]] Counts counts() const noexcept;
--- a/src/membership/CatchUp.cpp
+++ b/src/membership/CatchUp.cpp
@@ -6,10 +6,9 @@
 
 namespace plantaindrift {
 
-void CatchUp::start(TimePoint now, bool members)
+void CatchUp::start(TimePoint now)
 {
     active_ = true;
-    members_ = members;
     assembled_ = false;
     started_ = now;
     lastProgress_ = now;
@@ -31,7 +30,7 @@
         if (open.empty() || requests.size() >= maximumRequests)
             break;
         control::ShardRequest request;
-        request.set_everything(members_);
+        request.set_everything(true);
         request.set_services(true);
         std::size_t const share = std::min(shardsPerRequest, (open.size() + peers.size() - 1) / peers.size());
         for (std::size_t count = 0; count < std::max<std::size_t>(share, 1) && !open.empty(); ++count) {
@@ -93,7 +92,7 @@
     if (!active_ || !reply.with_services())
         return;
     // A peer that catches up itself is left alone for one answer time more.
-    if (reply.partial() && members_) {
+    if (reply.partial()) {
         busy_[from] = now + answerTime;
         partial_.insert(from);
     } else {
@@ -108,7 +107,7 @@
             services[shardOf(service->name)].push_back(std::move(*service));
     }
     for (std::uint32_t const index : reply.shards()) {
-        if (index >= shardCount || (reply.partial() && members_))
+        if (index >= shardCount || reply.partial())
             continue;
         Shard& shard = shards_[index];
         if (shard.position && *shard.position >= reply.position() && shard.done)
@@ -123,40 +122,25 @@
 
 void CatchUp::finishIfDone()
 {
-    bool const all = std::all_of(shards_.begin(), shards_.end(), [](Shard const& shard) { return shard.done; });
-    if (!all)
+    bool const isDone = std::all_of(shards_.begin(), shards_.end(), [](Shard const& shard) { return shard.done; });
+    if (!isDone)
         return;
-    askOutdatedAgain();
+    active_ = false;
+    complete_ = true;
+    assembled_ = std::all_of(shards_.begin(), shards_.end(), [this](Shard const& shard) { return shard.position == shards_.front().position; });
 }
 
-void CatchUp::askOutdatedAgain()
+bool CatchUp::awaitsConfiguration(TimePoint now) const noexcept
 {
-    std::uint64_t newest = 0;
-    for (Shard const& shard : shards_)
-        newest = std::max(newest, shard.position.value_or(0));
-    bool outdated = false;
-    for (Shard& shard : shards_) {
-        if (shard.position == newest)
-            continue;
-        // A change arrived between the answers; all parts must be of one position.
-        shard.done = false;
-        shard.askedAt.reset();
-        outdated = true;
-    }
-    members_ = members_ && !outdated;
-    if (outdated)
-        return;
-    active_ = false;
-    complete_ = true;
-    assembled_ = true;
+    return active_ && now - lastProgress_ < answerTime && now - started_ < coldPatience;
 }
 
-std::optional<CatchUp::Assembled> CatchUp::takeConfiguration()
+std::optional<Snapshot> CatchUp::takeConfiguration()
 {
     if (!assembled_)
         return std::nullopt;
     assembled_ = false;
-    Assembled result;
+    Snapshot result;
     result.position = shards_.front().position.value_or(0);
     for (Shard& shard : shards_) {
         for (Service& service : shard.services)
--- a/src/membership/CatchUp.h
+++ b/src/membership/CatchUp.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "membership/RandomSource.h"
+#include "membership/SnapshotParts.h"
 #include "plantaindrift/configuration/Configuration.h"
 #include "plantaindrift/membership/MemberTable.h"
 
@@ -45,8 +46,8 @@
     /// \brief Most requests that wait for an answer at once.
     static constexpr std::size_t maximumRequests = 64;
 
-    /// \brief Starts to fetch all shards, with the members or the services alone or both.
-    void start(TimePoint now, bool members);
+    /// \brief Starts to fetch all shards.
+    void start(TimePoint now);
 
     [[nodiscard]] bool isActive() const noexcept { return active_; }
 
@@ -62,12 +63,11 @@
     /// \brief Takes the shards of an answer.
     void take(Endpoint from, control::ShardReply const& reply, TimePoint now);
 
-    /// \brief The configuration as of one position, once all shards are there.
-    struct Assembled {
-        std::uint64_t position { 0 };
-        Configuration configuration;
-    };
-    [[nodiscard]] std::optional<Assembled> takeConfiguration();
+    /// \brief True while the shards are expected to bring the configuration soon: they arrive, and not for long yet.
+    [[nodiscard]] bool awaitsConfiguration(TimePoint now) const noexcept;
+
+    /// \brief The configuration once all shards are there, if they are of one position; else ConfigurationExchange obtains it.
+    [[nodiscard]] std::optional<Snapshot> takeConfiguration();
 
 private:
     struct Shard {
@@ -80,13 +80,11 @@
     [[nodiscard]] bool areAllPartial(std::span<Endpoint const> peers) const;
     [[nodiscard]] bool isHopeless(TimePoint now, std::span<Endpoint const> peers) const;
     void finishIfDone();
-    void askOutdatedAgain();
     [[nodiscard]] std::vector<std::uint32_t> openShards(TimePoint now) const;
     [[nodiscard]] std::vector<Endpoint> idlePeers(TimePoint now, std::span<Endpoint const> peers, RandomSource& random);
 
     bool active_ { false };
     bool complete_ { false };
-    bool members_ { true };
     bool assembled_ { false };
     bool hasFullPeer_ { false }; ///< a peer with full state answered
     TimePoint started_;
--- a/src/membership/ConfigurationSpread.cpp
+++ b/src/membership/ConfigurationSpread.cpp
@@ -102,19 +102,27 @@
         ahead_[peer] = { position, 0 };
 }
 
-std::optional<Endpoint> ConfigurationSpread::dueRequest(TimePoint now)
+std::optional<Endpoint> ConfigurationSpread::dueRequest(TimePoint now, RandomSource& random)
 {
     std::erase_if(ahead_, [this](std::pair<Endpoint const, Peer> const& peer) { return peer.second.position <= log_.position() || peer.second.asked >= requestsPerPeer; });
     bool const waiting = lastRequest_ && now - *lastRequest_ < retryPeriod;
     if (ahead_.empty() || waiting)
         return std::nullopt;
-    auto next = ahead_.upper_bound(asked_);
-    if (next == ahead_.end())
-        next = ahead_.begin();
+    auto const next = std::next(ahead_.begin(), static_cast<std::ptrdiff_t>(random.below(ahead_.size())));
     asked_ = next->first;
     ++next->second.asked;
     lastRequest_ = now;
     return asked_;
 }
 
+bool ConfigurationSpread::startRequest(Endpoint peer, TimePoint now) noexcept
+{
+    bool const waiting = lastRequest_ && now - *lastRequest_ < retryPeriod;
+    if (waiting && peer != asked_)
+        return false;
+    asked_ = peer;
+    lastRequest_ = now;
+    return true;
+}
+
 } // namespace plantaindrift
--- a/src/membership/ConfigurationSpread.h
+++ b/src/membership/ConfigurationSpread.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "membership/RandomSource.h"
 #include "plantaindrift/base/Types.h"
 #include "plantaindrift/configuration/ChangeLog.h"
 
@@ -38,7 +39,17 @@
     void notePosition(std::uint64_t position, Endpoint peer);
 
     /// \brief The peer to ask for changes after the applied position, if this node lags and a request is due.
-    [[nodiscard]] std::optional<Endpoint> dueRequest(TimePoint now);
+    ///
+    /// The peer is drawn at random, so that nodes that lag together do not all ask the same one.
+    [[nodiscard]] std::optional<Endpoint> dueRequest(TimePoint now, RandomSource& random);
+
+    /// \brief Begins a request to a peer that is known to be ahead.
+    ///
+    /// \returns false while another peer's answer is awaited
+    [[nodiscard]] bool startRequest(Endpoint peer, TimePoint now) noexcept;
+
+    /// \brief Notes that a part of an answer arrived: the next request waits for the rest.
+    void noteProgress(TimePoint now) noexcept { lastRequest_ = now; }
 
     [[nodiscard]] bool knows(std::uint64_t position) const { return position <= log_.position() || pending_.contains(position); }
 
--- a/src/membership/EntryControl.cpp
+++ b/src/membership/EntryControl.cpp
@@ -4,6 +4,7 @@
 #include "membership/AntiEntropy.h"
 #include "membership/BudgetGovernor.h"
 #include "membership/CatchUp.h"
+#include "membership/ConfigurationExchange.h"
 #include "membership/ConfigurationSpread.h"
 #include "membership/EvacuationSpread.h"
 #include "membership/Gossip.h"
@@ -73,6 +74,8 @@
     bool onDigestRequest(Endpoint from, control::Envelope const& envelope, TimePoint now);
     bool onShardRequest(Endpoint from, control::Envelope const& envelope, TimePoint now);
     bool onShardReply(Endpoint from, control::Envelope const& envelope, TimePoint now);
+    bool onSnapshotRequest(Endpoint from, control::Envelope const& envelope, TimePoint now);
+    bool onSnapshotPart(Endpoint from, control::Envelope const& envelope, TimePoint now);
     bool onForeign(Endpoint from, control::Envelope const& envelope, TimePoint now);
     bool takeAnsweredMembers(Endpoint from, control::ShardReply const& reply, TimePoint now);
     bool takeAnsweredChanges(Endpoint from, control::ShardReply const& reply);
@@ -117,16 +120,14 @@
     void sendHeartbeat(Endpoint to, bool withRecord);
     void sendGossip(TimePoint now);
     void spreadEvacuations(TimePoint now);
+    void announceConfiguration();
     void compare(TimePoint now);
     void reconnect();
     [[nodiscard]] Member const* randomDeadAgent();
     void sendDigests(Endpoint to);
     void fetch(TimePoint now);
-    void fetchChanges(TimePoint now);
 
     // Configuration.
-    void notePosition(std::uint64_t position, Endpoint peer);
-    void recordStep(ConfigurationStep step, Endpoint peer, std::uint64_t peerPosition);
     void spreadChanges(std::span<ConfigurationChange const> applied);
     void takeChange(ConfigurationChange const& change);
     bool takeCopy(std::uint64_t position, control::Service const& message);
@@ -157,13 +158,12 @@
     AntiEntropy antiEntropy;
     CatchUp catchUp;
     ConfigurationSpread spread;
+    ConfigurationExchange exchange;
     EvacuationSpread evacuations;
     std::map<Endpoint, Contact> heartbeats;
     std::map<std::string, std::uint32_t, std::less<>> reportedViews; ///< of agents whose view differed
     std::set<std::string> changedServices;
     std::vector<Detector::Verdict> verdicts; ///< not taken yet
-    std::vector<ConfigurationEvent> configurationEvents; ///< not taken yet
-    std::uint64_t knownPosition { 0 }; ///< newest that a peer or this entry is known to have
     bool neighboursOutdated { true };
     std::uint64_t storeGeneration { 0 };
     std::optional<TimePoint> lastTick;
@@ -181,6 +181,7 @@
     , answers(given.bytesPerSecond * answerShare, given.bytesPerSecond * answerShare * std::chrono::duration<double>(answerBurst).count())
     , governor(given.bytesPerSecond)
     , antiEntropy(random.next())
+    , exchange(spread, outbox, counts)
     , evacuations(given.handlesEvacuations)
 {
     self.role = MemberRole::Entry;
@@ -207,6 +208,10 @@
         return &State::onShardRequest;
     case control::Envelope::kShardReply:
         return &State::onShardReply;
+    case control::Envelope::kSnapshotRequest:
+        return &State::onSnapshotRequest;
+    case control::Envelope::kSnapshotPart:
+        return &State::onSnapshotPart;
     default:
         return &State::onForeign;
     }
@@ -357,7 +362,7 @@
     control::HeartbeatReply const& reply = envelope.heartbeat_reply();
     if (reply.refute_incarnation() > maximumIncarnation || !evacuations.takeReply(reply, from, outbox, now))
         return false;
-    notePosition(reply.position(), from);
+    exchange.notePosition(reply.position(), from);
     if (reply.refute_incarnation() >= std::max<std::uint64_t>(self.incarnation, 1))
         raiseIncarnation(reply.refute_incarnation(), now);
     auto const contact = heartbeats.find(from);
@@ -399,8 +404,9 @@
         if (spread.knows(change->position))
             gossip.noteDuplicate(change->position);
         takeChange(*change);
-        notePosition(change->position, from);
+        exchange.notePosition(change->position, from);
     }
+    exchange.notePosition(envelope.gossip().position(), from);
     for (control::ServiceCopy const& copy : envelope.gossip().copies())
         valid = takeCopy(copy.position(), copy.service()) && valid;
     return valid;
@@ -420,7 +426,7 @@
             antiEntropy.hurry(now);
         outbox.send(from, answer);
     }
-    notePosition(request.position(), from);
+    exchange.notePosition(request.position(), from);
     if (request.position() < spread.log().position())
         pushChangesTo(from, request.position());
     return true;
@@ -435,7 +441,7 @@
     // Without an answer the peer asks somebody else; changes are answered at any time because they are due in 4 s.
     if (!request.changes() && !answers.canTake(0)) {
         ++counts.answersWithheld;
-        recordStep(ConfigurationStep::AnswerWithheld, from, 0);
+        exchange.recordStep(ConfigurationStep::AnswerWithheld, from, 0);
         return true;
     }
     control::Envelope answer;
@@ -470,6 +476,17 @@
     return members && changes;
 }
 
+bool EntryControl::State::onSnapshotRequest(Endpoint from, control::Envelope const& envelope, TimePoint /*now*/)
+{
+    exchange.answer(from, envelope.snapshot_request());
+    return true;
+}
+
+bool EntryControl::State::onSnapshotPart(Endpoint from, control::Envelope const& envelope, TimePoint now)
+{
+    return exchange.takePart(from, envelope.snapshot_part(), now);
+}
+
 bool EntryControl::State::takeAnsweredMembers(Endpoint from, control::ShardReply const& reply, TimePoint now)
 {
     bool const few = reply.members_size() <= largestSpreadAnswer;
@@ -512,7 +529,7 @@
         if (change)
             takeChange(*change);
     }
-    notePosition(reply.position(), from);
+    exchange.notePosition(reply.position(), from);
     return valid;
 }
 
@@ -523,16 +540,12 @@
             takeCopy(reply.copies_position(), copy);
     }
     catchUp.take(from, reply, now);
-    std::optional<CatchUp::Assembled> const assembled = catchUp.takeConfiguration();
-    if (assembled) {
-        spread.takeSnapshot(assembled->position, assembled->configuration);
-        recordStep(ConfigurationStep::FetchCompleted, {}, assembled->position);
-    }
+    std::optional<Snapshot> const assembled = catchUp.takeConfiguration();
+    if (assembled)
+        exchange.takeSnapshot(assembled->position, assembled->configuration);
     bool const lacksChanges = reply.shards().empty() && reply.changes().empty() && reply.position() > spread.log().position();
-    if (lacksChanges && !catchUp.isActive()) {
-        catchUp.start(now, false);
-        recordStep(ConfigurationStep::FetchStarted, from, reply.position());
-    }
+    if (lacksChanges && !catchUp.awaitsConfiguration(now))
+        exchange.requestSnapshot(from, reply.position(), now);
 }
 
 // ---- records ----
@@ -675,7 +688,7 @@
     announceSelf(now);
     for (Endpoint const seed : options.seeds)
         sendHeartbeat(seed, true);
-    catchUp.start(now, true);
+    catchUp.start(now);
 }
 
 void EntryControl::State::noticePause(TimePoint now)
@@ -784,6 +797,14 @@
     evacuations.send(neighbours.choose(random), outbox, now);
 }
 
+void EntryControl::State::announceConfiguration()
+{
+    if (!exchange.isAnnouncementDue())
+        return;
+    refreshNeighbours();
+    exchange.announce(neighbours.choose(random));
+}
+
 void EntryControl::State::compare(TimePoint now)
 {
     refreshNeighbours();
@@ -844,43 +865,10 @@
         *envelope.mutable_shard_request() = request;
         outbox.send(peer, envelope);
     }
-    if (!catchUp.isActive())
-        recordStep(ConfigurationStep::FetchAbandoned, {}, 0);
-}
-
-void EntryControl::State::fetchChanges(TimePoint now)
-{
-    if (catchUp.isActive())
-        return;
-    std::optional<Endpoint> const peer = spread.dueRequest(now);
-    if (!peer)
-        return;
-    control::Envelope envelope;
-    control::ShardRequest& request = *envelope.mutable_shard_request();
-    request.set_changes(true);
-    request.set_after_position(spread.log().position());
-    outbox.send(*peer, envelope);
-    ++counts.configurationRequests;
-    recordStep(ConfigurationStep::ChangesRequested, *peer, 0);
 }
 
 // ---- configuration ----
 
-void EntryControl::State::notePosition(std::uint64_t position, Endpoint peer)
-{
-    knownPosition = std::max(knownPosition, spread.log().position());
-    if (position > knownPosition) {
-        knownPosition = position;
-        recordStep(ConfigurationStep::PeerAhead, peer, position);
-    }
-    spread.notePosition(position, peer);
-}
-
-void EntryControl::State::recordStep(ConfigurationStep step, Endpoint peer, std::uint64_t peerPosition)
-{
-    configurationEvents.push_back({ step, peer, spread.log().position(), peerPosition });
-}
-
 void EntryControl::State::takeChange(ConfigurationChange const& change)
 {
     spreadChanges(spread.take(change));
@@ -992,9 +980,11 @@
     state_->expire(now);
     state_->sendHeartbeats(now);
     state_->fetch(now);
-    state_->fetchChanges(now);
+    if (!state_->catchUp.awaitsConfiguration(now))
+        state_->exchange.requestChanges(now, state_->random);
     state_->compare(now);
     state_->sendGossip(now);
+    state_->announceConfiguration();
     state_->evacuations.tick(now);
     state_->spreadEvacuations(now);
 }
@@ -1019,7 +1009,7 @@
 
 std::vector<ConfigurationEvent> EntryControl::takeConfigurationEvents()
 {
-    return std::exchange(state_->configurationEvents, {});
+    return state_->exchange.takeEvents();
 }
 
 void EntryControl::addChanges(std::span<ConfigurationChange const> changes, TimePoint /*now*/)
@@ -1034,7 +1024,7 @@
 
 void EntryControl::addSnapshot(std::uint64_t position, Configuration const& configuration, TimePoint /*now*/)
 {
-    state_->spread.takeSnapshot(position, configuration);
+    state_->exchange.takeSnapshot(position, configuration);
 }
 
 ChangeLog const& EntryControl::changeLog() const noexcept
--- a/src/runtime/ConfigurationLog.cpp
+++ b/src/runtime/ConfigurationLog.cpp
@@ -18,6 +18,7 @@
 void addConfigurationMetrics(MetricsPage& page, EntryControl::Counts const& counts)
 {
     page.addCounter("plantaindrift_configuration_requests_total", "Requests to peers for a newer configuration.", {}, static_cast<double>(counts.configurationRequests));
+    page.addCounter("plantaindrift_configurations_sent_total", "Whole configurations, or missing parts of them, sent to peers.", {}, static_cast<double>(counts.snapshotsSent));
     page.addCounter("plantaindrift_answers_withheld_total", "Requests of peers not answered because the control budget was used up.", {}, static_cast<double>(counts.answersWithheld));
 }
 
