Keep a share of 0 in configurations that peers send

Callers would see flows sent to a service whose weight for the address is 0, at entries that got the configuration from a peer. Found by reading, not seen in a run. Cause: a share of 0 was not encoded, and absent means 100. Change: the field records its presence; absent still means 100. Result: ControlMessageTests/AnAddressWithoutAShareKeepsNone fails without the change and passes with it.

--- a/src/configuration/ProtobufConversion.cpp
+++ b/src/configuration/ProtobufConversion.cpp
@@ -34,7 +34,7 @@
         if (message.share() > maximumShort || message.priority() > maximumShort)
             return std::nullopt;
         ServiceAddress address { *endpoint, tcp ? Protocol::Tcp : Protocol::Udp };
-        if (message.share() > 0)
+        if (message.has_share())
             address.share = static_cast<std::uint16_t>(message.share());
         address.priority = static_cast<std::uint16_t>(message.priority());
         address.targetLatency = std::chrono::milliseconds { message.target_latency_ms() };
--- a/tests/ControlMessageTests.cpp
+++ b/tests/ControlMessageTests.cpp
@@ -120,6 +120,19 @@
     BOOST_TEST((fromProtobuf(message).value() == change));
 }
 
+// A peer's copy of a configuration sent flows to a service whose share of the address is 0.
+BOOST_AUTO_TEST_CASE(AnAddressWithoutAShareKeepsNone)
+{
+    Service service = fullService();
+    service.addresses.front().share = 0;
+    service.addresses.back().share = 30;
+    control::Service message;
+    toProtobuf(service, message);
+    std::string const bytes = message.SerializeAsString();
+    BOOST_TEST_REQUIRE(message.ParseFromString(bytes));
+    BOOST_TEST((fromProtobuf(message).value() == service));
+}
+
 BOOST_AUTO_TEST_CASE(MembersOutOfRangeAreRefused)
 {
     using Spoil = void (*)(control::Member&);
