--- a/src/runtime/HttpClient.cpp
+++ b/src/runtime/HttpClient.cpp
@@ -74,7 +74,7 @@
 
 HttpClient::~HttpClient() = default;
 
-absl::StatusOr<HttpResult> HttpClient::send(std::string const& method, std::string const& url, std::string const& body, std::chrono::milliseconds timeout, std::atomic<bool> const* cancelled)
+absl::StatusOr<HttpResult> HttpClient::send(std::string const& method, std::string const& url, std::string const& body, std::chrono::milliseconds timeout, std::atomic<bool> const* cancelled, std::chrono::seconds stall)
 {
     CURL* const handle = state_->handle.get();
     if (handle == nullptr)
@@ -89,6 +89,10 @@
     curl_easy_setopt(handle, CURLOPT_NOSIGNAL, 1L);
     curl_easy_setopt(handle, CURLOPT_NOPROXY, "*");
     curl_easy_setopt(handle, CURLOPT_TIMEOUT_MS, static_cast<long>(timeout.count()));
+    if (stall > std::chrono::seconds::zero()) {
+        curl_easy_setopt(handle, CURLOPT_LOW_SPEED_LIMIT, 1L);
+        curl_easy_setopt(handle, CURLOPT_LOW_SPEED_TIME, static_cast<long>(stall.count()));
+    }
     curl_easy_setopt(handle, CURLOPT_WRITEFUNCTION, &appendBody);
     curl_easy_setopt(handle, CURLOPT_WRITEDATA, &result.body);
     curl_easy_setopt(handle, CURLOPT_HEADERFUNCTION, &appendHeader);
--- a/tests/HttpClientTests.cpp
+++ b/tests/HttpClientTests.cpp
@@ -9,8 +9,14 @@
 #include <asio/post.hpp>
 #include <asio/read_until.hpp>
 #include <asio/write.hpp>
+#include <atomic>
 #include <boost/test/unit_test.hpp>
+#include <cstdint>
+#include <cstdlib>
+#include <fstream>
+#include <sstream>
 #include <string>
+#include <string_view>
 #include <thread>
 
 namespace {
@@ -69,6 +75,47 @@
     }
 };
 
+// Sends the head of an answer at once and its body in pieces; stops in the middle if it stalls.
+class SlowServer {
+public:
+    static constexpr int pieces = 12;
+    static constexpr std::chrono::milliseconds pause { 250 };
+
+    explicit SlowServer(bool stalls)
+        : acceptor_(loop_, asio::ip::tcp::endpoint(asio::ip::address_v4::loopback(), 0))
+        , thread_([this, stalls] { serve(stalls); })
+    {
+    }
+
+    ~SlowServer() { thread_.join(); }
+    SlowServer(SlowServer const&) = delete;
+    SlowServer& operator=(SlowServer const&) = delete;
+
+    [[nodiscard]] std::uint16_t port() const { return acceptor_.local_endpoint().port(); }
+    [[nodiscard]] std::string url() const { return "http://127.0.0.1:" + std::to_string(port()) + '/'; }
+
+private:
+    asio::io_context loop_;
+    asio::ip::tcp::acceptor acceptor_;
+    std::thread thread_;
+
+    void serve(bool stalls)
+    {
+        asio::ip::tcp::socket connection(loop_);
+        acceptor_.accept(connection);
+        std::string received;
+        asio::error_code error;
+        asio::read_until(connection, asio::dynamic_buffer(received), "\r\n\r\n", error);
+        asio::write(connection, asio::buffer("HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(pieces) + "\r\n\r\n"), error);
+        for (int piece = 0; piece < (stalls ? pieces / 2 : pieces); ++piece) {
+            std::this_thread::sleep_for(pause);
+            asio::write(connection, asio::buffer("x", 1), error);
+        }
+        // The client closes the connection when it has the answer, or gives up.
+        asio::read_until(connection, asio::dynamic_buffer(received), "never sent", error);
+    }
+};
+
 } // namespace
 
 BOOST_AUTO_TEST_CASE(ARepeatedAnswerIsNotTakenForTheNext)
@@ -102,3 +149,19 @@
     BOOST_TEST(largest->body.size() == maximumResponseBytes);
     BOOST_TEST(!tooLarge.ok());
 }
+
+// A large configuration on a full link takes longer than a store that is silent may.
+BOOST_AUTO_TEST_CASE(ASlowAnswerIsReadAsLongAsItArrives)
+{
+    SlowServer const server(false);
+    absl::StatusOr<HttpResult> const result = HttpClient().send("GET", server.url(), "", 20s, nullptr, 1s);
+    BOOST_TEST_REQUIRE(result.ok());
+    BOOST_TEST(result->body.size() == static_cast<std::size_t>(SlowServer::pieces));
+}
+
+BOOST_AUTO_TEST_CASE(AnAnswerThatStallsIsGivenUpBeforeTheTimeout)
+{
+    SlowServer const server(true);
+    absl::StatusOr<HttpResult> const result = HttpClient().send("GET", server.url(), "", 3600s, nullptr, 1s);
+    BOOST_TEST(!result.ok());
+}
