Probe connections to the store, so that a watch on a silent one ends after 3 s

Change: TCP keepalive with an idle time and an interval of one second and two probes for all calls to the store, watches of the evacuations included. Result: HttpClientTests/AWaitingConnectionIsProbed fails without the option and passes with it.

--- a/src/runtime/HttpClient.cpp
+++ b/src/runtime/HttpClient.cpp
@@ -6,6 +6,9 @@
 #include <cctype>
 #include <curl/curl.h>
 #include <memory>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
 
 namespace plantaindrift {
 
@@ -41,6 +44,19 @@
         return line.size();
     }
 
+    // A connection may go silent without a reset, and a watch waits on it for many seconds. The peer's kernel answers probes
+    // however slow its process is, so that a connection without answers for 3 s is lost.
+    constexpr long keepaliveIdleSeconds = 1;
+    constexpr long keepaliveIntervalSeconds = 1;
+    constexpr int keepaliveProbes = 2;
+
+    // libcurl has no option for the number of probes. A failure leaves the system's number.
+    int limitKeepaliveProbes(void*, curl_socket_t socket, curlsocktype)
+    {
+        ::setsockopt(socket, IPPROTO_TCP, TCP_KEEPCNT, &keepaliveProbes, sizeof(keepaliveProbes));
+        return CURL_SOCKOPT_OK;
+    }
+
     int abortIfCancelled(void* cancelled, curl_off_t, curl_off_t, curl_off_t, curl_off_t)
     {
         return static_cast<std::atomic<bool> const*>(cancelled)->load() ? 1 : 0;
@@ -88,6 +104,10 @@
     // Timeouts by signals are unsafe in a multithreaded process.
     curl_easy_setopt(handle, CURLOPT_NOSIGNAL, 1L);
     curl_easy_setopt(handle, CURLOPT_NOPROXY, "*");
+    curl_easy_setopt(handle, CURLOPT_TCP_KEEPALIVE, 1L);
+    curl_easy_setopt(handle, CURLOPT_TCP_KEEPIDLE, keepaliveIdleSeconds);
+    curl_easy_setopt(handle, CURLOPT_TCP_KEEPINTVL, keepaliveIntervalSeconds);
+    curl_easy_setopt(handle, CURLOPT_SOCKOPTFUNCTION, &limitKeepaliveProbes);
     curl_easy_setopt(handle, CURLOPT_TIMEOUT_MS, static_cast<long>(timeout.count()));
     if (stall > std::chrono::seconds::zero()) {
         curl_easy_setopt(handle, CURLOPT_LOW_SPEED_LIMIT, 1L);
--- a/tests/HttpClientTests.cpp
+++ b/tests/HttpClientTests.cpp
@@ -75,6 +75,29 @@
     }
 };
 
+// True if a keepalive timer runs for a connection to the port.
+bool hasKeepaliveTimer(std::uint16_t remotePort)
+{
+    constexpr std::string_view keepaliveTimer = "02:";
+    std::ifstream table("/proc/self/net/tcp");
+    std::string line;
+    while (std::getline(table, line)) {
+        std::istringstream fields(line);
+        std::string number;
+        std::string local;
+        std::string remote;
+        std::string state;
+        std::string queues;
+        std::string timer;
+        fields >> number >> local >> remote >> state >> queues >> timer;
+        std::size_t const colon = remote.find(':');
+        bool const isRemote = colon != std::string::npos && std::strtoul(remote.c_str() + colon + 1, nullptr, 16) == remotePort;
+        if (isRemote && timer.starts_with(keepaliveTimer))
+            return true;
+    }
+    return false;
+}
+
 // Sends the head of an answer at once and its body in pieces; stops in the middle if it stalls.
 class SlowServer {
 public:
@@ -165,3 +188,21 @@
     absl::StatusOr<HttpResult> const result = HttpClient().send("GET", server.url(), "", 3600s, nullptr, 1s);
     BOOST_TEST(!result.ok());
 }
+
+// A watch waited on a connection that had gone silent until its timeout, and missed the changes meanwhile.
+BOOST_AUTO_TEST_CASE(AWaitingConnectionIsProbed)
+{
+    SlowServer const server(true);
+    std::atomic<bool> isDone { false };
+    std::thread client([&] {
+        (void)HttpClient().send("GET", server.url(), "", 20s, nullptr, 5s);
+        isDone = true;
+    });
+    bool isProbed = false;
+    while (!isDone && !isProbed) {
+        isProbed = hasKeepaliveTimer(server.port());
+        std::this_thread::sleep_for(10ms);
+    }
+    client.join();
+    BOOST_TEST(isProbed);
+}
