--- a/tests/DivisionStoreTests.cpp
+++ b/tests/DivisionStoreTests.cpp
@@ -156,6 +156,20 @@
     BOOST_TEST(calls[2] == "GET /plantaindrift/objects/config?watch=533&wait-ms=100");
 }
 
+// Versions that follow each other quickly come in one answer; one of them that cannot be read hid the newest.
+BOOST_AUTO_TEST_CASE(OfSeveralVersionsInOneAnswerTheNewestCounts)
+{
+    StandInStore standIn;
+    division::DivisionStore store(url);
+    standIn.prepare(200, list(object(7), 530));
+    std::string const unreadable = R"({"meta":{"name":"main"},"spec":{"version":"eight"}})";
+    standIn.prepare(200, "{\"events\":[{\"deleted\":false,\"object\":" + unreadable + "},{\"deleted\":false,\"object\":" + object(9) + "}],\"store-revision\":533}");
+    standIn.prepare(200, "{\"events\":[{\"deleted\":false,\"object\":" + object(10) + "},{\"deleted\":false,\"object\":" + unreadable + "}],\"store-revision\":535}");
+    BOOST_TEST(store.readConfiguration().ok());
+    BOOST_TEST(store.awaitConfiguration(100ms).value().value().version == 9U);
+    BOOST_TEST((errorKind(store.awaitConfiguration(100ms).status()) == ErrorKind::InvalidMessage));
+}
+
 BOOST_AUTO_TEST_CASE(AStoreWithoutConfigurationIsNoError)
 {
     StandInStore standIn;
