Leave configurations out of the answers of entries that start themselves

Cause: an entry that fetches full state itself answered each request with the services of the shards, which the receiver ignores. With a configuration of 1,640 addresses, 25 entries that started together had no allowance left; those that ended their fetch first counted as peers with full state, and the others waited for them. Besides, an entry that uses the copies of agents sent them under the older position of its log. Change: such answers have no services, unless they are copies of agents for entries without a log.

--- a/src/membership/EntryControl.cpp
+++ b/src/membership/EntryControl.cpp
@@ -77,6 +77,7 @@
     bool onSnapshotRequest(Endpoint from, control::Envelope const& envelope, TimePoint now);
     bool onSnapshotPart(Endpoint from, control::Envelope const& envelope, TimePoint now);
     bool onForeign(Endpoint from, control::Envelope const& envelope, TimePoint now);
+    void addServices(control::ShardRequest const& request, control::ShardReply& reply) const;
     bool takeAnsweredMembers(Endpoint from, control::ShardReply const& reply, TimePoint now);
     bool takeAnsweredChanges(Endpoint from, control::ShardReply const& reply);
     void takeCatchUp(Endpoint from, control::ShardReply const& reply, TimePoint now);
@@ -454,9 +455,7 @@
     else
         reply.mutable_shards()->CopyFrom(request.shards());
     if (request.services())
-        answerServices(spread.inForce(), request, reply);
-    if (request.services() && spread.log().position() == 0)
-        reply.set_copies_position(spread.copiesPosition());
+        addServices(request, reply);
     if (request.changes())
         answerChanges(spread.log(), request, reply);
     answers.take(static_cast<double>(reply.ByteSizeLong()));
@@ -464,6 +463,17 @@
     return true;
 }
 
+// The receiver ignores services of a node that catches up itself, but for the copies that agents kept.
+void EntryControl::State::addServices(control::ShardRequest const& request, control::ShardReply& reply) const
+{
+    reply.set_with_services(true);
+    bool const hasLog = spread.log().position() > 0;
+    if (!hasLog)
+        reply.set_copies_position(spread.copiesPosition());
+    if (!hasLog || !reply.partial())
+        answerServices(hasLog ? spread.log() : spread.inForce(), request, reply);
+}
+
 bool EntryControl::State::onShardReply(Endpoint from, control::Envelope const& envelope, TimePoint now)
 {
     control::ShardReply const& reply = envelope.shard_reply();
--- a/src/membership/ShardExchange.cpp
+++ b/src/membership/ShardExchange.cpp
@@ -88,7 +88,6 @@
     std::vector<bool> asked(shardCount);
     for (std::uint32_t const shard : request.shards())
         asked[shard] = true;
-    reply.set_with_services(true);
     for (Service const& service : log.configuration().services) {
         if (asked[shardOf(service.name)])
             toProtobuf(service, *reply.add_services());
--- a/src/membership/ShardExchange.h
+++ b/src/membership/ShardExchange.h
@@ -32,7 +32,7 @@
 /// \brief Adds the records that the request asks for, and the keys of those that this node lacks.
 void answerMembers(MemberTable const& table, control::ShardRequest const& request, TimePoint now, control::ShardReply& reply);
 
-/// \brief Adds the services of the requested shards.
+/// \brief Adds the services of the requested shards to a reply.
 void answerServices(ChangeLog const& log, control::ShardRequest const& request, control::ShardReply& reply);
 
 /// \brief Adds the changes after the requested position, oldest first, up to answerBytes.
--- a/tests/CatchUpTests.cpp
+++ b/tests/CatchUpTests.cpp
@@ -3,6 +3,8 @@
 
 #include "ControlFleet.h"
 
+#include "membership/CatchUp.h"
+
 #include <boost/test/unit_test.hpp>
 
 using namespace plantaindrift;
@@ -124,6 +126,39 @@
     BOOST_TEST(fleet.isConverged());
 }
 
+// Entries that start together sent each other the configuration with each answer, which nobody used, and then had no allowance
+// left for the state that is used. Those that started first counted as having full state, and the others waited for them.
+BOOST_AUTO_TEST_CASE(AColdFleetWithALargeConfigurationStarts)
+{
+    Configuration large;
+    for (char const* const name : { "service-0", "service-1" }) {
+        Service& service = large.services.emplace_back();
+        service.name = name;
+        for (std::uint32_t index = 0; index < 820; ++index)
+            service.addresses.push_back({ { 0xC6120000U + index, 8443 }, Protocol::Tcp, 100, 0, 200ms });
+    }
+    for (std::uint64_t seed = 1; seed <= 8; ++seed) {
+        ControlFleet fleet({ seed, 0.003, 0, 1ms, 5ms });
+        for (std::uint32_t index = 1; index <= 3; ++index)
+            fleet.seeds.push_back(ControlFleet::endpointOf(index));
+        for (std::size_t index = 0; index < 25; ++index) {
+            fleet.addEntry("entry-" + std::to_string(index), dataCentres[index % dataCentres.size()]);
+            if (index % 8 == 7)
+                fleet.run(100ms);
+        }
+        for (std::size_t index = 0; index < 63; ++index)
+            fleet.addAgent("agent-" + std::to_string(index), dataCentres[index % dataCentres.size()], large.services[index % 5 == 0 ? 1 : 0].name);
+        fleet.run(500ms);
+        for (std::string const& name : fleet.entryNames())
+            fleet.entry(name).addSnapshot(5, large, fleet.now());
+        auto const areCaughtUp = [&fleet] {
+            std::vector<std::string> const names = fleet.entryNames();
+            return std::all_of(names.begin(), names.end(), [&fleet](std::string const& name) { return fleet.entry(name).isCaughtUp(fleet.now()); });
+        };
+        BOOST_TEST((fleet.runUntil(areCaughtUp, 60s) <= CatchUp::patience), "seed " << seed);
+    }
+}
+
 // The list of a restored store may be short of members, whose flows an entry that starts would take for lost.
 BOOST_AUTO_TEST_CASE(AnEntryThatStartsWaitsForAPeerWithFullState)
 {
