Hold peers that are ahead, and configurations that nobody has any more

Cause: gossip without a position was taken for position 0, so that a peer that had just told that it is ahead was forgotten; parts of an older position were ignored for good after the only peer with the newer one had ended; a retry could ask the same peer. Change: gossip without a position says nothing; the first part that answers a request may restart the assembly; a retry asks another peer if one is known.

--- a/src/membership/ConfigurationSpread.cpp
+++ b/src/membership/ConfigurationSpread.cpp
@@ -108,7 +108,9 @@
     bool const waiting = lastRequest_ && now - *lastRequest_ < retryPeriod;
     if (ahead_.empty() || waiting)
         return std::nullopt;
-    auto const next = std::next(ahead_.begin(), static_cast<std::ptrdiff_t>(random.below(ahead_.size())));
+    auto next = std::next(ahead_.begin(), static_cast<std::ptrdiff_t>(random.below(ahead_.size())));
+    if (next->first == asked_ && ++next == ahead_.end())
+        next = ahead_.begin();
     asked_ = next->first;
     ++next->second.asked;
     lastRequest_ = now;
--- a/src/membership/EntryControl.cpp
+++ b/src/membership/EntryControl.cpp
@@ -407,7 +407,8 @@
         takeChange(*change);
         exchange.notePosition(change->position, from);
     }
-    exchange.notePosition(envelope.gossip().position(), from);
+    if (envelope.gossip().position() > 0)
+        exchange.notePosition(envelope.gossip().position(), from);
     for (control::ServiceCopy const& copy : envelope.gossip().copies())
         valid = takeCopy(copy.position(), copy.service()) && valid;
     return valid;
--- a/src/membership/SnapshotParts.cpp
+++ b/src/membership/SnapshotParts.cpp
@@ -81,7 +81,7 @@
 {
     if (message.position() == 0 || message.parts() > maximumSnapshotParts || message.part() >= message.parts())
         return false;
-    if (message.position() < position_)
+    if (message.position() < position_ && !awaitsAnswer_)
         return true;
     std::vector<Service> services;
     for (control::Service const& service : message.services()) {
@@ -96,6 +96,7 @@
         missing_ = message.parts();
         parts_.assign(message.parts(), std::nullopt);
     }
+    awaitsAnswer_ = false;
     std::optional<std::vector<Service>>& part = parts_[message.part()];
     missing_ -= part ? 0 : 1;
     part = std::move(services);
@@ -121,8 +122,9 @@
     return snapshot;
 }
 
-void SnapshotAssembly::addMissing(control::SnapshotRequest& request) const
+void SnapshotAssembly::addMissing(control::SnapshotRequest& request)
 {
+    awaitsAnswer_ = true;
     if (parts_.empty())
         return;
     request.set_position(position_);
--- a/src/membership/SnapshotParts.h
+++ b/src/membership/SnapshotParts.h
@@ -31,7 +31,8 @@
 /// \brief Assembles a configuration from parts, which may arrive in any order and from several peers.
 class SnapshotAssembly {
 public:
-    /// \brief Takes a part; those of an older position than the one that is being assembled are ignored.
+    /// \brief Takes a part; those of an older position than the one that is being assembled are ignored, unless the first of them
+    /// answers a request: nobody may have the newer one any more.
     ///
     /// \returns false if a field is out of range
     [[nodiscard]] bool take(control::SnapshotPart const& message);
@@ -39,8 +40,8 @@
     /// \brief The configuration once all of its parts are there; removes it.
     [[nodiscard]] std::optional<Snapshot> takeComplete();
 
-    /// \brief Names the parts that are missing, if some have arrived.
-    void addMissing(control::SnapshotRequest& request) const;
+    /// \brief Names the parts that are missing, if some have arrived, in a request that is sent now.
+    void addMissing(control::SnapshotRequest& request);
 
 private:
     [[nodiscard]] bool belongsTo(control::SnapshotPart const& message) const noexcept;
@@ -48,6 +49,7 @@
     std::uint64_t position_ { 0 };
     std::uint64_t hash_ { 0 };
     std::size_t missing_ { 0 };
+    bool awaitsAnswer_ { false }; ///< a request was sent, and no part has arrived since
     std::vector<std::optional<std::vector<Service>>> parts_;
 };
 
