Give test beds ports that no outgoing connection takes

Cause: its log has 'cannot listen for HTTP on 127.0.0.1:34159: Address already in use'. The bed took a free port of those that the kernel gives to outgoing connections, and something else had it when the caller started. Change: ports come from 20000 to 31999, below that range, and beds that run together begin at different blocks. No run shows how often the fault came before.

--- a/scripts/testbed.py
+++ b/scripts/testbed.py
@@ -34,24 +34,32 @@
 
 
 class Ports:
-    """Loopback ports that were free for TCP and UDP when they were taken."""
+    """Loopback ports that are free for TCP and UDP when they are taken.
+
+    They are below those that the kernel gives to outgoing connections, which would take them before they are used, and
+    beds that run at the same time begin at different blocks.
+    """
+
+    FIRST = 20000
+    BLOCK = 200
+    BLOCKS = 60
 
     def __init__(self):
-        self.taken = set()
+        first = os.getpid() % self.BLOCKS * self.BLOCK
+        count = self.BLOCK * self.BLOCKS
+        self.candidates = (self.FIRST + (first + offset) % count for offset in range(count))
 
     def take(self):
-        while True:
+        for port in self.candidates:
             with socket.socket(socket.AF_INET, socket.SOCK_STREAM) as tcp, \
                     socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as udp:
-                tcp.bind(("127.0.0.1", 0))
-                port = tcp.getsockname()[1]
                 try:
+                    tcp.bind(("127.0.0.1", port))
                     udp.bind(("127.0.0.1", port))
                 except OSError:
                     continue
-            if port not in self.taken:
-                self.taken.add(port)
-                return f"127.0.0.1:{port}"
+            return f"127.0.0.1:{port}"
+        raise CheckFailed("no port is left")
 
 
 def fetch(address, path, method="GET", body=None, limit=5):
