--- a/src/membership/ConfigurationExchange.h
+++ b/src/membership/ConfigurationExchange.h
@@ -16,7 +16,7 @@
 
 /// \brief Obtains configurations that this entry lacks from peers, and gives its own to peers that lag.
 ///
-/// A configuration that was read as a whole has no changes to send. Peers are told its position, and those that lag request it
+/// A configuration that was read as a whole has no changes to send. Its position is announced to peers, and those that lag request it
 /// from one peer, in parts of one position, so that it arrives also while versions follow each other. Such requests are
 /// answered whatever the control budget: an accepted configuration is due everywhere within seconds.
 class ConfigurationExchange {
@@ -45,13 +45,13 @@
     /// \returns false if a field is out of range
     [[nodiscard]] bool takePart(Endpoint from, control::SnapshotPart const& message, TimePoint now);
 
-    /// \brief Takes a configuration that was read as a whole if it is ahead; peers are told of it.
+    /// \brief Takes a configuration that was read as a whole if it is ahead, and announces it to peers.
     void takeSnapshot(std::uint64_t position, Configuration const& configuration);
 
-    /// \brief True if peers are to be told of a new configuration.
+    /// \brief True if a new configuration is to be announced to peers.
     [[nodiscard]] bool isAnnouncementDue() const noexcept { return isAnnouncementDue_; }
 
-    /// \brief Tells peers the applied position.
+    /// \brief Announces the applied position to peers.
     void announce(std::span<Endpoint const> peers);
 
     void recordStep(ConfigurationStep step, Endpoint peer, std::uint64_t peerPosition);
--- a/tests/ConfigurationFromPeersTests.cpp
+++ b/tests/ConfigurationFromPeersTests.cpp
@@ -155,7 +155,6 @@
 BOOST_AUTO_TEST_CASE(AConfigurationLargerThanADatagramArrives)
 {
     StoreScene scene({ 21, 0.01, 0, 1ms, 5ms }, 12, 4);
-    scene.addAgents(20);
     startDeployment(scene, 245);
     scene.confirm(7000);
     scene.fleet.run(5s);
