--- a/include/plantaindrift/relay/EntryRelay.h
+++ b/include/plantaindrift/relay/EntryRelay.h
@@ -171,6 +171,9 @@
     /// \brief Number of messages that searches sent to agents since start.
     [[nodiscard]] std::uint64_t searchMessageCount() const noexcept;
 
+    /// \brief Number of searches since start that went on in services that do not have the flow's address.
+    [[nodiscard]] std::uint64_t widenedSearchCount() const noexcept;
+
     /// \brief Times from a search's first segment to the notice of the owner, since start.
     [[nodiscard]] LatencyHistogram const& successfulSearchTimes() const noexcept;
 
--- a/src/relay/AddressRoutes.cpp
+++ b/src/relay/AddressRoutes.cpp
@@ -54,7 +54,8 @@
         for (ServiceAddress const& address : service.addresses) {
             std::uint64_t const key = endpointKey(address.endpoint);
             AddressRoute& route = routes_[key];
-            route.services.push_back({ &group, address.share });
+            route.shares.push_back({ &group, address.share });
+            route.services.push_back(&group);
             route.totalShare += address.share;
             std::size_t const rank = rankOf(priorities, address.priority);
             route.limitTenthMs = orderedLimit(admissionLimit(address.targetLatency, rank), std::span<std::uint16_t const>(tightest).first(rank));
@@ -74,7 +75,7 @@
     if (route == routes_.end() || route->second.totalShare == 0)
         return nullptr;
     std::uint32_t point = static_cast<std::uint32_t>((flowHash >> 20U) % route->second.totalShare);
-    for (RouteShare const& share : route->second.services) {
+    for (RouteShare const& share : route->second.shares) {
         if (point < share.share)
             return share.group;
         point -= share.share;
@@ -82,6 +83,12 @@
     return nullptr;
 }
 
+std::span<TargetGroup const* const> AddressRoutes::findServices(Endpoint address) const noexcept
+{
+    Routes::const_iterator const route = routes_.find(endpointKey(address));
+    return route != routes_.end() ? route->second.services : std::span<TargetGroup const* const> {};
+}
+
 std::uint16_t AddressRoutes::latencyLimit(Endpoint address, TimePoint now) const noexcept
 {
     Routes::const_iterator const route = routes_.find(endpointKey(address));
--- a/src/relay/AddressRoutes.h
+++ b/src/relay/AddressRoutes.h
@@ -6,6 +6,7 @@
 #include "absl/container/flat_hash_map.h"
 
 #include <cstdint>
+#include <span>
 #include <vector>
 
 namespace plantaindrift {
@@ -20,6 +21,9 @@
     /// its retransmissions.
     [[nodiscard]] TargetGroup* findService(Endpoint address, std::uint64_t flowHash) const noexcept;
 
+    /// \brief All services that have an address; none if no service has it.
+    [[nodiscard]] std::span<TargetGroup const* const> findServices(Endpoint address) const noexcept;
+
     /// \brief Expected time above which no target admits a new flow, in 0.1 ms; 0 for no limit and for new addresses.
     [[nodiscard]] std::uint16_t latencyLimit(Endpoint address, TimePoint now) const noexcept;
 
@@ -33,7 +37,8 @@
     };
 
     struct AddressRoute {
-        std::vector<RouteShare> services;
+        std::vector<RouteShare> shares;
+        std::vector<TargetGroup const*> services; ///< of the shares
         std::uint32_t totalShare { 0 };
         std::uint16_t limitTenthMs { 0 };
         TimePoint limitedFrom; ///< end of the time in which the address counts as new
--- a/src/relay/EntryMessages.cpp
+++ b/src/relay/EntryMessages.cpp
@@ -30,10 +30,12 @@
 void EntryRelay::State::recordOwner(Endpoint from, RelayFlow const& flow, TimePoint now)
 {
     std::uint64_t const hash = hashRelayFlow(flow);
-    searches.recordFound(hash, now);
+    std::optional<ServiceHash> const searched = searches.recordFound(hash, now);
     FlowRecord* const record = insertFlow(hash, flow, now);
     if (record == nullptr)
         return;
+    if (searched)
+        record->service = *searched;
     countEvacuated(*record, from);
     if (std::exchange(record->isTimed, false))
         resources.link().recordRoundTrip(now - record->opened);
@@ -117,7 +119,7 @@
 {
     switch (decoded.kind) {
     case RelayMessageKind::FlowNotFound:
-        processNotFound(from, decoded.flow, now);
+        processNotFound(from, decoded.serviceHash, decoded.flow, now);
         return true;
     case RelayMessageKind::FlowQueryReply:
         return searches.processQueryReply(from, decoded, now, { options.keys, nowSeconds });
--- a/src/relay/EntryRelay.cpp
+++ b/src/relay/EntryRelay.cpp
@@ -235,6 +235,11 @@
     return state_->searches.messageCount();
 }
 
+std::uint64_t EntryRelay::widenedSearchCount() const noexcept
+{
+    return state_->searches.widenedCount();
+}
+
 LatencyHistogram const& EntryRelay::successfulSearchTimes() const noexcept
 {
     return state_->searches.successfulTimes();
--- a/src/relay/EntryRelayState.h
+++ b/src/relay/EntryRelayState.h
@@ -80,7 +80,7 @@
     [[nodiscard]] static bool mayUseUnlistedOwner(FlowRecord& record, TimePoint now) noexcept;
     /// Sends the segment to an agent that ranks high for the flow: entries send the owners of flows to these agents.
     PacketVerdict search(SegmentContext const& context);
-    void processNotFound(Endpoint from, RelayFlow const& flow, TimePoint now);
+    void processNotFound(Endpoint from, ServiceHash service, RelayFlow const& flow, TimePoint now);
     /// Resets the callers of flows that no target holds.
     void resetLostFlows(TimePoint now, std::uint32_t nowSeconds);
     /// A reset is sent even for a closing segment: without an answer, the caller retransmits it many times. A caller
--- a/src/relay/EntrySegments.cpp
+++ b/src/relay/EntrySegments.cpp
@@ -78,6 +78,7 @@
         if (isCopy && record->owner != chosen)
             record->previousOwner = record->owner;
         record->owner = chosen;
+        record->service = service->hash;
         record->isConfirmed = false;
         record->isInUse = false;
         record->isReturnable = !route.mayBeOpen;
@@ -109,13 +110,12 @@
     RelayRoute route;
     TargetGroup const* service = directory.findServiceOf(record->owner);
     bool const isListed = service != nullptr;
-    if (!isListed && mayUseUnlistedOwner(*record, context.now))
-        service = serviceOf(context);
-    if (service == nullptr) {
+    bool const isUsable = isListed || (record->service != ServiceHash {} && mayUseUnlistedOwner(*record, context.now));
+    if (!isUsable) {
         flows.erase(*record);
         return search(context);
     }
-    route.serviceHash = service->hash;
+    route.serviceHash = isListed ? service->hash : record->service;
     // In the mode of a search, the owner sends a notice for each segment.
     route.searchMode = isListed ? RelaySearchMode::OwnerKnown : RelaySearchMode::Start;
     route.candidates[route.candidateCount++] = { record->owner, 0 };
@@ -135,10 +135,13 @@
 
 PacketVerdict EntryRelay::State::search(SegmentContext const& context)
 {
-    TargetGroup* const service = serviceOf(context);
-    if (service == nullptr)
+    std::span<TargetGroup const* const> const services = routes.findServices(context.segment.destination);
+    if (services.empty())
         return drop(context, EntryRelayOutcome::DroppedNoRoute);
-    SearchStep const step = searches.advance(*service, context.segment, context.datagram, context.hash, context.now);
+    // An address whose shares are all 0 takes no new flows and keeps the open ones.
+    TargetGroup const* const newest = serviceOf(context);
+    TargetGroup const* const service = newest != nullptr ? newest : services.front();
+    SearchStep const step = searches.advance({ service, services }, context.segment, context.datagram, context.hash, context.now);
     if (step.isLost) {
         resetLostFlow(context);
         return {};
@@ -152,10 +155,10 @@
     return forward(context, route, EntryRelayOutcome::ForwardedForSearch);
 }
 
-void EntryRelay::State::processNotFound(Endpoint from, RelayFlow const& flow, TimePoint now)
+void EntryRelay::State::processNotFound(Endpoint from, ServiceHash service, RelayFlow const& flow, TimePoint now)
 {
     std::uint64_t const hash = hashRelayFlow(flow);
-    searches.processNotFound(from, hash, now);
+    searches.processNotFound(from, service, hash, now);
     FlowRecord* const record = flows.find(hash);
     if (record == nullptr)
         return;
--- a/src/relay/FlowRecord.h
+++ b/src/relay/FlowRecord.h
@@ -16,6 +16,7 @@
     std::uint8_t returns { 0 }; ///< number of times that agents returned the opening
     bool isTimed { false }; ///< the first copy of the opening segment was forwarded, and no notice has answered it
     bool isInUse { false }; ///< the caller has sent later segments, so that one of the answers is acknowledged
+    ServiceHash service {}; ///< service whose agents received the opening segment or the segments of the search
     Endpoint owner;
     Endpoint previousOwner; ///< previous target, which was offered an earlier copy of the opening segment
     RelayFlow flow;
--- a/src/relay/OwnerSearch.cpp
+++ b/src/relay/OwnerSearch.cpp
@@ -1,22 +1,16 @@
 #include "relay/OwnerSearch.h"
 
-namespace plantaindrift {
+#include <algorithm>
 
-void OwnerSearch::begin(std::span<std::byte const> datagram, TimePoint now)
-{
-    forwarded = now;
-    kept_.clear();
-    if (datagram.size() <= maximumKeptSegmentBytes)
-        kept_.assign(datagram.begin(), datagram.end());
-}
+namespace plantaindrift {
 
-void OwnerSearch::markNotFound(std::size_t target)
+void ServiceReplies::markNotFound(std::size_t target)
 {
     notFound_.insert(target);
     possible_.erase(target);
 }
 
-bool OwnerSearch::markPossible(std::size_t target)
+bool ServiceReplies::markPossible(std::size_t target)
 {
     if (hasReplied(target))
         return false;
@@ -24,37 +18,82 @@
     return true;
 }
 
-void OwnerSearch::renumber(std::span<std::uint32_t const> newIndices)
+void ServiceReplies::renumber(std::span<std::uint32_t const> newIndices)
 {
     notFound_.renumber(newIndices);
     possible_.renumber(newIndices);
 }
 
-std::vector<Endpoint> OwnerSearch::possibleOwners() const
+std::vector<Endpoint> ServiceReplies::possibleOwners() const
 {
     std::vector<Endpoint> agents;
-    for (std::size_t index = 0; index < group->targets.size(); ++index) {
+    for (std::size_t index = 0; index < group_->targets.size(); ++index) {
         if (possible_.contains(index))
-            agents.push_back(group->targets[index].agent);
+            agents.push_back(group_->targets[index].agent);
     }
     return agents;
 }
 
-bool OwnerSearch::hasSilentTarget() const noexcept
+DirectoryTarget const* ServiceReplies::findPossibleOwner(TargetDirectory const& directory, TimePoint now) const noexcept
 {
-    for (std::size_t index = 0; index < group->targets.size(); ++index) {
-        if (!notFound_.contains(index) && !group->targets[index].load.hasEnded)
+    for (std::size_t index = 0; index < group_->targets.size(); ++index) {
+        DirectoryTarget const& target = group_->targets[index];
+        if (!notFound_.contains(index) && directory.mayHoldFlows(*group_, target, now))
+            return &target;
+    }
+    return nullptr;
+}
+
+bool ServiceReplies::hasSilentTarget() const noexcept
+{
+    for (std::size_t index = 0; index < group_->targets.size(); ++index) {
+        if (!notFound_.contains(index) && !group_->targets[index].load.hasEnded)
             return true;
     }
     return false;
 }
 
+void ServiceReplies::recordQuery(TimePoint now) noexcept
+{
+    if (firstQueried_ == TimePoint {})
+        firstQueried_ = now;
+}
+
+void OwnerSearch::begin(std::span<std::byte const> datagram, TimePoint now)
+{
+    forwarded = now;
+    kept_.clear();
+    if (datagram.size() <= maximumKeptSegmentBytes)
+        kept_.assign(datagram.begin(), datagram.end());
+}
+
+void OwnerSearch::addServices(std::span<TargetGroup const* const> added)
+{
+    for (TargetGroup const* const service : added) {
+        if (findReplies(service->hash) == nullptr)
+            services.emplace_back(*service);
+    }
+}
+
+ServiceReplies* OwnerSearch::findReplies(ServiceHash service) noexcept
+{
+    std::vector<ServiceReplies>::iterator const found = std::find_if(services.begin(), services.end(), [service](ServiceReplies const& replies) { return replies.group().hash == service; });
+    return found != services.end() ? &*found : nullptr;
+}
+
+std::size_t OwnerSearch::countPossibleOwners() const
+{
+    std::size_t count = 0;
+    for (ServiceReplies const& replies : services)
+        count += replies.possibleOwners().size();
+    return count;
+}
+
 DirectoryTarget const* OwnerSearch::findPossibleOwner(TargetDirectory const& directory, TimePoint now) const noexcept
 {
-    for (std::size_t index = 0; index < group->targets.size(); ++index) {
-        DirectoryTarget const& target = group->targets[index];
-        if (!notFound_.contains(index) && directory.mayHoldFlows(*group, target, now))
-            return &target;
+    for (ServiceReplies const& replies : services) {
+        if (DirectoryTarget const* const target = replies.findPossibleOwner(directory, now))
+            return target;
     }
     return nullptr;
 }
--- a/src/relay/OwnerSearch.h
+++ b/src/relay/OwnerSearch.h
@@ -12,7 +12,62 @@
 
 namespace plantaindrift {
 
-/// \brief Search of an entry for the owner of a flow, with what the agents of its service replied.
+/// \brief What the agents of one service replied to a search.
+class ServiceReplies {
+public:
+    explicit ServiceReplies(TargetGroup const& group)
+        : group_(&group)
+    {
+    }
+
+    [[nodiscard]] TargetGroup const& group() const noexcept { return *group_; }
+
+    /// \brief Records that a target does not hold the flow.
+    void markNotFound(std::size_t target);
+
+    /// \brief Records that a target may hold the flow, so that its agent has to receive the segment.
+    ///
+    /// \returns false if that was known or if the target has reported that it does not hold the flow
+    bool markPossible(std::size_t target);
+
+    /// \brief Follows a change of the service's target list.
+    ///
+    /// \param newIndices  new index of each target of the old list, or removedTarget
+    void renumber(std::span<std::uint32_t const> newIndices);
+
+    /// \brief True if the target's agent has replied.
+    [[nodiscard]] bool hasReplied(std::size_t target) const noexcept { return notFound_.contains(target) || possible_.contains(target); }
+
+    /// \brief True if the target's agent has replied that the target does not hold the flow.
+    [[nodiscard]] bool hasReportedNotFound(std::size_t target) const noexcept { return notFound_.contains(target); }
+
+    /// \brief Agents whose targets may hold the flow.
+    [[nodiscard]] std::vector<Endpoint> possibleOwners() const;
+
+    /// \brief First target that may hold the flow and has not reported that it does not; null if there is none.
+    [[nodiscard]] DirectoryTarget const* findPossibleOwner(TargetDirectory const& directory, TimePoint now) const noexcept;
+
+    /// \brief True if some target has neither reported that it does not hold the flow nor that it has ended.
+    [[nodiscard]] bool hasSilentTarget() const noexcept;
+
+    /// \brief Records that the agents that have not replied are queried.
+    void recordQuery(TimePoint now) noexcept;
+
+    /// \brief Time of the first query; unset if the agents have not been queried.
+    [[nodiscard]] TimePoint firstQueried() const noexcept { return firstQueried_; }
+
+private:
+    TargetGroup const* group_;
+    TimePoint firstQueried_;
+    TargetSet notFound_;
+    TargetSet possible_;
+};
+
+/// \brief Search of an entry for the owner of a flow, with what the agents of the searched services replied.
+///
+/// The services of the flow's address are searched first. A configuration may have moved the address from a service whose
+/// targets keep their open flows, and an entry that started later has not seen the earlier one; so a flow that is not found
+/// there is searched for in all services.
 struct OwnerSearch {
     std::uint64_t hash { 0 };
     bool used { false };
@@ -20,12 +75,13 @@
     bool isQueued { false }; ///< the flow is in the next query
     bool wasQueried { false };
     bool needsForwarder { false }; ///< more agents have to receive the segment than the entry sends it to
+    bool isWide { false }; ///< all services are searched
     std::uint8_t rank { 0 }; ///< rank of the agent that receives the caller's segments
-    TargetGroup const* group { nullptr }; ///< the flow's service
+    TargetGroup const* group { nullptr }; ///< service whose agents receive the caller's segments
+    std::vector<ServiceReplies> services; ///< the searched services
     TimePoint started; ///< time of the caller's first segment
     TimePoint forwarded; ///< time when a segment was last forwarded as the start of a round
     TimePoint lastSegment; ///< time of the caller's last segment
-    TimePoint firstQueried; ///< time of the first query
     TimePoint queried; ///< time of the last query
     Duration queryInterval {}; ///< time until agents that have not replied are queried again
     std::uint32_t directlySent { 0 }; ///< number of agents to which the entry sent the segment itself
@@ -37,27 +93,14 @@
     /// \brief The copy of the segment; empty if it was too long.
     [[nodiscard]] std::span<std::byte const> keptSegment() const noexcept { return kept_; }
 
-    /// \brief Records that a target does not hold the flow.
-    void markNotFound(std::size_t target);
+    /// \brief Adds services to the searched ones, unless they are among them.
+    void addServices(std::span<TargetGroup const* const> added);
 
-    /// \brief Records that a target may hold the flow, so that its agent has to receive the segment.
-    ///
-    /// \returns false if that was known or if the target has reported that it does not hold the flow
-    bool markPossible(std::size_t target);
+    /// \brief The replies of a searched service; null if it is not searched.
+    [[nodiscard]] ServiceReplies* findReplies(ServiceHash service) noexcept;
 
-    /// \brief Follows a change of the service's target list.
-    ///
-    /// \param newIndices  new index of each target of the old list, or removedTarget
-    void renumber(std::span<std::uint32_t const> newIndices);
-
-    /// \brief True if the target's agent has replied.
-    [[nodiscard]] bool hasReplied(std::size_t target) const noexcept { return notFound_.contains(target) || possible_.contains(target); }
-
-    /// \brief True if the target's agent has replied that the target does not hold the flow.
-    [[nodiscard]] bool hasReportedNotFound(std::size_t target) const noexcept { return notFound_.contains(target); }
-
-    /// \brief Agents whose targets may hold the flow.
-    [[nodiscard]] std::vector<Endpoint> possibleOwners() const;
+    /// \brief Number of agents whose targets may hold the flow.
+    [[nodiscard]] std::size_t countPossibleOwners() const;
 
     /// \brief First target that may hold the flow and has not reported that it does not; null if there is none.
     [[nodiscard]] DirectoryTarget const* findPossibleOwner(TargetDirectory const& directory, TimePoint now) const noexcept;
@@ -72,8 +115,6 @@
     static constexpr std::size_t maximumKeptSegmentBytes = 1280;
 
 private:
-    TargetSet notFound_;
-    TargetSet possible_;
     std::vector<std::byte> kept_; ///< the segment that started the round
 };
 
--- a/src/relay/OwnerSearches.cpp
+++ b/src/relay/OwnerSearches.cpp
@@ -56,19 +56,19 @@
 {
 }
 
-SearchStep OwnerSearches::advance(TargetGroup const& group, Segment const& segment, std::span<std::byte const> datagram, std::uint64_t hash, TimePoint now)
+SearchStep OwnerSearches::advance(SearchedServices const& services, Segment const& segment, std::span<std::byte const> datagram, std::uint64_t hash, TimePoint now)
 {
     OwnerSearch* search = searches_.insert(hash);
     if (search == nullptr)
         return {};
-    // A configuration may have moved the address to another service.
-    bool const isNew = search->group != &group;
-    if (isNew) {
-        *search = OwnerSearch {};
-        search->hash = hash;
-        search->used = true;
-        search->group = &group;
+    bool const isNew = search->group == nullptr;
+    if (isNew)
         search->started = now;
+    // A configuration may have moved the address to another service since the last segment.
+    if (search->group != services.first) {
+        search->group = services.first;
+        search->addServices({ &services.first, 1 });
+        search->addServices(services.all);
     }
     search->segment = segment;
     search->lastSegment = now;
@@ -79,17 +79,19 @@
         ++search->rank;
     if (isStart)
         search->begin(datagram, now);
-    DirectoryTarget const* const target = directory_.findRanked(group, hash, search->rank, now);
+    DirectoryTarget const* const target = directory_.findRanked(*search->group, hash, search->rank, now);
     return { false, isStart, target != nullptr ? target->agent : Endpoint {} };
 }
 
-void OwnerSearches::recordFound(std::uint64_t hash, TimePoint now)
+std::optional<ServiceHash> OwnerSearches::recordFound(std::uint64_t hash, TimePoint now)
 {
     OwnerSearch* const search = searches_.find(hash);
     if (search == nullptr)
-        return;
+        return std::nullopt;
+    ServiceHash const service = search->group->hash;
     foundTimes_.observe(now - search->started);
     searches_.erase(*search);
+    return service;
 }
 
 void OwnerSearches::forget(std::uint64_t hash) noexcept
@@ -98,15 +100,16 @@
         searches_.erase(*search);
 }
 
-void OwnerSearches::processNotFound(Endpoint agent, std::uint64_t hash, TimePoint now)
+void OwnerSearches::processNotFound(Endpoint agent, ServiceHash service, std::uint64_t hash, TimePoint now)
 {
     OwnerSearch* const search = searches_.find(hash);
-    if (search == nullptr || search->isLost)
+    ServiceReplies* const replies = search != nullptr ? search->findReplies(service) : nullptr;
+    if (replies == nullptr || search->isLost)
         return;
-    std::size_t const target = directory_.indexOf(*search->group, agent);
-    if (target == search->group->targets.size())
+    std::size_t const target = TargetDirectory::indexOf(replies->group(), agent);
+    if (target == replies->group().targets.size())
         return;
-    search->markNotFound(target);
+    replies->markNotFound(target);
     if (!search->wasQueried)
         queue(*search);
     endIfLost(*search, now);
@@ -122,14 +125,15 @@
         return false;
     for (std::size_t index = 0; index < query.flows.size(); ++index) {
         OwnerSearch* const search = searches_.find(query.flows[index]);
-        if (search == nullptr || search->isLost)
+        ServiceReplies* const replies = search != nullptr ? search->findReplies(query.group->hash) : nullptr;
+        if (replies == nullptr || search->isLost)
             continue;
         std::byte const position { static_cast<std::uint8_t>(index) };
         bool const isPossible = std::find(reply.possibleFlowBytes.begin(), reply.possibleFlowBytes.end(), position) != reply.possibleFlowBytes.end();
         if (isPossible) {
-            addPossibleOwner(*search, target, signing);
+            addPossibleOwner(*search, *replies, target, signing);
         } else {
-            search->markNotFound(target);
+            replies->markNotFound(target);
             endIfLost(*search, now);
         }
         if (search->needsForwarder && hasEveryoneReplied(*search, now))
@@ -141,16 +145,15 @@
 void OwnerSearches::renumberTargets(TargetGroup const& group, std::span<std::uint32_t const> newIndices)
 {
     searches_.forEach([&group, newIndices](OwnerSearch& search) {
-        if (search.group == &group)
-            search.renumber(newIndices);
+        if (ServiceReplies* const replies = search.findReplies(group.hash))
+            replies->renumber(newIndices);
     });
 }
 
 void OwnerSearches::queue(OwnerSearch& search)
 {
-    if (std::exchange(search.isQueued, true))
-        return;
-    queued_[search.group].push_back(search.hash);
+    if (!std::exchange(search.isQueued, true))
+        queued_.push_back(search.hash);
 }
 
 void OwnerSearches::sendQueries(TimePoint now, RelaySigningContext const& signing)
@@ -160,15 +163,23 @@
         return;
     queriesSent_ = now;
     queryStartedAgents(signing);
-    for (std::pair<TargetGroup const* const, std::vector<std::uint64_t>> const& queued : queued_) {
-        std::span<std::uint64_t const> flows = queued.second;
+    std::map<TargetGroup const*, std::vector<std::uint64_t>> queriedFlows;
+    for (std::uint64_t const hash : std::exchange(queued_, {})) {
+        OwnerSearch* const search = searches_.find(hash);
+        if (search == nullptr)
+            continue;
+        beginQuery(*search, now);
+        for (ServiceReplies const& replies : search->services)
+            queriedFlows[&replies.group()].push_back(hash);
+    }
+    for (std::pair<TargetGroup const* const, std::vector<std::uint64_t>> const& service : queriedFlows) {
+        std::span<std::uint64_t const> flows = service.second;
         while (!flows.empty()) {
             std::span<std::uint64_t const> const part = flows.first(std::min(flows.size(), maximumQueriedFlows));
-            sendQuery(*queued.first, part, now, signing);
+            sendQuery(*service.first, part, signing);
             flows = flows.subspan(part.size());
         }
     }
-    queued_.clear();
 }
 
 // Agents that start after a power loss would otherwise be queried up to maximumQueryInterval later.
@@ -178,8 +189,10 @@
         return;
     std::map<TargetGroup const*, std::vector<std::uint64_t>> searched;
     searches_.forEach([&searched](OwnerSearch const& search) {
-        if (search.wasQueried && !search.isLost)
-            searched[search.group].push_back(search.hash);
+        if (!search.wasQueried || search.isLost)
+            return;
+        for (ServiceReplies const& replies : search.services)
+            searched[&replies.group()].push_back(search.hash);
     });
     std::vector<Endpoint> const agents = std::exchange(startedAgents_, {});
     for (std::pair<TargetGroup const* const, std::vector<std::uint64_t>> const& service : searched) {
@@ -189,7 +202,7 @@
             std::size_t const bytes = writeQuery(*service.first, part, signing);
             for (Endpoint const agent : agents) {
                 std::size_t const target = TargetDirectory::indexOf(*service.first, agent);
-                if (target < service.first->targets.size() && isReplyMissing(part, target))
+                if (target < service.first->targets.size() && isReplyMissing(part, *service.first, target))
                     send(agent, bytes);
             }
             flows = flows.subspan(part.size());
@@ -207,30 +220,34 @@
     return writeRelayFlowQuery(group.hash, query.number, flows, signing, buffer_);
 }
 
-void OwnerSearches::sendQuery(TargetGroup const& group, std::span<std::uint64_t const> flows, TimePoint now, RelaySigningContext const& signing)
+void OwnerSearches::beginQuery(OwnerSearch& search, TimePoint now)
+{
+    search.isQueued = false;
+    search.queryInterval = search.wasQueried ? std::min<Duration>(2 * search.queryInterval, maximumQueryInterval) : Duration(minimumQueryInterval);
+    search.wasQueried = true;
+    search.queried = now;
+    // The first configuration that names a service, and its first targets, may arrive while a search goes on.
+    if (search.isWide)
+        search.addServices(directory_.services());
+    for (ServiceReplies& replies : search.services)
+        replies.recordQuery(now);
+}
+
+void OwnerSearches::sendQuery(TargetGroup const& group, std::span<std::uint64_t const> flows, RelaySigningContext const& signing)
 {
-    for (std::uint64_t const flow : flows) {
-        OwnerSearch* const search = searches_.find(flow);
-        if (search == nullptr)
-            continue;
-        search->isQueued = false;
-        search->queryInterval = search->wasQueried ? std::min<Duration>(2 * search->queryInterval, maximumQueryInterval) : Duration(minimumQueryInterval);
-        if (!std::exchange(search->wasQueried, true))
-            search->firstQueried = now;
-        search->queried = now;
-    }
     std::size_t const bytes = writeQuery(group, flows, signing);
     for (std::size_t target = 0; target < group.targets.size(); ++target) {
-        if (isReplyMissing(flows, target))
+        if (isReplyMissing(flows, group, target))
             send(group.targets[target].agent, bytes);
     }
 }
 
-bool OwnerSearches::isReplyMissing(std::span<std::uint64_t const> flows, std::size_t target) noexcept
+bool OwnerSearches::isReplyMissing(std::span<std::uint64_t const> flows, TargetGroup const& group, std::size_t target) noexcept
 {
-    return std::any_of(flows.begin(), flows.end(), [this, target](std::uint64_t flow) {
-        OwnerSearch const* const search = searches_.find(flow);
-        return search != nullptr && !search->isLost && !search->hasReplied(target);
+    return std::any_of(flows.begin(), flows.end(), [this, &group, target](std::uint64_t flow) {
+        OwnerSearch* const search = searches_.find(flow);
+        ServiceReplies const* const replies = search != nullptr && !search->isLost ? search->findReplies(group.hash) : nullptr;
+        return replies != nullptr && !replies->hasReplied(target);
     });
 }
 
@@ -265,16 +282,32 @@
     if (search.isLost || now - search.queried < search.queryInterval)
         return;
     if (search.queryInterval == maximumQueryInterval)
-        notifyObserver(search, now);
+        notifyObserver("search_waits", search, now);
     sendToPossibleOwners(search, now, signing);
+    widen(search, now);
+    queue(search);
+}
+
+// Goes on in all services. An earlier configuration may have given the address to any of them, and this entry may have
+// started since.
+void OwnerSearches::widen(OwnerSearch& search, TimePoint now)
+{
+    if (std::exchange(search.isWide, true))
+        return;
+    std::size_t const before = search.services.size();
+    search.addServices(directory_.services());
+    if (search.services.size() == before)
+        return;
+    ++widenedCount_;
+    notifyObserver("search_widened", search, now);
     queue(search);
 }
 
 // Names the agent that the search waits for.
-void OwnerSearches::notifyObserver(OwnerSearch const& search, TimePoint now) noexcept
+void OwnerSearches::notifyObserver(std::string_view outcome, OwnerSearch const& search, TimePoint now) noexcept
 {
     RelayDecision decision;
-    decision.outcome = "search_waits";
+    decision.outcome = outcome;
     decision.flow = { search.segment.source, search.segment.destination };
     if (DirectoryTarget const* const target = search.findPossibleOwner(directory_, now)) {
         decision.destination = target->agent;
@@ -285,54 +318,65 @@
 }
 
 // The entry sends the segment to a few agents itself; an agent forwards it to more of them.
-void OwnerSearches::addPossibleOwner(OwnerSearch& search, std::size_t target, RelaySigningContext const& signing)
+void OwnerSearches::addPossibleOwner(OwnerSearch& search, ServiceReplies& replies, std::size_t target, RelaySigningContext const& signing)
 {
-    if (!search.markPossible(target))
+    if (!replies.markPossible(target))
         return;
     if (search.directlySent == maximumDirectAgents) {
         search.needsForwarder = true;
         return;
     }
     ++search.directlySent;
-    sendSegment(search, search.group->targets[target].agent, signing);
+    sendSegment(search, replies.group().hash, replies.group().targets[target].agent, signing);
 }
 
 bool OwnerSearches::hasEveryoneReplied(OwnerSearch const& search, TimePoint now) const noexcept
 {
-    TargetGroup const& group = *search.group;
-    for (std::size_t target = 0; target < group.targets.size(); ++target) {
-        if (!search.hasReplied(target) && directory_.mayHoldFlows(group, group.targets[target], now))
-            return false;
-    }
-    return true;
+    return std::all_of(search.services.begin(), search.services.end(), [this, now](ServiceReplies const& replies) {
+        TargetGroup const& group = replies.group();
+        for (std::size_t target = 0; target < group.targets.size(); ++target) {
+            if (!replies.hasReplied(target) && directory_.mayHoldFlows(group, group.targets[target], now))
+                return false;
+        }
+        return true;
+    });
 }
 
 void OwnerSearches::sendToPossibleOwners(OwnerSearch& search, TimePoint now, RelaySigningContext const& signing)
 {
     search.needsForwarder = false;
-    std::vector<Endpoint> const agents = search.possibleOwners();
-    if (agents.size() <= maximumDirectAgents) {
+    bool const isDirect = search.countPossibleOwners() <= maximumDirectAgents;
+    for (ServiceReplies const& replies : search.services) {
+        std::vector<Endpoint> const agents = replies.possibleOwners();
+        if (!isDirect) {
+            sendThroughForwarder(search, replies.group(), agents, now, signing);
+            continue;
+        }
         for (Endpoint const agent : agents)
-            sendSegment(search, agent, signing);
-        return;
+            sendSegment(search, replies.group().hash, agent, signing);
     }
-    DirectoryTarget const* const forwarder = directory_.findRanked(*search.group, search.hash, search.rank, now);
+}
+
+// The forwarder is an agent of the same service, as others refuse its segments.
+void OwnerSearches::sendThroughForwarder(OwnerSearch const& search, TargetGroup const& service, std::span<Endpoint const> agents, TimePoint now, RelaySigningContext const& signing)
+{
+    DirectoryTarget const* const forwarder = agents.empty() ? nullptr : directory_.findRanked(service, search.hash, search.rank, now);
     if (forwarder == nullptr || search.keptSegment().empty())
         return;
     std::span<Endpoint const> rest = agents;
     while (!rest.empty()) {
         std::span<Endpoint const> const part = rest.first(std::min(rest.size(), maximumSearchedAgents));
-        sendWithSegment(search, forwarder->agent, writeRelaySearchRequest(search.group->hash, ownEndpoint_, part, search.keptSegment(), signing, buffer_));
+        sendWithSegment(search, forwarder->agent, writeRelaySearchRequest(service.hash, ownEndpoint_, part, search.keptSegment(), signing, buffer_));
         rest = rest.subspan(part.size());
     }
 }
 
-void OwnerSearches::sendSegment(OwnerSearch const& search, Endpoint agent, RelaySigningContext const& signing)
+void OwnerSearches::sendSegment(OwnerSearch const& search, ServiceHash service, Endpoint agent, RelaySigningContext const& signing)
 {
     if (search.keptSegment().empty())
         return;
     RelayRoute route;
-    route.serviceHash = search.group->hash;
+    route.serviceHash = service;
     route.entry = ownEndpoint_;
     route.searchMode = RelaySearchMode::ReportOnly;
     sendWithSegment(search, agent, writeRelayPacket(route, search.keptSegment(), signing, buffer_));
@@ -353,12 +397,16 @@
     sender_.send(to, std::span<std::byte const>(buffer_).first(bytes));
 }
 
-// A flow is lost if no target of a complete view holds it. The search is kept, so that the caller's next segments are
-// answered at once.
+// A flow is lost if no target of a complete view of any service holds it. The search is kept, so that the caller's next
+// segments are answered at once.
 void OwnerSearches::endIfLost(OwnerSearch& search, TimePoint now)
 {
-    bool const isViewSettled = viewsComplete_ && now - search.group->viewChanged >= viewSettleDelay;
-    if (!isViewSettled || !search.isNotFoundEverywhere(directory_, now) || !isViewCurrent(search, now) || !isLongEnough(search, now))
+    if (!search.isNotFoundEverywhere(directory_, now))
+        return;
+    if (!search.isWide)
+        widen(search, now);
+    bool const isNotFound = search.isNotFoundEverywhere(directory_, now) && areViewsSettled(search, now);
+    if (!isNotFound || !isViewCurrent(search, now) || !isLongEnough(search, now))
         return;
     search.isLost = true;
     lostTimes_.observe(now - search.started);
@@ -366,21 +414,30 @@
     lost_.push_back({ search.hash, search.segment });
 }
 
+bool OwnerSearches::areViewsSettled(OwnerSearch const& search, TimePoint now) const noexcept
+{
+    return viewsComplete_ && std::all_of(search.services.begin(), search.services.end(), [now](ServiceReplies const& replies) {
+        return now - replies.group().viewChanged >= viewSettleDelay;
+    });
+}
+
 void OwnerSearches::notifyLost(OwnerSearch const& search, TimePoint now) noexcept
 {
     LostFlowEvidence evidence;
     evidence.flow = { search.segment.source, search.segment.destination };
     evidence.searchTime = std::chrono::duration_cast<std::chrono::milliseconds>(now - search.started);
     Duration shortest = Duration::max();
-    for (std::size_t index = 0; index < search.group->targets.size(); ++index) {
-        DirectoryTarget const& target = search.group->targets[index];
-        if (search.hasReportedNotFound(index)) {
-            ++evidence.repliedTargets;
-        } else if (target.load.hasEnded) {
-            ++evidence.endedTargets;
-        } else {
-            ++evidence.silentTargets;
-            shortest = std::min<Duration>(shortest, now - (target.hasReported ? target.lastReport : target.added));
+    for (ServiceReplies const& replies : search.services) {
+        std::vector<DirectoryTarget> const& targets = replies.group().targets;
+        for (std::size_t index = 0; index < targets.size(); ++index) {
+            if (replies.hasReportedNotFound(index)) {
+                ++evidence.repliedTargets;
+            } else if (targets[index].load.hasEnded) {
+                ++evidence.endedTargets;
+            } else {
+                ++evidence.silentTargets;
+                shortest = std::min<Duration>(shortest, now - (targets[index].hasReported ? targets[index].lastReport : targets[index].added));
+            }
         }
     }
     if (evidence.silentTargets > 0)
@@ -392,7 +449,10 @@
 {
     if (!isStarting(now))
         return now - search.started >= minimumLostSearchTime;
-    return !search.hasSilentTarget() || (search.wasQueried && now - search.firstQueried >= minimumReplyTime);
+    return std::all_of(search.services.begin(), search.services.end(), [now](ServiceReplies const& replies) {
+        bool const wasQueriedLongAgo = replies.firstQueried() != TimePoint {} && now - replies.firstQueried() >= minimumReplyTime;
+        return !replies.hasSilentTarget() || wasQueriedLongAgo;
+    });
 }
 
 bool OwnerSearches::isStarting(TimePoint now) const noexcept
--- a/src/relay/OwnerSearches.h
+++ b/src/relay/OwnerSearches.h
@@ -15,6 +15,7 @@
 #include <map>
 #include <optional>
 #include <span>
+#include <string_view>
 #include <vector>
 
 namespace plantaindrift {
@@ -32,11 +33,19 @@
     Segment segment;
 };
 
+/// \brief The services that may hold the flows of an address by the newest configuration.
+struct SearchedServices {
+    TargetGroup const* first { nullptr }; ///< service of a new flow with the same endpoints; its agents receive the caller's segments
+    std::span<TargetGroup const* const> all;
+};
+
 /// \brief An entry's searches for the owners of flows that it does not know.
 ///
 /// The agent that ranks first for a flow may have its owner recorded. If it reports that it does not, all agents of the
-/// service are queried for many flows at once, and receive the segment only if their target may hold the flow. The
-/// number of queries depends on the time that searches take and on the number of targets, not on the number of flows.
+/// address's services are queried for many flows at once, and receive the segment only if their target may hold the flow.
+/// If no agent there holds it, or one does not reply to the first query, those of all other services are queried too: an
+/// earlier configuration may have given them the address. The number of queries depends on the time that searches take and
+/// on the number of targets, not on the number of flows.
 class OwnerSearches {
 public:
     /// \param ownEndpoint  receives the agents' replies
@@ -56,16 +65,20 @@
     void recordMemberRead(TimePoint started) noexcept;
 
     /// \brief Starts or continues the search for a flow with a segment of the caller.
-    [[nodiscard]] SearchStep advance(TargetGroup const& group, Segment const& segment, std::span<std::byte const> datagram, std::uint64_t hash, TimePoint now);
+    [[nodiscard]] SearchStep advance(SearchedServices const& services, Segment const& segment, std::span<std::byte const> datagram, std::uint64_t hash, TimePoint now);
 
     /// \brief Ends the search for a flow whose owner is known, if there is one.
-    void recordFound(std::uint64_t hash, TimePoint now);
+    ///
+    /// \returns the service whose agents received the caller's segments; empty if there was no search
+    std::optional<ServiceHash> recordFound(std::uint64_t hash, TimePoint now);
 
     /// \brief Discards what is known of a flow, because the caller opens a new one with the same endpoints.
     void forget(std::uint64_t hash) noexcept;
 
     /// \brief Processes the report that an agent's target does not hold a flow.
-    void processNotFound(Endpoint agent, std::uint64_t hash, TimePoint now);
+    ///
+    /// \param service  the agent's service
+    void processNotFound(Endpoint agent, ServiceHash service, std::uint64_t hash, TimePoint now);
 
     /// \brief Processes the reply to a query. \returns false if it belongs to no query
     bool processQueryReply(Endpoint agent, DecodedRelayMessage const& reply, TimePoint now, RelaySigningContext const& signing);
@@ -91,6 +104,9 @@
     /// \brief Number of queries and segments sent to agents since start.
     [[nodiscard]] std::uint64_t messageCount() const noexcept { return messageCount_; }
 
+    /// \brief Number of searches since start that went on in services that do not have the flow's address.
+    [[nodiscard]] std::uint64_t widenedCount() const noexcept { return widenedCount_; }
+
     [[nodiscard]] LatencyHistogram const& successfulTimes() const noexcept { return foundTimes_; }
     [[nodiscard]] LatencyHistogram const& failedTimes() const noexcept { return lostTimes_; }
 
@@ -110,7 +126,7 @@
     RelaySender& sender_;
     RelayObserver& observer_;
     HashTable<OwnerSearch> searches_;
-    std::map<TargetGroup const*, std::vector<std::uint64_t>> queued_; ///< flows for the next query of each service
+    std::vector<std::uint64_t> queued_; ///< flows for the next queries
     std::vector<Endpoint> startedAgents_; ///< agents whose first load report has arrived since the last queries
     std::array<Query, rememberedQueries> queries_; ///< latest queries, by number
     std::uint32_t lastNumber_ { 0 };
@@ -122,6 +138,7 @@
     TimePoint lastSweep_;
     TimePoint queriesSent_;
     std::uint64_t messageCount_ { 0 };
+    std::uint64_t widenedCount_ { 0 };
     bool viewsComplete_ { false };
     bool isMemberReadRequired_ { false };
     bool needsMemberRead_ { false };
@@ -131,16 +148,20 @@
     void queue(OwnerSearch& search);
     void queryStartedAgents(RelaySigningContext const& signing);
     [[nodiscard]] std::size_t writeQuery(TargetGroup const& group, std::span<std::uint64_t const> flows, RelaySigningContext const& signing);
-    void sendQuery(TargetGroup const& group, std::span<std::uint64_t const> flows, TimePoint now, RelaySigningContext const& signing);
-    [[nodiscard]] bool isReplyMissing(std::span<std::uint64_t const> flows, std::size_t target) noexcept;
+    void beginQuery(OwnerSearch& search, TimePoint now);
+    void sendQuery(TargetGroup const& group, std::span<std::uint64_t const> flows, RelaySigningContext const& signing);
+    [[nodiscard]] bool isReplyMissing(std::span<std::uint64_t const> flows, TargetGroup const& group, std::size_t target) noexcept;
     void continueSearch(OwnerSearch& search, TimePoint now, RelaySigningContext const& signing);
-    void addPossibleOwner(OwnerSearch& search, std::size_t target, RelaySigningContext const& signing);
+    void widen(OwnerSearch& search, TimePoint now);
+    void addPossibleOwner(OwnerSearch& search, ServiceReplies& replies, std::size_t target, RelaySigningContext const& signing);
     [[nodiscard]] bool hasEveryoneReplied(OwnerSearch const& search, TimePoint now) const noexcept;
     void sendToPossibleOwners(OwnerSearch& search, TimePoint now, RelaySigningContext const& signing);
-    void sendSegment(OwnerSearch const& search, Endpoint agent, RelaySigningContext const& signing);
+    void sendThroughForwarder(OwnerSearch const& search, TargetGroup const& service, std::span<Endpoint const> agents, TimePoint now, RelaySigningContext const& signing);
+    void sendSegment(OwnerSearch const& search, ServiceHash service, Endpoint agent, RelaySigningContext const& signing);
     void sendWithSegment(OwnerSearch const& search, Endpoint to, std::size_t headerBytes) noexcept;
-    void notifyObserver(OwnerSearch const& search, TimePoint now) noexcept;
+    void notifyObserver(std::string_view outcome, OwnerSearch const& search, TimePoint now) noexcept;
     void endIfLost(OwnerSearch& search, TimePoint now);
+    [[nodiscard]] bool areViewsSettled(OwnerSearch const& search, TimePoint now) const noexcept;
     void notifyLost(OwnerSearch const& search, TimePoint now) noexcept;
     [[nodiscard]] bool isStarting(TimePoint now) const noexcept;
     [[nodiscard]] bool isLongEnough(OwnerSearch const& search, TimePoint now) const noexcept;
--- a/src/relay/TargetDirectory.cpp
+++ b/src/relay/TargetDirectory.cpp
@@ -66,9 +66,12 @@
 
 TargetGroup& TargetDirectory::findOrAddService(std::string_view service)
 {
-    TargetGroup& group = groups_[std::string(service)];
-    group.hash = hashService(service);
-    return group;
+    auto const [found, isAdded] = groups_.try_emplace(std::string(service));
+    if (isAdded) {
+        found->second.hash = hashService(service);
+        services_.push_back(&found->second);
+    }
+    return found->second;
 }
 
 std::vector<std::uint32_t> TargetDirectory::setView(ServiceView const& view, TimePoint now)
--- a/src/relay/TargetDirectory.h
+++ b/src/relay/TargetDirectory.h
@@ -78,6 +78,9 @@
     /// \brief Finds the group of a service, or adds one without targets; the reference stays valid.
     TargetGroup& findOrAddService(std::string_view service);
 
+    /// \brief All services that a configuration or a view has named so far.
+    [[nodiscard]] std::span<TargetGroup const* const> services() const noexcept { return services_; }
+
     /// \brief Replaces the targets of a service; load reports received so far are kept.
     ///
     /// \returns new index of each target of the old list, or removedTarget
@@ -181,6 +184,7 @@
     std::vector<std::array<std::uint64_t, remoteReasonCount>> siteFlows_; ///< by index of the data centre
     RandomSource random_;
     std::map<std::string, TargetGroup, std::less<>> groups_;
+    std::vector<TargetGroup const*> services_; ///< of groups_
     absl::flat_hash_map<std::uint64_t, TargetGroup*> agentGroups_; ///< by agent endpoint
     std::optional<TimePoint> lastTick_;
     std::vector<Endpoint> firstReports_;
--- a/src/runtime/RelayEntryDaemon.cpp
+++ b/src/runtime/RelayEntryDaemon.cpp
@@ -396,6 +396,7 @@
             });
             page.addCounter("plantaindrift_evacuated_flows_total", "Flows that opened in a data centre after its evacuation.", {}, static_cast<double>(relay_.evacuatedFlowCount()));
             page.addCounter("plantaindrift_entry_search_queries_total", "Messages that searches for owners sent to agents.", {}, static_cast<double>(relay_.searchMessageCount()));
+            page.addCounter("plantaindrift_entry_searches_widened_total", "Searches for owners that went on in services that do not have the flow's address.", {}, static_cast<double>(relay_.widenedSearchCount()));
             std::string_view const searchHelp = "Times from the first segment of a flow without a known owner to the end of the search.";
             page.addHistogram("plantaindrift_entry_search_seconds", searchHelp, { { "outcome", "found" } }, relay_.successfulSearchTimes());
             page.addHistogram("plantaindrift_entry_search_seconds", searchHelp, { { "outcome", "lost" } }, relay_.failedSearchTimes());
--- /dev/null
+++ b/tests/MovedAddressTests.cpp
@@ -0,0 +1,240 @@
+// Guards against resets of open flows after a configuration gave their address, or a part of its new flows, to another service:
+// entries searched only the targets of the service that a new flow would get, and none of them holds the flow.
+#include "RelayScene.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <string>
+#include <vector>
+
+namespace {
+
+using namespace relay_scene;
+
+constexpr std::string_view nextService = "desk-next";
+constexpr std::string_view otherService = "ledger";
+
+// A caller's timeout for a request is 2.5 s; retransmissions follow 200 ms, 600 ms and 1.4 s after the first copy.
+constexpr std::chrono::milliseconds callerTimeout { 2500 };
+
+struct Share {
+    std::string_view service;
+    std::uint16_t share { 100 };
+};
+
+Configuration shared(std::vector<Share> const& shares)
+{
+    Configuration configuration;
+    for (Share const& share : shares) {
+        Service service;
+        service.name = share.service;
+        service.addresses.push_back({ serviceAddress, Protocol::Tcp });
+        service.addresses.back().share = share.share;
+        configuration.services.push_back(service);
+    }
+    return configuration;
+}
+
+/// Two services with three targets each; open flows at both of them if both have a share.
+struct MovedScene : Scene {
+    explicit MovedScene(std::size_t entryCount, std::vector<Share> const& shares = { { mainService, 90 }, { nextService, 10 } })
+        : Scene(entryCount, 3)
+    {
+        for (std::size_t index = 0; index < 3; ++index)
+            addAgent(nextService);
+        publishView();
+        configure(shared(shares));
+        runFor(12s);
+        for (std::size_t index = 0; index < flowCount; ++index) {
+            open(index % entryCount);
+            runFor(20ms);
+        }
+        runFor(1s);
+    }
+
+    static constexpr std::size_t flowCount = 40;
+
+    void restartEntries()
+    {
+        for (std::size_t index = 0; index < entries.size(); ++index)
+            startEntry(index);
+    }
+
+    // Sends a request on each flow, with the retransmissions of a caller, and checks that all are answered.
+    void checkThatAllAreServed()
+    {
+        for (std::unique_ptr<CallerFlow> const& flow : flows)
+            request(*flow);
+        TimePoint const end = now() + callerTimeout;
+        for (Duration const wait : { 200ms, 400ms, 800ms }) {
+            runFor(wait);
+            for (std::unique_ptr<CallerFlow> const& flow : flows) {
+                if (!flow->requests.back().answered)
+                    repeatRequest(*flow);
+            }
+        }
+        runFor(end - now());
+        for (std::unique_ptr<CallerFlow> const& flow : flows) {
+            BOOST_TEST(!flow->requests.back().reset);
+            BOOST_TEST(flow->requests.back().answered.has_value());
+        }
+        BOOST_TEST(decisions.count("reset_lost") == 0U);
+    }
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(FlowsStayOpenWhenTheWeightsChangeAndTheEntriesAreReplaced)
+{
+    MovedScene scene(2);
+    scene.configure(shared({ { mainService, 10 }, { nextService, 90 } }));
+    scene.runFor(5s);
+    scene.restartEntries();
+    scene.runFor(500ms);
+    scene.checkThatAllAreServed();
+    scene.runFor(8s);
+    scene.checkThatAllAreServed();
+}
+
+// The hash of a flow selects a share by its remainder, so that other numbers in the same proportion move flows as well.
+BOOST_AUTO_TEST_CASE(FlowsStayOpenWhenTheWeightsAreScaled)
+{
+    MovedScene scene(2);
+    scene.configure(shared({ { mainService, 9 }, { nextService, 1 } }));
+    scene.restartEntries();
+    scene.runFor(500ms);
+    scene.checkThatAllAreServed();
+}
+
+// The new configuration does not name the service whose targets hold the flows.
+BOOST_AUTO_TEST_CASE(FlowsStayOpenWhenTheAddressMovesToAnotherService)
+{
+    MovedScene scene(2, { { mainService } });
+    scene.configure(shared({ { nextService } }));
+    scene.runFor(5s);
+    scene.restartEntries();
+    scene.runFor(500ms);
+    scene.checkThatAllAreServed();
+}
+
+BOOST_AUTO_TEST_CASE(FlowsStayOpenWhenAddressesSplitAndMergeAgain)
+{
+    MovedScene scene(2, { { mainService } });
+    scene.configure(shared({ { mainService, 50 }, { nextService, 50 } }));
+    scene.restartEntries();
+    scene.runFor(500ms);
+    scene.checkThatAllAreServed();
+    scene.configure(shared({ { nextService } }));
+    scene.restartEntries();
+    scene.runFor(500ms);
+    scene.checkThatAllAreServed();
+}
+
+BOOST_AUTO_TEST_CASE(FlowsStayOpenWhenAllSharesAreZero)
+{
+    MovedScene scene(2);
+    scene.configure(shared({ { mainService, 0 }, { nextService, 0 } }));
+    scene.restartEntries();
+    scene.runFor(500ms);
+    scene.checkThatAllAreServed();
+}
+
+// Flows are found while the address is served, also if it was not for some time.
+BOOST_AUTO_TEST_CASE(FlowsAreFoundWhenTheAddressIsBackAtAnotherService)
+{
+    MovedScene scene(2, { { mainService } });
+    scene.configure({});
+    scene.runFor(5s);
+    scene.restartEntries();
+    scene.configure(shared({ { nextService } }));
+    scene.runFor(500ms);
+    scene.checkThatAllAreServed();
+}
+
+// The configuration changes while an entry searches.
+BOOST_AUTO_TEST_CASE(ASearchGoesOnWhenTheAddressMoves)
+{
+    MovedScene scene(1, { { mainService } });
+    scene.restartEntries();
+    for (std::unique_ptr<CallerFlow> const& flow : scene.flows)
+        scene.request(*flow);
+    scene.runFor(1ms);
+    scene.configure(shared({ { nextService } }));
+    scene.runFor(callerTimeout);
+    BOOST_TEST(scene.decisions.count("reset_lost") == 0U);
+    scene.checkThatAllAreServed();
+}
+
+// Entries are replaced in turn, and the ones that leave hand over the owners of their flows.
+BOOST_AUTO_TEST_CASE(FlowsStayOpenWhenEntriesAreReplacedInTurn)
+{
+    MovedScene scene(3);
+    scene.configure(shared({ { mainService, 10 }, { nextService, 90 } }));
+    for (std::size_t index = 0; index < scene.entries.size(); ++index) {
+        scene.entries[index]->up = false;
+        for (std::unique_ptr<CallerFlow> const& flow : scene.flows)
+            flow->entry = flow->entry == index ? (index + 1) % scene.entries.size() : flow->entry;
+        scene.checkThatAllAreServed();
+        scene.startEntry(index);
+        scene.runFor(1s);
+    }
+    scene.checkThatAllAreServed();
+}
+
+// Processes of agents and entries are killed at the same moment after the change: nothing remembers the flows but the targets.
+BOOST_AUTO_TEST_CASE(FlowsStayOpenWhenAgentsAndEntriesAreReplacedTogether)
+{
+    MovedScene scene(2, { { mainService } });
+    scene.configure(shared({ { nextService } }));
+    scene.runFor(5s);
+    for (std::size_t index = 0; index < scene.agents.size(); ++index)
+        scene.startAgent(index);
+    scene.restartEntries();
+    scene.runFor(500ms);
+    scene.checkThatAllAreServed();
+}
+
+// The agent of an owner that the view lacks refuses segments that name another service.
+BOOST_AUTO_TEST_CASE(AnUnlistedOwnerReceivesSegmentsWhenTheAddressMoves)
+{
+    MovedScene scene(1, { { mainService } });
+    ServiceView reduced = scene.view();
+    reduced.targets.erase(reduced.targets.begin());
+    scene.entries[0]->relay->setView(reduced, scene.now());
+    // A notice of the owner shows that it runs; it answers the segment that the entry had on its way.
+    for (std::unique_ptr<CallerFlow> const& flow : scene.flows)
+        scene.request(*flow);
+    scene.runFor(1s);
+    scene.configure(shared({ { nextService } }));
+    std::size_t const refused = scene.decisions.count("dropped_service");
+    scene.checkThatAllAreServed();
+    BOOST_TEST(scene.decisions.count("dropped_service") == refused);
+}
+
+// After a power loss the targets of no service hold the flow. The targets of other services must not delay the reset.
+BOOST_AUTO_TEST_CASE(CallersOfLostFlowsAreResetWithinASecondWithOtherServices)
+{
+    MovedScene scene(2);
+    for (std::size_t index = 0; index < 9; ++index)
+        scene.addAgent(otherService);
+    scene.publishView();
+    restartMachines(scene);
+    scene.runFor(400ms);
+    for (std::unique_ptr<CallerFlow> const& flow : scene.flows)
+        scene.request(*flow);
+    scene.runFor(600ms);
+    for (std::unique_ptr<CallerFlow> const& flow : scene.flows)
+        BOOST_TEST(flow->requests.back().reset);
+}
+
+// A search that the flow's own service answers costs the targets of other services nothing.
+BOOST_AUTO_TEST_CASE(OtherServicesAreNotSearchedForFlowsOfTheOwnOne)
+{
+    MovedScene scene(2, { { mainService } });
+    scene.restartEntries();
+    scene.runFor(500ms);
+    scene.checkThatAllAreServed();
+    BOOST_TEST(scene.decisions.count("search_widened") == 0U);
+    for (std::unique_ptr<Agent> const& agent : scene.agents)
+        BOOST_TEST((agent->service == mainService || agent->target.unknownSegments == 0U));
+}
--- a/tests/OwnerSearchTests.cpp
+++ b/tests/OwnerSearchTests.cpp
@@ -37,10 +37,10 @@
     [[nodiscard]] bool isLostWithoutTheFirst() const
     {
         OwnerSearch search;
-        search.group = group;
+        search.addServices(std::vector<TargetGroup const*> { group });
         search.begin(segment, now);
         for (std::size_t index = 1; index < group->targets.size(); ++index)
-            search.markNotFound(index);
+            search.services.front().markNotFound(index);
         return search.isNotFoundEverywhere(directory, now);
     }
 
@@ -225,23 +225,22 @@
 BOOST_AUTO_TEST_CASE(RepliesFollowAChangeOfTheTargetList)
 {
     Service service(130);
-    OwnerSearch search;
-    search.group = service.group;
-    search.markNotFound(1);
-    search.markNotFound(129);
-    BOOST_TEST(search.markPossible(3));
-    BOOST_TEST(!search.markPossible(3));
+    ServiceReplies replies(*service.group);
+    replies.markNotFound(1);
+    replies.markNotFound(129);
+    BOOST_TEST(replies.markPossible(3));
+    BOOST_TEST(!replies.markPossible(3));
     ServiceView view;
     view.service = "desk";
     view.targets.push_back({ "target-new", "north", { 0x0A030001U, 8172 } });
     for (std::size_t const index : { 129U, 3U, 2U })
         view.targets.push_back({ "target-" + std::to_string(index), "north", Service::agent(index) });
-    search.renumber(service.directory.setView(view, now));
-    BOOST_TEST(!search.hasReplied(0));
-    BOOST_TEST(search.hasReplied(1));
-    BOOST_TEST(search.hasReplied(2));
-    BOOST_TEST(!search.hasReplied(3));
-    BOOST_TEST((search.possibleOwners() == std::vector<Endpoint> { Service::agent(3) }));
+    replies.renumber(service.directory.setView(view, now));
+    BOOST_TEST(!replies.hasReplied(0));
+    BOOST_TEST(replies.hasReplied(1));
+    BOOST_TEST(replies.hasReplied(2));
+    BOOST_TEST(!replies.hasReplied(3));
+    BOOST_TEST((replies.possibleOwners() == std::vector<Endpoint> { Service::agent(3) }));
 }
 
 BOOST_AUTO_TEST_CASE(ASegmentThatIsTooLongIsNotKept)
--- a/tests/RelayScene.h
+++ b/tests/RelayScene.h
@@ -15,12 +15,13 @@
 #include <queue>
 #include <random>
 #include <string>
+#include <string_view>
 #include <utility>
 #include <vector>
 
-/// \brief Simulates entries, agents, targets and callers of one service in simulated time, without a network.
+/// \brief Simulates entries, agents, targets and callers of one address in simulated time, without a network.
 ///
-/// Every segment takes a fixed time. Targets serve a bounded number of requests in parallel and queue the others,
+/// Until a test changes the configuration, one service has the address. Every segment takes a fixed time. Targets serve a bounded number of requests in parallel and queue the others,
 /// answer opening segments, and return segments of flows that they do not hold.
 namespace relay_scene {
 
@@ -127,8 +128,12 @@
     std::vector<std::function<void(Duration waited)>> arrived;
 };
 
+/// \brief Name of the service of all targets, unless a test adds others.
+inline constexpr std::string_view mainService = "desk";
+
 struct Agent {
     std::string name;
+    std::string service;
     std::string dataCentre { "north" };
     Endpoint data;
     Endpoint targetEndpoint;
@@ -185,10 +190,11 @@
     std::vector<std::unique_ptr<Entry>> entries;
     std::vector<std::unique_ptr<CallerFlow>> flows;
     EntryResources entryResources; ///< limits of the entries that are started from now on
+    Configuration configuration { mainConfiguration() }; ///< of the entries that are started from now on; see configure()
 
     std::function<std::optional<Duration>(Bytes const&)> linkRule; ///< delay of a datagram; empty if it is lost
     [[nodiscard]] TimePoint now() const { return now_; }
-    [[nodiscard]] ServiceView const& view() const { return view_; }
+    [[nodiscard]] ServiceView const& view() const { return views_.at(std::string(mainService)); }
 
     /// \brief Number of datagrams that entries, agents and targets have sent.
     [[nodiscard]] std::uint64_t deliveredCount() const { return deliveredCount_; }
@@ -215,18 +221,19 @@
         options.name = "entry-" + std::to_string(index + 1);
         options.resources = entryResources;
         entry.relay = std::make_unique<EntryRelay>(options, codec_, *entry.sender, decisions);
-        entry.relay->setConfiguration(configuration(), now_);
-        if (!view_.targets.empty())
-            entry.relay->setView(view_, now_);
+        entry.relay->setConfiguration(configuration, now_);
+        for (std::pair<std::string const, ServiceView> const& view : views_)
+            entry.relay->setView(view.second, now_);
         entry.relay->setViewsComplete(true);
         entry.up = true;
     }
 
-    void addAgent()
+    void addAgent(std::string_view service = mainService)
     {
         std::unique_ptr<Agent> agent = std::make_unique<Agent>();
         std::uint32_t const number = static_cast<std::uint32_t>(agents.size()) + 1;
         agent->name = "target-" + std::to_string(number);
+        agent->service = service;
         agent->data = { 0x0A020000U + number, 8173 };
         agent->targetEndpoint = { 0x0A020000U + number, 8165 };
         agent->sender = std::make_unique<SceneSender>(*this, agent->data);
@@ -243,7 +250,7 @@
         options.dataCentre = agent.dataCentre;
         options.ownEndpoint = agent.data;
         options.targetEndpoint = agent.targetEndpoint;
-        options.serviceName = "desk";
+        options.serviceName = agent.service;
         options.keys = keys();
         options.callerPort = callerPort;
         agent.relay = std::make_unique<AgentRelay>(options, codec_, *agent.sender, decisions, now_);
@@ -251,27 +258,39 @@
         agent.state.isAnnounced = true;
         agent.state.slots = static_cast<std::uint16_t>(agent.target.slots);
         agent.relay->setTargetState(agent.state, now_);
-        if (!view_.targets.empty())
-            agent.relay->setView(view_);
+        if (views_.contains(agent.service))
+            agent.relay->setView(views_.at(agent.service));
         agent.up = true;
     }
 
     /// \brief Sends a view of all targets to all nodes.
     void publishView()
     {
-        view_ = {};
-        view_.service = "desk";
+        views_.clear();
         for (std::unique_ptr<Agent> const& agent : agents) {
             ViewTarget target;
             target.name = agent->name;
             target.dataCentre = agent->dataCentre;
             target.data = agent->data;
-            view_.targets.push_back(target);
+            views_[agent->service].service = agent->service;
+            views_[agent->service].targets.push_back(target);
         }
         for (std::unique_ptr<Agent> const& agent : agents)
-            agent->relay->setView(view_);
-        for (std::unique_ptr<Entry> const& entry : entries)
-            entry->relay->setView(view_, now_);
+            agent->relay->setView(views_.at(agent->service));
+        for (std::unique_ptr<Entry> const& entry : entries) {
+            for (std::pair<std::string const, ServiceView> const& view : views_)
+                entry->relay->setView(view.second, now_);
+        }
+    }
+
+    /// \brief Gives all entries that run a new configuration.
+    void configure(Configuration const& changed)
+    {
+        configuration = changed;
+        for (std::unique_ptr<Entry> const& entry : entries) {
+            if (entry->up)
+                entry->relay->setConfiguration(configuration, now_);
+        }
     }
 
     // ---- callers ----
@@ -376,7 +395,7 @@
     };
 
     division::SegmentFormat codec_;
-    ServiceView view_;
+    std::map<std::string, ServiceView> views_; ///< by service
     TimePoint now_ { 1000s };
     TimePoint lastTick_ { 1000s };
     std::uint64_t order_ { 0 };
@@ -396,10 +415,10 @@
         return ring;
     }
 
-    static Configuration configuration()
+    static Configuration mainConfiguration()
     {
         Service service;
-        service.name = "desk";
+        service.name = mainService;
         service.addresses.push_back({ serviceAddress, Protocol::Tcp });
         return { { service } };
     }
