Read seeds and members again when they may be outdated

Cause: an agent knew only the entries that its settings named at its start and those that the store listed then. It calls the store again only when an entry tells it of a restore, and all entries that it knows are gone; new entries find agents in the store's list, which has lost their records. Neither side can find the other. Entries, too, knew the seeds of their start alone.

Change: no list is known only from the start. Entries and agents read the seeds again when their settings file changes, with or without SIGHUP. An agent that no entry answers for three heartbeats, or that lost an entry, reads the members from the store again, tries entries first that were not listed before, and writes its record if the store has lost it.

Cost: no call while entries answer. While none does, a list of members for each agent every 3 s, 21 calls a second with 63 agents; one list for each agent whose monitor was lost.

--- a/include/plantaindrift/membership/AgentControl.h
+++ b/include/plantaindrift/membership/AgentControl.h
@@ -58,8 +58,18 @@
     /// \brief The newest generation of the platform's store that an entry named; 0 until one did.
     [[nodiscard]] std::uint64_t storeGeneration() const noexcept;
 
-    /// \brief Entries found elsewhere than in the settings; a few of them get a heartbeat at once.
-    void addEntries(std::span<Endpoint const> entries, TimePoint now);
+    /// \brief Replaces the entries that the settings name; new ones get a heartbeat at once.
+    void setSeeds(std::span<Endpoint const> seeds, TimePoint now);
+
+    /// \brief Replaces the entries that the store lists; a few that are new get a heartbeat at once.
+    void setListedEntries(std::span<Endpoint const> listed, TimePoint now);
+
+    /// \brief True if no entry has answered for the time of several heartbeats: all that this agent knows may be gone, and
+    /// its record with them.
+    [[nodiscard]] bool isUnanswered(TimePoint now) const;
+
+    /// \brief True once after an entry stopped answering.
+    [[nodiscard]] bool takeLostEntry() noexcept;
 
     /// \brief Starts or ends draining; told to all monitors at once.
     void setDraining(bool draining, TimePoint now);
--- a/include/plantaindrift/membership/EntryControl.h
+++ b/include/plantaindrift/membership/EntryControl.h
@@ -100,6 +100,9 @@
     /// \brief Adds records from the platform's announcement objects; older incarnations are ignored.
     void addMembers(std::span<Member const> members, TimePoint now);
 
+    /// \brief Replaces the entries that the settings name; new ones get a heartbeat at once.
+    void setSeeds(std::span<Endpoint const> seeds);
+
     /// \brief Sets the store's generation, which the replies to heartbeats name; it does not fall.
     void setStoreGeneration(std::uint64_t generation) noexcept;
 
--- a/src/membership/AgentControl.cpp
+++ b/src/membership/AgentControl.cpp
@@ -334,12 +334,28 @@
     return state_->lastReply;
 }
 
-void AgentControl::addEntries(std::span<Endpoint const> entries, TimePoint now)
+void AgentControl::setSeeds(std::span<Endpoint const> seeds, TimePoint now)
 {
-    state_->contacts.addEntries(entries, now);
+    state_->contacts.setSeeds(seeds, now);
     state_->sendHeartbeats(state_->contacts.takeDue(now), now);
 }
 
+void AgentControl::setListedEntries(std::span<Endpoint const> listed, TimePoint now)
+{
+    state_->contacts.setListed(listed, now);
+    state_->sendHeartbeats(state_->contacts.takeDue(now), now);
+}
+
+bool AgentControl::isUnanswered(TimePoint now) const
+{
+    return state_->contacts.isUnanswered(now);
+}
+
+bool AgentControl::takeLostEntry() noexcept
+{
+    return state_->contacts.takeLostContact();
+}
+
 void AgentControl::setDraining(bool draining, TimePoint now)
 {
     Member& self = state_->self;
--- a/src/membership/EntryControl.cpp
+++ b/src/membership/EntryControl.cpp
@@ -11,6 +11,7 @@
 #include "membership/MemberComparison.h"
 #include "membership/Message.h"
 #include "membership/NeighbourSelection.h"
+#include "membership/Reconnection.h"
 #include "membership/ShardExchange.h"
 #include "membership/TokenBucket.h"
 #include "membership/ViewHash.h"
@@ -124,7 +125,7 @@
     void announceConfiguration();
     void compare(TimePoint now);
     void reconnect();
-    [[nodiscard]] Member const* randomDeadAgent();
+    void setSeeds(std::span<Endpoint const> seeds);
     void sendDigests(Endpoint to);
     void fetch(TimePoint now);
 
@@ -827,34 +828,21 @@
 
 void EntryControl::State::reconnect()
 {
-    std::vector<Endpoint> const live = neighbours.peers();
-    std::vector<Endpoint> lost;
-    for (auto const& [name, record] : table.entries()) {
-        if (record->member.state == MemberState::Dead)
-            addUnique(lost, record->member.control);
-    }
-    for (Endpoint const seed : options.seeds)
-        addUnique(lost, seed);
-    std::erase_if(lost, [&live](Endpoint endpoint) { return std::find(live.begin(), live.end(), endpoint) != live.end(); });
-    if (!lost.empty())
-        sendDigests(lost[random.below(lost.size())]);
-    if (Member const* const agent = randomDeadAgent())
-        requestHeartbeat(*agent);
+    ReconnectTargets const targets = chooseReconnectTargets(table, neighbours.peers(), options.seeds, random);
+    for (Endpoint const entry : targets.entries)
+        sendDigests(entry);
+    if (targets.agent != nullptr)
+        requestHeartbeat(*targets.agent);
 }
 
-// An agent that was unreachable while all entries it knew were replaced cannot refute the verdict by itself.
-Member const* EntryControl::State::randomDeadAgent()
+void EntryControl::State::setSeeds(std::span<Endpoint const> seeds)
 {
-    Member const* chosen = nullptr;
-    std::size_t dead = 0;
-    for (std::size_t shard = 0; shard < shardCount; ++shard) {
-        for (auto const& [name, record] : table.shard(shard)) {
-            bool const isCandidate = record.member.role == MemberRole::Agent && record.member.state == MemberState::Dead;
-            if (isCandidate && random.below(++dead) == 0)
-                chosen = &record.member;
-        }
+    std::vector<Endpoint> const known = std::exchange(options.seeds, { seeds.begin(), seeds.end() });
+    std::erase(options.seeds, self.control);
+    for (Endpoint const seed : options.seeds) {
+        if (std::find(known.begin(), known.end(), seed) == known.end())
+            sendHeartbeat(seed, true);
     }
-    return chosen;
 }
 
 void EntryControl::State::sendDigests(Endpoint to)
@@ -1075,6 +1063,11 @@
         state_->accept(member, std::chrono::seconds { 0 }, State::Spread::No, now);
 }
 
+void EntryControl::setSeeds(std::span<Endpoint const> seeds)
+{
+    state_->setSeeds(seeds);
+}
+
 void EntryControl::setStoreGeneration(std::uint64_t generation) noexcept
 {
     state_->storeGeneration = std::max(state_->storeGeneration, generation);
--- a/src/membership/MonitorContacts.cpp
+++ b/src/membership/MonitorContacts.cpp
@@ -12,17 +12,25 @@
     // Heartbeats without a reply after which an entry is no longer relied on.
     constexpr int silentHeartbeats = 3;
 
+    bool contains(std::span<Endpoint const> endpoints, Endpoint endpoint)
+    {
+        return std::find(endpoints.begin(), endpoints.end(), endpoint) != endpoints.end();
+    }
+
 } // namespace
 
-MonitorContacts::MonitorContacts(std::vector<Endpoint> entries, std::chrono::milliseconds interval, std::uint64_t seed)
-    : entries_(std::move(entries))
+MonitorContacts::MonitorContacts(std::vector<Endpoint> seeds, std::chrono::milliseconds interval, std::uint64_t randomSeed)
+    : seeds_(std::move(seeds))
     , interval_(interval)
-    , random_(seed)
+    , random_(randomSeed)
 {
 }
 
 std::vector<MonitorContacts::Due> MonitorContacts::takeDue(TimePoint now)
 {
+    if (!started_)
+        started_ = now;
+    markLost(now);
     dropUnnamed(now);
     fallBack(now);
     probe(now);
@@ -44,16 +52,42 @@
     return all;
 }
 
-void MonitorContacts::addEntries(std::span<Endpoint const> entries, TimePoint now)
+void MonitorContacts::setSeeds(std::span<Endpoint const> seeds, TimePoint now)
+{
+    std::vector<Endpoint> const known = std::exchange(seeds_, { seeds.begin(), seeds.end() });
+    for (Endpoint const seed : seeds_) {
+        if (!contains(known, seed))
+            add(seed, now);
+    }
+}
+
+void MonitorContacts::setListed(std::span<Endpoint const> listed, TimePoint now)
 {
-    std::vector<Endpoint> fresh;
-    for (Endpoint const entry : entries) {
-        if (std::find(entries_.begin(), entries_.end(), entry) == entries_.end())
-            entries_.push_back(entry);
+    std::vector<Endpoint> const known = std::exchange(listed_, { listed.begin(), listed.end() });
+    std::vector<Endpoint> added;
+    std::vector<Endpoint> others;
+    for (Endpoint const entry : listed_) {
         if (!contacts_.contains(entry))
-            fresh.push_back(entry);
+            (contains(known, entry) ? others : added).push_back(entry);
+    }
+    tryRandom(added, maximumNamed, now);
+    if (isUnanswered(now))
+        tryRandom(others, maximumNamed - std::min(maximumNamed, added.size()), now);
+}
+
+bool MonitorContacts::isUnanswered(TimePoint now) const
+{
+    std::optional<TimePoint> const since = lastReply_ ? lastReply_ : started_;
+    return since && now - *since > silentHeartbeats * longestInterval();
+}
+
+void MonitorContacts::markLost(TimePoint now)
+{
+    for (auto& [entry, contact] : contacts_) {
+        bool const isSilent = contact.lastReply && now - *contact.lastReply > silentHeartbeats * contact.interval;
+        hasLostContact_ = hasLostContact_ || (isSilent && !contact.isLost);
+        contact.isLost = isSilent;
     }
-    tryRandom(fresh, maximumNamed, now);
 }
 
 MonitorContacts::Due MonitorContacts::addRequester(Endpoint entry, TimePoint now)
@@ -107,26 +141,30 @@
     return position->second;
 }
 
-void MonitorContacts::dropUnnamed(TimePoint now)
+std::chrono::milliseconds MonitorContacts::longestInterval() const
 {
     std::chrono::milliseconds longest = interval_;
     for (auto const& [entry, contact] : contacts_)
         longest = std::max(longest, contact.interval);
+    return longest;
+}
+
+void MonitorContacts::dropUnnamed(TimePoint now)
+{
+    std::chrono::milliseconds const longest = longestInterval();
     std::erase_if(contacts_, [now, longest](std::pair<Endpoint const, Contact> const& contact) { return now - contact.second.lastNamed > silentHeartbeats * longest; });
 }
 
 void MonitorContacts::fallBack(TimePoint now)
 {
-    std::chrono::milliseconds longest = interval_;
-    for (auto const& [entry, contact] : contacts_)
-        longest = std::max(longest, contact.interval);
-    bool const answered = lastReply_ && now - *lastReply_ <= silentHeartbeats * longest;
+    bool const answered = lastReply_ && now - *lastReply_ <= silentHeartbeats * longestInterval();
     bool const recent = lastFallBack_ && now - *lastFallBack_ < silentHeartbeats * interval_;
     if ((answered && !contacts_.empty()) || recent)
         return;
     lastFallBack_ = now;
-    tryRandom(entries_, fallbackEntries, now);
-    // The entries of the settings may all be gone by now.
+    tryRandom(seeds_, fallbackEntries, now);
+    tryRandom(listed_, fallbackEntries, now);
+    // The entries of the settings and the list may all be gone by now.
     for (Endpoint const entry : answered_)
         add(entry, now);
 }
@@ -135,10 +173,12 @@
 {
     if (!lastProbe_)
         lastProbe_ = now;
-    if (now - *lastProbe_ < probePeriod || entries_.empty())
+    std::size_t const known = seeds_.size() + listed_.size();
+    if (now - *lastProbe_ < probePeriod || known == 0)
         return;
     lastProbe_ = now;
-    add(entries_[random_.below(entries_.size())], now);
+    std::size_t const drawn = random_.below(known);
+    add(drawn < seeds_.size() ? seeds_[drawn] : listed_[drawn - seeds_.size()], now);
 }
 
 MonitorContacts::Due MonitorContacts::send(Endpoint to, Contact& contact, TimePoint now)
--- a/src/runtime/AgentDaemon.cpp
+++ b/src/runtime/AgentDaemon.cpp
@@ -167,6 +167,8 @@
             handlers.control = [this](Endpoint from, std::span<std::byte const> bytes) { receiveControl(from, bytes); };
             handlers.tick = [this](TimePoint now) { tick(now); };
             handlers.keys = [this](KeyRing const& keys) { keys_ = keys; };
+            handlers.readSeeds = makeSeedReader<AgentSettings>([file = settings_.common.file] { return readAgentSettings(file); }, &AgentSettings::entries);
+            handlers.seeds = [this](std::vector<Endpoint> const& seeds, TimePoint now) { control_.setSeeds(seeds, now); };
             handlers.ready = [this] { return isReady(); };
             handlers.metrics = [this](MetricsPage& page) { addMetrics(page); };
             handlers.stop = [this] { beginStop(); };
--- a/src/runtime/DaemonCore.cpp
+++ b/src/runtime/DaemonCore.cpp
@@ -42,6 +42,7 @@
     , stopSignals_(loop_, SIGTERM, SIGINT)
     , keySignals_(loop_, SIGHUP)
     , tickTimer_(loop_)
+    , seedFile_(settings.file, handlers_.readSeeds)
 {
 }
 
@@ -207,6 +208,7 @@
         if (error)
             return;
         reloadKeys();
+        seedFile_.requestRead();
         waitForKeys();
     });
 }
@@ -220,6 +222,7 @@
         recordTurn();
         TimePoint const now = std::chrono::steady_clock::now();
         control_->tick(now);
+        runGuarded("settings", [&] { followSeeds(now); });
         runGuarded("tick", [&] { handlers_.tick(now); });
         flushLog();
         waitForTick(tickInterval);
@@ -259,6 +262,15 @@
         logEvent(LogLevel::Info, "keys_read", { { "file", settings_.keyFile }, { "keys", keys->size() }, { "epoch", keys->front().datagram.epoch } });
 }
 
+void DaemonCore::followSeeds(TimePoint now)
+{
+    if (!handlers_.readSeeds)
+        return;
+    std::optional<std::vector<Endpoint>> const seeds = seedFile_.takeChange(now);
+    if (seeds)
+        handlers_.seeds(*seeds, now);
+}
+
 HttpAnswer DaemonCore::handleRequest(HttpRequest const& request)
 {
     if (request.method != "GET")
--- a/src/runtime/DaemonCore.h
+++ b/src/runtime/DaemonCore.h
@@ -6,6 +6,7 @@
 #include "runtime/ControlTransport.h"
 #include "runtime/MetricsPage.h"
 #include "runtime/PacketLoop.h"
+#include "runtime/SeedFile.h"
 #include "runtime/Settings.h"
 #include "runtime/StallDetector.h"
 
@@ -32,6 +33,8 @@
         ControlTransport::Receiver control;
         std::function<void(TimePoint)> tick; ///< every 100 ms
         std::function<void(KeyRing const&)> keys; ///< called after the keys were reloaded
+        SeedFile::Reader readSeeds; ///< reads the entries that the settings file names
+        std::function<void(std::vector<Endpoint> const&, TimePoint)> seeds; ///< called when they may have changed
         std::function<bool()> ready;
         std::function<void(MetricsPage&)> metrics;
         std::function<void()> stop; ///< called at SIGTERM or SIGINT; has to call finish, possibly later
@@ -90,6 +93,7 @@
     bool packetsHeld_ { false };
     std::uint64_t unexpectedErrors_ { 0 }; ///< exceptions of handlers
     StallDetector stalls_;
+    SeedFile seedFile_;
 
     void runLoop();
     void runGuarded(std::string_view where, std::function<void()> const& callback) noexcept;
@@ -105,6 +109,7 @@
     void waitForPackets(PacketPort& port);
     void addPacketMetrics(MetricsPage& page) const;
     void reloadKeys();
+    void followSeeds(TimePoint now);
     HttpAnswer handleRequest(HttpRequest const& request);
     std::string metricsText();
 };
--- a/src/runtime/EntryDaemon.cpp
+++ b/src/runtime/EntryDaemon.cpp
@@ -118,6 +118,8 @@
             handlers.control = [this](Endpoint from, std::span<std::byte const> bytes) { receiveControl(from, bytes); };
             handlers.tick = [this](TimePoint now) { tick(now); };
             handlers.keys = [this](KeyRing const& keys) { setKeys(keys); };
+            handlers.readSeeds = makeSeedReader<EntrySettings>([file = settings_.common.file] { return readEntrySettings(file); }, &EntrySettings::seeds);
+            handlers.seeds = [this](std::vector<Endpoint> const& seeds, TimePoint /*now*/) { control_.setSeeds(seeds); };
             handlers.ready = [this] { return isReady(); };
             handlers.metrics = [this](MetricsPage& page) { addMetrics(page); };
             handlers.stop = [this] { beginStop(); };
--- a/src/runtime/FleetStoreThread.cpp
+++ b/src/runtime/FleetStoreThread.cpp
@@ -37,6 +37,12 @@
     constexpr std::chrono::milliseconds minimumRewritePeriod { 300 };
     constexpr std::chrono::milliseconds rewriteTimePerMember { 5 };
 
+    // A list of members takes a call for each page, and all processes together may use half of the 2,000 reads a second of the
+    // store.
+    constexpr std::size_t membersPerPage = 500;
+    constexpr std::chrono::milliseconds checkTimePerPage { 1 };
+    constexpr std::chrono::seconds minimumCheckInterval { 3 };
+
     // A record that is left behind would be used again once all entries restart. With the wait for requests in progress
     // and two calls of a second, a stop takes less than the 6 s after which the platform kills a process.
     constexpr std::chrono::milliseconds removalTimeout { 1500 };
@@ -120,6 +126,16 @@
     wake_.notify_all();
 }
 
+void FleetStoreThread::requestCheck()
+{
+    {
+        std::lock_guard<std::mutex> const lock(mutex_);
+        if (std::exchange(isCheckRequested_, true))
+            return;
+    }
+    wake_.notify_all();
+}
+
 void FleetStoreThread::setEntryCensus(EntryCensus census)
 {
     std::lock_guard<std::mutex> const lock(mutex_);
@@ -158,15 +174,33 @@
     return reportedGeneration_;
 }
 
-// Agents are many, so they make no calls while nothing is to be written.
-void FleetStoreThread::awaitReportedGeneration()
+// Agents are many, so they make no calls while nothing is to be written and entries answer them.
+void FleetStoreThread::awaitRequest()
 {
-    {
-        std::unique_lock<std::mutex> lock(mutex_);
-        wake_.wait(lock, [this] { return stopping_ || reportedGeneration_ > registeredGeneration_; });
+    std::unique_lock<std::mutex> lock(mutex_);
+    auto const mustWrite = [this] { return stopping_ || reportedGeneration_ > registeredGeneration_; };
+    wake_.wait(lock, [this, mustWrite] { return mustWrite() || isCheckRequested_; });
+    if (!mustWrite()) {
+        std::uniform_int_distribution<std::int64_t> jitter(0, checkSpread().count());
+        TimePoint const earliest = std::chrono::steady_clock::now() + std::chrono::milliseconds { jitter(random_) };
+        wake_.wait_until(lock, std::max(nextCheck_, earliest), mustWrite);
     }
-    if (!stopping_)
+    if (stopping_)
+        return;
+    if (mustWrite()) {
         isRegistered_ = false;
+        return;
+    }
+    isCheckRequested_ = false;
+    hasMembers_ = false;
+    memberReads_ = 0;
+    ++checks_;
+}
+
+std::chrono::milliseconds FleetStoreThread::checkSpread() const noexcept
+{
+    std::size_t const pages = memberCount_ / membersPerPage + 1;
+    return checkTimePerPage * static_cast<std::int64_t>(pages * memberCount_);
 }
 
 // The processes of a fleet learn of a restore within a second; their writes are spread so that the store takes them.
@@ -218,7 +252,7 @@
     }
     bool const isRegisteredAgent = !handlers_.configuration && hasMembers_ && isRegistered_;
     if (isRegisteredAgent) {
-        awaitReportedGeneration();
+        awaitRequest();
         return absl::OkStatus();
     }
     if (isMembersStepDue())
@@ -275,6 +309,7 @@
     std::chrono::seconds const regularInterval = std::max<std::chrono::seconds>(minimumMembersInterval, std::chrono::seconds { members });
     std::chrono::milliseconds const wait = memberReads_ < initialMembersIntervals.size() ? initialMembersIntervals[memberReads_] : std::chrono::milliseconds(regularInterval);
     ++memberReads_;
+    nextCheck_ = std::chrono::steady_clock::now() + std::max<std::chrono::milliseconds>(minimumCheckInterval, checkSpread());
     std::uniform_int_distribution<std::int64_t> jitter(wait.count() * 3 / 4, wait.count());
     nextMembersRead_ = std::chrono::steady_clock::now() + std::chrono::milliseconds { jitter(random_) };
 }
@@ -367,6 +402,7 @@
     page.addGauge("plantaindrift_store_generation", "Generation of the store, which rises when it comes back from an older copy; 0 if unknown.", {}, static_cast<double>(store_->generation()));
     page.addCounter("plantaindrift_store_restores_total", "Rises of the store's generation.", {}, static_cast<double>(generationChanges_));
     page.addCounter("plantaindrift_store_records_removed_total", "Records of other entries removed because these ended long ago.", {}, static_cast<double>(recordsRemoved_));
+    page.addCounter("plantaindrift_store_checks_total", "Reads of the members because entries did not answer.", {}, static_cast<double>(checks_));
     std::string_view const recordsHelp = "Writes of this process's own record.";
     page.addCounter("plantaindrift_store_records_written_total", recordsHelp, { { "repeated", "no" } }, static_cast<double>(recordsWritten_ - recordsRewritten_));
     page.addCounter("plantaindrift_store_records_written_total", recordsHelp, { { "repeated", "yes" } }, static_cast<double>(recordsRewritten_));
--- a/src/runtime/FleetStoreThread.h
+++ b/src/runtime/FleetStoreThread.h
@@ -37,7 +37,8 @@
 /// \brief Reads a FleetStore on a separate thread and posts what it reads to the event loop.
 ///
 /// Reads the configuration and the members, writes this process's record if the store lacks it, then waits for
-/// changes; if the configuration is not read, only for noteStoreGeneration. Retries failed calls with jittered exponential backoff.
+/// changes; if the configuration is not read, only for noteStoreGeneration and requestCheck. Retries failed calls with jittered
+/// exponential backoff.
 class FleetStoreThread {
 public:
     /// \brief Callbacks; all run on the event loop.
@@ -59,6 +60,13 @@
     /// \brief Takes a generation of the store that another process knows; a new one makes this process write its record again.
     void noteStoreGeneration(std::uint64_t generation);
 
+    /// \brief Makes a process that does not read the configuration read the members again, and write its record if the store
+    /// has lost it.
+    ///
+    /// Processes that ask at the same time read at different times. One that asks all the time reads every three seconds, or
+    /// so rarely that all processes together use half of the store's rate of reads.
+    void requestCheck();
+
     /// \brief Sets which entries the membership has.
     ///
     /// The records in the store include those of entries that ended long ago: watches last as long as the running entries
@@ -101,6 +109,9 @@
     std::uint64_t generation_ { 0 }; ///< of the store, as of the last call; 0 if unknown
     std::uint64_t registeredGeneration_ { 0 }; ///< in which the store had or got the record
     std::uint64_t reportedGeneration_ { 0 }; ///< by other processes; guarded by mutex_
+    bool isCheckRequested_ { false }; ///< guarded by mutex_
+    TimePoint nextCheck_; ///< earliest time of the next check
+    std::atomic<std::uint64_t> checks_ { 0 };
     std::optional<EntryCensus> census_; ///< guarded by mutex_
     std::atomic<bool> isLeaving_ { false };
     std::atomic<std::uint64_t> recordsRemoved_ { 0 };
@@ -130,7 +141,8 @@
     void forgetReads();
     void pause(std::chrono::milliseconds time);
     [[nodiscard]] std::uint64_t reportedGeneration();
-    void awaitReportedGeneration();
+    void awaitRequest();
+    [[nodiscard]] std::chrono::milliseconds checkSpread() const noexcept;
     void delayRepeatedWrite();
 };
 
--- a/src/runtime/RelayAgentDaemon.cpp
+++ b/src/runtime/RelayAgentDaemon.cpp
@@ -61,6 +61,16 @@
         return options;
     }
 
+    absl::StatusOr<RelayAgentSettings> readSettings(RelayPlatform const& platform, std::string const& file)
+    {
+        absl::StatusOr<RelayAgentSettings> settings = readRelayAgentSettings(file);
+        if (!settings.ok())
+            return settings;
+        for (Endpoint& entry : settings->entries)
+            entry = platform.seedEndpoint(entry, settings->common.control.port);
+        return settings;
+    }
+
     class RelayAgentDaemon final : public PacketFilter, private RelaySender {
     public:
         RelayAgentDaemon(RelayAgentSettings const& settings, FleetKeys const& keys, RelayPlatform const& platform)
@@ -127,6 +137,7 @@
         TimePoint stopDeadline_;
         JoinDelay joinDelay_;
         std::uint64_t refusedAnnouncements_ { 0 };
+        bool wasUnanswered_ { false };
 
         void send(Endpoint to, std::span<std::byte const> datagram) noexcept override { core_.sendData(to, datagram); }
 
@@ -139,6 +150,8 @@
             handlers.control = [this](Endpoint from, std::span<std::byte const> bytes) { receiveControl(from, bytes); };
             handlers.tick = [this](TimePoint now) { tick(now); };
             handlers.keys = [this](KeyRing const& keys) { relay_.setKeys(keys); };
+            handlers.readSeeds = makeSeedReader<RelayAgentSettings>([this] { return readSettings(platform_, settings_.common.file); }, &RelayAgentSettings::entries);
+            handlers.seeds = [this](std::vector<Endpoint> const& seeds, TimePoint now) { control_.setSeeds(seeds, now); };
             handlers.ready = [this] { return !core_.isStopping(); };
             handlers.metrics = [this](MetricsPage& page) { addMetrics(page); };
             handlers.stop = [this] { beginStop(); };
@@ -201,7 +214,8 @@
                 if (member.role == MemberRole::Entry)
                     entries.push_back(member.control);
             }
-            control_.addEntries(entries, std::chrono::steady_clock::now());
+            logEvent(LogLevel::Info, "members_read", { { "members", members.size() }, { "entries", entries.size() }, { "registered", registered } });
+            control_.setListedEntries(entries, std::chrono::steady_clock::now());
             applyControl();
         }
 
@@ -211,9 +225,22 @@
             TargetLoad const load = relay_.load();
             control_.tick(now, static_cast<double>(load.activeRequests) / load.slots);
             applyControl();
+            checkEntries(now);
             relay_.tick(now, wallClockSeconds());
         }
 
+        // The store may name entries that this agent does not know, and may have lost the record by which they find it.
+        void checkEntries(TimePoint now)
+        {
+            bool const isUnanswered = control_.isUnanswered(now);
+            bool const hasLostEntry = control_.takeLostEntry();
+            if (isUnanswered != wasUnanswered_)
+                logEvent(isUnanswered ? LogLevel::Warning : LogLevel::Info, isUnanswered ? "entries_lost" : "entries_reached", { { "name", self_.name }, { "store_generation", control_.storeGeneration() } });
+            wasUnanswered_ = isUnanswered;
+            if (store_ && (isUnanswered || hasLostEntry))
+                store_->requestCheck();
+        }
+
         void applyControl()
         {
             std::optional<EvacuationChange> const change = control_.takeChangedEvacuations();
@@ -304,16 +331,6 @@
         }
     };
 
-    absl::StatusOr<RelayAgentSettings> readSettings(RelayPlatform const& platform, std::string const& file)
-    {
-        absl::StatusOr<RelayAgentSettings> settings = readRelayAgentSettings(file);
-        if (!settings.ok())
-            return settings;
-        for (Endpoint& entry : settings->entries)
-            entry = platform.seedEndpoint(entry, settings->common.control.port);
-        return settings;
-    }
-
 } // namespace
 
 absl::Status runRelayAgent(RelayPlatform const& platform, std::string const& settingsFile, bool checkOnly)
--- a/src/runtime/RelayEntryDaemon.cpp
+++ b/src/runtime/RelayEntryDaemon.cpp
@@ -36,6 +36,9 @@
     constexpr std::chrono::seconds peerUpdateInterval { 1 };
     constexpr std::chrono::seconds censusInterval { 1 };
 
+    // Interval between reads of the members by an entry that knows no other running one.
+    constexpr std::chrono::seconds loneReadInterval { 5 };
+
     // An entry that is cut off or frozen for longer writes its record again when it is back.
     constexpr std::chrono::seconds goneEntryAge { 300 };
 
@@ -87,6 +90,16 @@
             page.addGauge("plantaindrift_entry_extra_round_trip_seconds", "Time by which a round trip to the data centre exceeds a local one.", { { "data_centre", site.dataCentre } }, *site.extraTenthMs / 10000);
     }
 
+    absl::StatusOr<RelayEntrySettings> readSettings(RelayPlatform const& platform, std::string const& file)
+    {
+        absl::StatusOr<RelayEntrySettings> settings = readRelayEntrySettings(file);
+        if (!settings.ok())
+            return settings;
+        for (Endpoint& seed : settings->seeds)
+            seed = platform.seedEndpoint(seed, settings->common.control.port);
+        return settings;
+    }
+
     class RelayEntryDaemon final : public PacketFilter, private RelaySender {
     public:
         RelayEntryDaemon(RelayEntrySettings const& settings, FleetKeys const& keys, RelayPlatform const& platform)
@@ -169,6 +182,7 @@
         std::optional<EvacuationReader> evacuationReader_;
         TimePoint started_ { std::chrono::steady_clock::now() };
         TimePoint lastCensus_;
+        TimePoint lastLoneRead_;
         std::uint64_t configurationVersion_ { 0 };
         std::uint64_t refusedMessages_ { 0 };
         std::uint64_t discardedConfigurations_ { 0 };
@@ -199,6 +213,8 @@
             handlers.control = [this](Endpoint from, std::span<std::byte const> bytes) { receiveControl(from, bytes); };
             handlers.tick = [this](TimePoint now) { tick(now); };
             handlers.keys = [this](KeyRing const& keys) { relay_.setKeys(keys); };
+            handlers.readSeeds = makeSeedReader<RelayEntrySettings>([this] { return readSettings(platform_, settings_.common.file); }, &RelayEntrySettings::seeds);
+            handlers.seeds = [this](std::vector<Endpoint> const& seeds, TimePoint /*now*/) { control_.setSeeds(seeds); };
             handlers.ready = [this] { return isReady(); };
             handlers.metrics = [this](MetricsPage& page) { addMetrics(page); };
             handlers.stop = [this] { beginStop(); };
@@ -276,9 +292,19 @@
             // Two entries of a data centre are enough to remove records.
             if (!control_.isWatcher())
                 census.gone.clear();
+            readMembersIfAlone(census, now);
             store_->setEntryCensus(std::move(census));
         }
 
+        // The entries that this one knew may have been replaced while it could not hear of the others.
+        void readMembersIfAlone(EntryCensus const& census, TimePoint now)
+        {
+            if (census.running > 1 || now - lastLoneRead_ < loneReadInterval)
+                return;
+            lastLoneRead_ = now;
+            memberReader_->request();
+        }
+
         void requestMembers()
         {
             if (memberReader_ && relay_.needsMemberRead())
@@ -414,16 +440,6 @@
         }
     };
 
-    absl::StatusOr<RelayEntrySettings> readSettings(RelayPlatform const& platform, std::string const& file)
-    {
-        absl::StatusOr<RelayEntrySettings> settings = readRelayEntrySettings(file);
-        if (!settings.ok())
-            return settings;
-        for (Endpoint& seed : settings->seeds)
-            seed = platform.seedEndpoint(seed, settings->common.control.port);
-        return settings;
-    }
-
 } // namespace
 
 absl::Status runRelayEntry(RelayPlatform const& platform, std::string const& settingsFile, bool checkOnly)
--- a/tests/FleetStoreThreadTests.cpp
+++ b/tests/FleetStoreThreadTests.cpp
@@ -292,6 +292,34 @@
 }
 
 // Every heartbeat's reply names the generation; calls must not follow from each of them.
+// No entry tells the agent of the restore: all that it knew were replaced meanwhile.
+BOOST_AUTO_TEST_CASE(AnAgentThatChecksTheStoreWritesARecordThatARestoreLost)
+{
+    Process agent(MemberRole::Agent);
+    for (int restores = 1; restores <= 2; ++restores) {
+        agent.contents->restore();
+        agent.store->requestCheck();
+        BOOST_TEST(agent.runUntil([&agent] { return agent.contents->has("node-1"); }, 8s));
+        BOOST_TEST(agent.runUntil([&agent, restores] { return agent.memberLists >= 1 + restores; }, 1s));
+    }
+    BOOST_TEST(agent.metrics().find("plantaindrift_store_checks_total 2") != std::string::npos);
+}
+
+// Agents that no entry answers ask all the time; a list takes a call for each page.
+BOOST_AUTO_TEST_CASE(ChecksOfTheStoreAreSecondsApart)
+{
+    Process agent(MemberRole::Agent);
+    int const before = agent.contents->count("fresh");
+    TimePoint const end = std::chrono::steady_clock::now() + 2500ms;
+    agent.runUntil([&agent, end] {
+        agent.store->requestCheck();
+        return std::chrono::steady_clock::now() >= end;
+    },
+        3s);
+    BOOST_TEST(agent.contents->count("fresh") <= before + 1);
+    BOOST_TEST(agent.contents->count("write") == 1);
+}
+
 BOOST_AUTO_TEST_CASE(AnAgentWritesItsRecordOnceForAGeneration)
 {
     Process agent(MemberRole::Agent);
--- a/tests/MembershipConvergenceTests.cpp
+++ b/tests/MembershipConvergenceTests.cpp
@@ -402,6 +402,72 @@
     BOOST_TEST(heartbeats > 0U);
 }
 
+// Guards against agents that no entry finds again: the store lost their records while all entries were replaced, and nothing but the
+// changed settings names the new ones.
+BOOST_AUTO_TEST_CASE(AgentsFindEntriesThatTheSettingsNameLater)
+{
+    ControlFleet fleet({ 30, 0.02, 0, 1ms, 20ms });
+    startFleet(fleet, 4, 11);
+    settle(fleet);
+    for (std::string const& name : fleet.entryNames())
+        fleet.kill(name);
+    fleet.run(5s);
+    for (std::uint32_t index = 0; index < 4; ++index)
+        fleet.addEntry("new-entry-" + std::to_string(index), dataCentres[index % dataCentres.size()]);
+    std::vector<Endpoint> const seeds { fleet.self("new-entry-0").control, fleet.self("new-entry-1").control };
+    for (std::string const& name : fleet.entryNames())
+        fleet.entry(name).setSeeds(seeds);
+    for (std::string const& name : fleet.agentNames())
+        fleet.agent(name).setSeeds(seeds, fleet.now());
+    BOOST_TEST((fleet.runUntil([&fleet] { return fleet.isConverged(); }, 12s) <= 12s));
+}
+
+// The store still lists the entries that were lost, many more than those that came.
+BOOST_AUTO_TEST_CASE(AgentsTryEntriesFirstThatTheListNamesNewly)
+{
+    ControlFleet fleet({ 31, 0, 0, 1ms, 20ms });
+    startFleet(fleet, 25, 6);
+    settle(fleet);
+    std::vector<Endpoint> listed;
+    for (std::string const& name : fleet.entryNames())
+        listed.push_back(fleet.self(name).control);
+    for (std::string const& name : fleet.agentNames())
+        fleet.agent(name).setListedEntries(listed, fleet.now());
+    fleet.run(5s);
+    for (std::string const& name : fleet.entryNames())
+        fleet.kill(name);
+    fleet.run(5s);
+    BOOST_TEST(fleet.agent("agent-0").isUnanswered(fleet.now()));
+    BOOST_TEST(fleet.agent("agent-0").takeLostEntry());
+    fleet.seeds = { ControlFleet::endpointOf(32) };
+    for (std::uint32_t index = 0; index < 2; ++index) {
+        fleet.addEntry("new-entry-" + std::to_string(index), dataCentres[index]);
+        listed.push_back(fleet.self("new-entry-" + std::to_string(index)).control);
+    }
+    for (std::string const& name : fleet.agentNames())
+        fleet.agent(name).setListedEntries(listed, fleet.now());
+    fleet.run(1s);
+    for (std::string const& name : fleet.agentNames())
+        BOOST_TEST(!fleet.agent(name).isUnanswered(fleet.now()), name);
+}
+
+// One entry is left that the store refuses, so that neither it nor the new ones learn of each other from a list.
+BOOST_AUTO_TEST_CASE(AnEntryJoinsOthersThatItsSettingsNameLater)
+{
+    ControlFleet fleet({ 32, 0.02, 0, 1ms, 20ms });
+    startFleet(fleet, 4, 11);
+    settle(fleet);
+    for (std::string const name : { "entry-1", "entry-2", "entry-3" })
+        fleet.kill(name);
+    fleet.run(20s);
+    fleet.seeds = { ControlFleet::endpointOf(16), ControlFleet::endpointOf(17) };
+    for (std::uint32_t index = 0; index < 3; ++index)
+        fleet.addEntry("new-entry-" + std::to_string(index), dataCentres[index]);
+    fleet.run(3s);
+    fleet.entry("entry-0").setSeeds(fleet.seeds);
+    BOOST_TEST((fleet.runUntil([&fleet] { return fleet.isConverged(); }, 9s) <= 9s));
+}
+
 // Dead and live records of one member must not replace each other for ever.
 BOOST_AUTO_TEST_CASE(AQuietFleetSendsNoDeltas)
 {
