Notice the loss of all entries after 3 s at any heartbeat interval

Cause: an agent took its entries for gone after three of the intervals that they told it, which are longer the fewer entries there are: 11 s each in the new case of MembershipConvergenceTests, where 33 s passed. After a loss of most entries the few that are left ask for such intervals. Change: the time counts from the first heartbeat without a reply, in units of the shortest interval. Other entries are tried after 2 s, the store after 3 s. Result: noticed within the interval and 3 s (test).

--- a/include/plantaindrift/membership/AgentControl.h
+++ b/include/plantaindrift/membership/AgentControl.h
@@ -64,7 +64,7 @@
     /// \brief Replaces the entries that the store lists; a few that are new get a heartbeat at once.
     void setListedEntries(std::span<Endpoint const> listed, TimePoint now);
 
-    /// \brief True if no entry has answered for the time of several heartbeats: all that this agent knows may be gone, and
+    /// \brief True if no entry has answered for three times the shortest interval: all that this agent knows may be gone, and
     /// its record with them.
     [[nodiscard]] bool isUnanswered(TimePoint now) const;
 
--- a/src/membership/MonitorContacts.cpp
+++ b/src/membership/MonitorContacts.cpp
@@ -12,6 +12,11 @@
     // Heartbeats without a reply after which an entry is no longer relied on.
     constexpr int silentHeartbeats = 3;
 
+    // Entries answer within milliseconds, also those that want rare heartbeats. Other entries are tried after this number of
+    // shortest intervals without any reply, and all known ones are taken for gone after one more.
+    constexpr int fallBackIntervals = 2;
+    constexpr int unansweredIntervals = 3;
+
     bool contains(std::span<Endpoint const> endpoints, Endpoint endpoint)
     {
         return std::find(endpoints.begin(), endpoints.end(), endpoint) != endpoints.end();
@@ -28,8 +33,6 @@
 
 std::vector<MonitorContacts::Due> MonitorContacts::takeDue(TimePoint now)
 {
-    if (!started_)
-        started_ = now;
     markLost(now);
     dropUnnamed(now);
     fallBack(now);
@@ -77,8 +80,12 @@
 
 bool MonitorContacts::isUnanswered(TimePoint now) const
 {
-    std::optional<TimePoint> const since = lastReply_ ? lastReply_ : started_;
-    return since && now - *since > silentHeartbeats * longestInterval();
+    return isUnansweredFor(unansweredIntervals, now);
+}
+
+bool MonitorContacts::isUnansweredFor(int intervals, TimePoint now) const
+{
+    return firstUnanswered_ && now - *firstUnanswered_ > intervals * interval_;
 }
 
 void MonitorContacts::markLost(TimePoint now)
@@ -106,7 +113,7 @@
 
 void MonitorContacts::noteReply(Endpoint from, std::chrono::milliseconds interval, std::span<Endpoint const> monitors, bool needsRecord, TimePoint now)
 {
-    lastReply_ = now;
+    firstUnanswered_.reset();
     rememberAnswer(from);
     auto const found = contacts_.find(from);
     if (found == contacts_.end())
@@ -141,25 +148,19 @@
     return position->second;
 }
 
-std::chrono::milliseconds MonitorContacts::longestInterval() const
+void MonitorContacts::dropUnnamed(TimePoint now)
 {
     std::chrono::milliseconds longest = interval_;
     for (auto const& [entry, contact] : contacts_)
         longest = std::max(longest, contact.interval);
-    return longest;
-}
-
-void MonitorContacts::dropUnnamed(TimePoint now)
-{
-    std::chrono::milliseconds const longest = longestInterval();
     std::erase_if(contacts_, [now, longest](std::pair<Endpoint const, Contact> const& contact) { return now - contact.second.lastNamed > silentHeartbeats * longest; });
 }
 
 void MonitorContacts::fallBack(TimePoint now)
 {
-    bool const answered = lastReply_ && now - *lastReply_ <= silentHeartbeats * longestInterval();
-    bool const recent = lastFallBack_ && now - *lastFallBack_ < silentHeartbeats * interval_;
-    if ((answered && !contacts_.empty()) || recent)
+    bool const isDue = contacts_.empty() || isUnansweredFor(fallBackIntervals, now);
+    bool const isRecent = lastFallBack_ && now - *lastFallBack_ < silentHeartbeats * interval_;
+    if (!isDue || isRecent)
         return;
     lastFallBack_ = now;
     tryRandom(seeds_, fallbackEntries, now);
@@ -184,6 +185,7 @@
 MonitorContacts::Due MonitorContacts::send(Endpoint to, Contact& contact, TimePoint now)
 {
     contact.lastSent = now;
+    firstUnanswered_ = firstUnanswered_.value_or(now);
     return { to, contact.needsRecord, contact.named.empty() ? 0 : monitorsHash(contact.named) };
 }
 
--- a/src/membership/MonitorContacts.h
+++ b/src/membership/MonitorContacts.h
@@ -59,7 +59,7 @@
     /// that are left.
     void setListed(std::span<Endpoint const> listed, TimePoint now);
 
-    /// \brief True if no entry has answered for the time of several heartbeats.
+    /// \brief True if no entry has answered for some time, also those that were tried in place of the monitors.
     [[nodiscard]] bool isUnanswered(TimePoint now) const;
 
     /// \brief True once after an entry stopped answering.
@@ -90,7 +90,7 @@
     };
 
     Contact& add(Endpoint entry, TimePoint now);
-    [[nodiscard]] std::chrono::milliseconds longestInterval() const;
+    [[nodiscard]] bool isUnansweredFor(int intervals, TimePoint now) const;
     void markLost(TimePoint now);
     /// Adds random entries of a list, which it reorders.
     void tryRandom(std::vector<Endpoint>& entries, std::size_t most, TimePoint now);
@@ -106,8 +106,7 @@
     std::chrono::milliseconds interval_;
     RandomSource random_;
     std::map<Endpoint, Contact> contacts_;
-    std::optional<TimePoint> started_; ///< time of the first heartbeats
-    std::optional<TimePoint> lastReply_;
+    std::optional<TimePoint> firstUnanswered_; ///< time of the first heartbeat since the last reply
     bool hasLostContact_ { false };
     std::optional<TimePoint> lastFallBack_;
     std::optional<TimePoint> lastProbe_;
--- a/tests/MembershipConvergenceTests.cpp
+++ b/tests/MembershipConvergenceTests.cpp
@@ -451,6 +451,22 @@
         BOOST_TEST(!fleet.agent(name).isUnanswered(fleet.now()), name);
 }
 
+// Entries that have many members want rare heartbeats. An agent must not need three of them to notice that all entries are gone.
+BOOST_AUTO_TEST_CASE(AnAgentNoticesTheLossOfAllEntriesWithinSecondsAtAnyInterval)
+{
+    ControlFleet fleet({ 33, 0, 0, 1ms, 20ms });
+    fleet.bytesPerSecond = 500;
+    startFleet(fleet, 2, 21);
+    settle(fleet);
+    fleet.run(60s);
+    for (std::string const& name : fleet.entryNames())
+        fleet.kill(name);
+    std::string const agent = "agent-3";
+    Duration const passed = fleet.runUntil([&fleet, &agent] { return fleet.agent(agent).isUnanswered(fleet.now()); }, 20s);
+    // Each of the two entries is told of each agent every 11 s.
+    BOOST_TEST((passed <= 11s + 3s), std::chrono::duration_cast<std::chrono::milliseconds>(passed).count() << " ms");
+}
+
 // One entry is left that the store refuses, so that neither it nor the new ones learn of each other from a list.
 BOOST_AUTO_TEST_CASE(AnEntryJoinsOthersThatItsSettingsNameLater)
 {
