Let a starting entry search for 5 s unless all machines lost power

Cause: an entry that starts takes the store's list for complete, so that after a power loss callers of lost flows are reset at once. The restored list lacks agents that run on. Change: it does so only while no agent reports that it ran long before. Otherwise a search lasts 5 s at least, by when agents have noticed the loss of their entries, and needs a list that was read after it began.

--- a/src/relay/OwnerSearches.cpp
+++ b/src/relay/OwnerSearches.cpp
@@ -34,6 +34,10 @@
     constexpr std::chrono::seconds startupPeriod { 10 };
     constexpr std::chrono::seconds minimumLostSearchTime { 3 };
 
+    // If other machines kept running, the store may have lost records of some of them, and a newly started entry has no other
+    // list. Agents that lost all entries notice it within 3 s and write their records again.
+    constexpr std::chrono::seconds minimumStartingSearchTime { 5 };
+
     // A machine that starts after the others may open a flow before its first load report arrives here. Its agent replies to a
     // query within this time.
     constexpr std::chrono::milliseconds minimumReplyTime { 80 };
@@ -447,8 +451,8 @@
 
 bool OwnerSearches::isLongEnough(OwnerSearch const& search, TimePoint now) const noexcept
 {
-    if (!isStarting(now))
-        return now - search.started >= minimumLostSearchTime;
+    if (!isStartingAfterPowerLoss(now))
+        return now - search.started >= (isStarting(now) ? minimumStartingSearchTime : minimumLostSearchTime);
     return std::all_of(search.services.begin(), search.services.end(), [now](ServiceReplies const& replies) {
         bool const wasQueriedLongAgo = replies.firstQueried() != TimePoint {} && now - replies.firstQueried() >= minimumReplyTime;
         return !replies.hasSilentTarget() || wasQueriedLongAgo;
@@ -460,13 +464,18 @@
     return now - firstTick_ < startupPeriod;
 }
 
+bool OwnerSearches::isStartingAfterPowerLoss(TimePoint now) const noexcept
+{
+    return isStarting(now) && !directory_.hasSurvivor();
+}
+
 // The records of targets that joined may be delayed by the control budget or by a cut for longer than any fixed time. A
 // flow may also have been opened at such a target after a power loss. As targets that join admit flows only some time after
 // their records were written, a list that is a little older than the search has all that may hold its flow; it counts while
 // most searches are for lost flows.
 bool OwnerSearches::isViewCurrent(OwnerSearch const& search, TimePoint now) noexcept
 {
-    Duration const permittedAge = isStarting(now) ? recordedJoinTime : std::chrono::milliseconds::zero();
+    Duration const permittedAge = isStartingAfterPowerLoss(now) ? recordedJoinTime : std::chrono::milliseconds::zero();
     bool const isCurrent = !isMemberReadRequired_ || (membersRead_ && *membersRead_ + permittedAge >= search.started);
     needsMemberRead_ = needsMemberRead_ || !isCurrent;
     return isCurrent;
--- a/src/relay/OwnerSearches.h
+++ b/src/relay/OwnerSearches.h
@@ -164,6 +164,7 @@
     [[nodiscard]] bool areViewsSettled(OwnerSearch const& search, TimePoint now) const noexcept;
     void notifyLost(OwnerSearch const& search, TimePoint now) noexcept;
     [[nodiscard]] bool isStarting(TimePoint now) const noexcept;
+    [[nodiscard]] bool isStartingAfterPowerLoss(TimePoint now) const noexcept;
     [[nodiscard]] bool isLongEnough(OwnerSearch const& search, TimePoint now) const noexcept;
     [[nodiscard]] bool isViewCurrent(OwnerSearch const& search, TimePoint now) noexcept;
 };
--- a/src/relay/TargetDirectory.h
+++ b/src/relay/TargetDirectory.h
@@ -157,6 +157,9 @@
     /// has been running for longer.
     [[nodiscard]] bool wasPowerLost(TargetGroup const& group) const noexcept;
 
+    /// \brief True if some agent that has reported here was running long before.
+    [[nodiscard]] bool hasSurvivor() const noexcept { return hasSurvivor_; }
+
     /// \brief Returns the agents whose subscription is due and marks them as subscribed.
     [[nodiscard]] std::vector<Endpoint> collectDueSubscriptions(TimePoint now);
 
--- a/tests/AgentRelayTests.cpp
+++ b/tests/AgentRelayTests.cpp
@@ -488,6 +488,44 @@
         BOOST_TEST(!isReset(*flow));
 }
 
+// Guards against resets of open flows by entries that replace all others: the store came back from a copy without the records of some
+// agents, which write them again once they notice that the entries are gone.
+BOOST_AUTO_TEST_CASE(AFlowIsNotResetByAnEntryThatStartsWithAListThatARestoreShortened)
+{
+    constexpr std::chrono::milliseconds noticeTime { 4500 };
+    Scene scene(2, 6);
+    scene.runFor(12s);
+    std::vector<CallerFlow*> const flows = openFlows(scene, 20);
+    scene.runFor(1s);
+    for (std::size_t index = 0; index < scene.entries.size(); ++index) {
+        scene.startEntry(index);
+        EntryRelay& entry = *scene.entries[index]->relay;
+        entry.requireMemberRead();
+        ServiceView part = scene.view();
+        part.targets.resize(2);
+        entry.setView(part, scene.now());
+    }
+    TimePoint const noticed = scene.now() + noticeTime;
+    scene.runFor(500ms);
+    for (CallerFlow* const flow : flows)
+        scene.request(*flow);
+    while (scene.now() < noticed) {
+        for (std::unique_ptr<Entry> const& entry : scene.entries)
+            entry->relay->recordMemberRead(scene.now());
+        scene.runFor(200ms);
+    }
+    for (CallerFlow const* const flow : flows)
+        BOOST_TEST(!isReset(*flow));
+    scene.publishView();
+    for (CallerFlow* const flow : flows)
+        scene.request(*flow);
+    scene.runFor(1s);
+    for (CallerFlow const* const flow : flows) {
+        BOOST_TEST(!isReset(*flow));
+        BOOST_TEST(flow->requests.back().answered.has_value());
+    }
+}
+
 BOOST_AUTO_TEST_CASE(ALostFlowIsResetOnceTheMembersAreReadAnew)
 {
     Scene scene(2, 4);
--- a/tests/MovedAddressTests.cpp
+++ b/tests/MovedAddressTests.cpp
@@ -218,6 +218,8 @@
     for (std::size_t index = 0; index < 9; ++index)
         scene.addAgent(otherService);
     scene.publishView();
+    // No load report of the former processes is under way when the new ones start.
+    scene.runFor(1050ms);
     restartMachines(scene);
     scene.runFor(400ms);
     for (std::unique_ptr<CallerFlow> const& flow : scene.flows)
