Show segments of open flows to foreign services only if their agents know the flow

Cause: a widened search sent the caller's segment to every agent that could not tell what its target holds, for a minute after the agent's start, also to services that never had the address. A target returns such segments, but the product promises that a packet for one service never reaches another.

Change: replies to queries tell flows that the agent knows from those that it may hold. Services that have the address, or had it up to 60 s ago as far as the entry has seen, receive segments as before; others only if their agent knows the flow. An agent of these that cannot tell is queried again, and the flow is not reset meanwhile, unless its target started with it or all machines restarted.

--- a/include/plantaindrift/relay/RelayMessage.h
+++ b/include/plantaindrift/relay/RelayMessage.h
@@ -136,6 +136,16 @@
 /// \brief Maximum number of flows in one FlowQuery message.
 inline constexpr std::size_t maximumQueriedFlows = 64;
 
+/// \brief In a FlowQueryReply, added to the index of a flow that the agent knows to be open or opening at its target.
+///
+/// An agent that started a short time ago lists the others as well, since it does not know them.
+inline constexpr std::uint8_t heldFlowFlag = 0x80;
+
+/// \brief In a FlowQueryReply, added to the index of a flow that the agent does not know, if its target started at about the
+/// same time as the agent: it holds such a flow only if the agent was replaced within seconds.
+inline constexpr std::uint8_t improbableFlowFlag = 0x40;
+static_assert(maximumQueriedFlows <= improbableFlowFlag);
+
 /// \brief Maximum length of a relay datagram that carries no segment.
 inline constexpr std::size_t maximumRelayMessageBytes = maximumRelayHeaderBytes + maximumFlowOwners * 18;
 
@@ -154,7 +164,7 @@
     std::span<std::byte const> flowOwnerBytes; ///< FlowOwners: encoded flows; points into the datagram
     std::uint32_t queryNumber { 0 }; ///< FlowQuery, FlowQueryReply: number that the entry gave to the query
     std::span<std::byte const> queriedFlowBytes; ///< FlowQuery: encoded flow hashes; points into the datagram
-    std::span<std::byte const> possibleFlowBytes; ///< FlowQueryReply: indices into the query's flows; points into the datagram
+    std::span<std::byte const> possibleFlowBytes; ///< FlowQueryReply: indices into the query's flows, with the flags above; points into the datagram
     std::span<std::byte const> entryStatusBytes; ///< EntryStatus: encoded statuses; points into the datagram
 
     /// \brief Statuses that an EntryStatus message contains; the first is the sender's.
@@ -219,7 +229,8 @@
 [[nodiscard]] std::size_t writeRelayFlowQuery(ServiceHash service, std::uint32_t number, std::span<std::uint64_t const> flows, RelaySigningContext const& seal, std::span<std::byte> output) noexcept;
 
 /// \param number  number of the query
-/// \param possible  indices of the query's flows that the target may hold, at most maximumQueriedFlows; it holds no other
+/// \param possible  indices of the query's flows that the target may hold, at most maximumQueriedFlows, with heldFlowFlag or
+///                  improbableFlowFlag; it holds no other
 /// \param output  at least maximumRelayMessageBytes
 [[nodiscard]] std::size_t writeRelayFlowQueryReply(ServiceHash service, std::uint32_t number, std::span<std::uint8_t const> possible, RelaySigningContext const& seal, std::span<std::byte> output) noexcept;
 
--- a/src/relay/AddressRoutes.cpp
+++ b/src/relay/AddressRoutes.cpp
@@ -1,6 +1,7 @@
 #include "relay/AddressRoutes.h"
 
 #include "balancing/AdmissionLimit.h"
+#include "relay/RelayTimes.h"
 
 #include <algorithm>
 #include <chrono>
@@ -67,6 +68,36 @@
         }
     }
     isConfigured_ = true;
+    recordFormer(known, now);
+    addFormer();
+}
+
+void AddressRoutes::recordFormer(Routes const& replaced, TimePoint now)
+{
+    for (std::pair<std::uint64_t const, AddressRoute> const& route : replaced) {
+        std::vector<FormerService>& former = former_[route.first];
+        for (RouteShare const& share : route.second.shares) {
+            std::erase_if(former, [&share](FormerService const& known) { return known.group == share.group; });
+            former.push_back({ share.group, now });
+        }
+    }
+    for (std::pair<std::uint64_t const, std::vector<FormerService>>& former : former_)
+        std::erase_if(former.second, [now](FormerService const& service) { return now - service.last > platformFlowTimeout; });
+    absl::erase_if(former_, [](std::pair<std::uint64_t const, std::vector<FormerService>> const& former) { return former.second.empty(); });
+}
+
+void AddressRoutes::addFormer()
+{
+    for (std::pair<std::uint64_t const, AddressRoute>& route : routes_) {
+        auto const former = former_.find(route.first);
+        if (former == former_.end())
+            continue;
+        std::vector<TargetGroup const*>& services = route.second.services;
+        for (FormerService const& service : former->second) {
+            if (std::find(services.begin(), services.end(), service.group) == services.end())
+                services.push_back(service.group);
+        }
+    }
 }
 
 TargetGroup* AddressRoutes::findService(Endpoint address, std::uint64_t flowHash) const noexcept
--- a/src/relay/AddressRoutes.h
+++ b/src/relay/AddressRoutes.h
@@ -21,7 +21,7 @@
     /// its retransmissions.
     [[nodiscard]] TargetGroup* findService(Endpoint address, std::uint64_t flowHash) const noexcept;
 
-    /// \brief All services that have an address; none if no service has it.
+    /// \brief All services that have an address, and those that had it a short time ago; none if no service has it now.
     [[nodiscard]] std::span<TargetGroup const* const> findServices(Endpoint address) const noexcept;
 
     /// \brief Expected time above which no target admits a new flow, in 0.1 ms; 0 for no limit and for new addresses.
@@ -38,7 +38,7 @@
 
     struct AddressRoute {
         std::vector<RouteShare> shares;
-        std::vector<TargetGroup const*> services; ///< of the shares
+        std::vector<TargetGroup const*> services; ///< of the shares, then former ones
         std::uint32_t totalShare { 0 };
         std::uint16_t limitTenthMs { 0 };
         TimePoint limitedFrom; ///< end of the time in which the address counts as new
@@ -46,8 +46,19 @@
 
     using Routes = absl::flat_hash_map<std::uint64_t, AddressRoute>; ///< by address
 
+    /// A service that had an address in an earlier configuration.
+    struct FormerService {
+        TargetGroup const* group { nullptr };
+        TimePoint last; ///< when a configuration took the address from it
+    };
+
     Routes routes_;
+    absl::flat_hash_map<std::uint64_t, std::vector<FormerService>> former_; ///< by address
     bool isConfigured_ { false };
+
+    /// Keeps the services of the routes that are replaced for as long as their flows may be open.
+    void recordFormer(Routes const& replaced, TimePoint now);
+    void addFormer();
 };
 
 } // namespace plantaindrift
--- a/src/relay/AgentSegments.cpp
+++ b/src/relay/AgentSegments.cpp
@@ -134,8 +134,11 @@
     std::vector<std::uint8_t> possible;
     for (std::size_t index = 0; index < queried.size(); ++index) {
         TargetFlow const* const record = flows.find(queried[index]);
-        if (record != nullptr ? !record->isLost : isAnyPossible)
-            possible.push_back(static_cast<std::uint8_t>(index));
+        std::uint8_t const listed = static_cast<std::uint8_t>(index);
+        if (record != nullptr && !record->isLost)
+            possible.push_back(listed | heldFlowFlag);
+        else if (record == nullptr && isAnyPossible)
+            possible.push_back(target.hasStartedWithAgent ? listed | improbableFlowFlag : listed);
     }
     std::array<std::byte, maximumRelayMessageBytes> message;
     std::size_t const bytes = writeRelayFlowQueryReply(service, decoded.queryNumber, possible, { options.keys, nowSeconds }, message);
--- a/src/relay/OwnerSearch.cpp
+++ b/src/relay/OwnerSearch.cpp
@@ -67,12 +67,22 @@
         kept_.assign(datagram.begin(), datagram.end());
 }
 
-void OwnerSearch::addServices(std::span<TargetGroup const* const> added)
+void OwnerSearch::addAllowed(std::span<TargetGroup const* const> added)
 {
-    for (TargetGroup const* const service : added) {
-        if (findReplies(service->hash) == nullptr)
-            services.emplace_back(*service);
-    }
+    for (TargetGroup const* const service : added)
+        findOrAdd(*service).setAllowed();
+}
+
+void OwnerSearch::addOthers(std::span<TargetGroup const* const> added)
+{
+    for (TargetGroup const* const service : added)
+        (void)findOrAdd(*service);
+}
+
+ServiceReplies& OwnerSearch::findOrAdd(TargetGroup const& service)
+{
+    ServiceReplies* const known = findReplies(service.hash);
+    return known != nullptr ? *known : services.emplace_back(service);
 }
 
 ServiceReplies* OwnerSearch::findReplies(ServiceHash service) noexcept
--- a/src/relay/OwnerSearch.h
+++ b/src/relay/OwnerSearch.h
@@ -22,6 +22,12 @@
 
     [[nodiscard]] TargetGroup const& group() const noexcept { return *group_; }
 
+    /// \brief Records that a configuration gave the flow's address to the service.
+    void setAllowed() noexcept { isAllowed_ = true; }
+
+    /// \brief True if targets of the service may receive segments of the flow that they may not hold.
+    [[nodiscard]] bool isAllowed() const noexcept { return isAllowed_; }
+
     /// \brief Records that a target does not hold the flow.
     void markNotFound(std::size_t target);
 
@@ -58,6 +64,7 @@
 
 private:
     TargetGroup const* group_;
+    bool isAllowed_ { false };
     TimePoint firstQueried_;
     TargetSet notFound_;
     TargetSet possible_;
@@ -67,7 +74,8 @@
 ///
 /// The services of the flow's address are searched first. A configuration may have moved the address from a service whose
 /// targets keep their open flows, and an entry that started later has not seen the earlier one; so a flow that is not found
-/// there is searched for in all services.
+/// there is searched for in all services. Segments reach a target of a service that had the address in no configuration known here
+/// only if its agent knows that it holds the flow.
 struct OwnerSearch {
     std::uint64_t hash { 0 };
     bool used { false };
@@ -93,8 +101,11 @@
     /// \brief The copy of the segment; empty if it was too long.
     [[nodiscard]] std::span<std::byte const> keptSegment() const noexcept { return kept_; }
 
-    /// \brief Adds services to the searched ones, unless they are among them.
-    void addServices(std::span<TargetGroup const* const> added);
+    /// \brief Adds services that a configuration gave the flow's address.
+    void addAllowed(std::span<TargetGroup const* const> added);
+
+    /// \brief Adds other services, unless they are searched already.
+    void addOthers(std::span<TargetGroup const* const> added);
 
     /// \brief The replies of a searched service; null if it is not searched.
     [[nodiscard]] ServiceReplies* findReplies(ServiceHash service) noexcept;
@@ -116,6 +127,8 @@
 
 private:
     std::vector<std::byte> kept_; ///< the segment that started the round
+
+    [[nodiscard]] ServiceReplies& findOrAdd(TargetGroup const& service);
 };
 
 } // namespace plantaindrift
--- a/src/relay/OwnerSearches.cpp
+++ b/src/relay/OwnerSearches.cpp
@@ -48,6 +48,28 @@
     // Callers retransmit segments every 1.6 s at most.
     constexpr std::chrono::seconds searchIdleTimeout { 5 };
 
+    // What an agent says of a flow.
+    enum class FlowPossession : std::uint8_t {
+        None,
+        Improbable, ///< the agent does not know, and its target started with it
+        Possible, ///< the agent started a short time ago and does not know
+        Held
+    };
+
+    bool isListed(std::span<std::byte const> flows, std::size_t index, std::uint8_t flag) noexcept
+    {
+        return std::find(flows.begin(), flows.end(), std::byte { static_cast<std::uint8_t>(index | flag) }) != flows.end();
+    }
+
+    FlowPossession possessionOf(DecodedRelayMessage const& reply, std::size_t index) noexcept
+    {
+        if (isListed(reply.possibleFlowBytes, index, heldFlowFlag))
+            return FlowPossession::Held;
+        if (isListed(reply.possibleFlowBytes, index, improbableFlowFlag))
+            return FlowPossession::Improbable;
+        return isListed(reply.possibleFlowBytes, index, 0) ? FlowPossession::Possible : FlowPossession::None;
+    }
+
 } // namespace
 
 OwnerSearches::OwnerSearches(Endpoint ownEndpoint, std::uint32_t firstQueryNumber, TargetDirectory const& directory, RelaySender& sender, RelayObserver& observer)
@@ -71,8 +93,8 @@
     // A configuration may have moved the address to another service since the last segment.
     if (search->group != services.first) {
         search->group = services.first;
-        search->addServices({ &services.first, 1 });
-        search->addServices(services.all);
+        search->addAllowed({ &services.first, 1 });
+        search->addAllowed(services.all);
     }
     search->segment = segment;
     search->lastSegment = now;
@@ -132,11 +154,14 @@
         ServiceReplies* const replies = search != nullptr ? search->findReplies(query.group->hash) : nullptr;
         if (replies == nullptr || search->isLost)
             continue;
-        std::byte const position { static_cast<std::uint8_t>(index) };
-        bool const isPossible = std::find(reply.possibleFlowBytes.begin(), reply.possibleFlowBytes.end(), position) != reply.possibleFlowBytes.end();
-        if (isPossible) {
+        FlowPossession const possession = possessionOf(reply, index);
+        bool const isUnknown = possession == FlowPossession::Possible || possession == FlowPossession::Improbable;
+        bool const isUnlikely = possession == FlowPossession::Improbable || haveMachinesRestarted(now);
+        bool const isNotFound = possession == FlowPossession::None || (isUnknown && isUnlikely && !replies->isAllowed());
+        // An agent of a service that never had the address receives no segment on suspicion; it is queried again until it knows.
+        if (possession == FlowPossession::Held || (isUnknown && replies->isAllowed()))
             addPossibleOwner(*search, *replies, target, signing);
-        } else {
+        if (isNotFound) {
             replies->markNotFound(target);
             endIfLost(*search, now);
         }
@@ -232,7 +257,7 @@
     search.queried = now;
     // The first configuration that names a service, and its first targets, may arrive while a search goes on.
     if (search.isWide)
-        search.addServices(directory_.services());
+        search.addOthers(directory_.services());
     for (ServiceReplies& replies : search.services)
         replies.recordQuery(now);
 }
@@ -299,7 +324,7 @@
     if (std::exchange(search.isWide, true))
         return;
     std::size_t const before = search.services.size();
-    search.addServices(directory_.services());
+    search.addOthers(directory_.services());
     if (search.services.size() == before)
         return;
     ++widenedCount_;
--- a/src/relay/OwnerSearches.h
+++ b/src/relay/OwnerSearches.h
@@ -33,7 +33,7 @@
     Segment segment;
 };
 
-/// \brief The services that may hold the flows of an address by the newest configuration.
+/// \brief The services that have, or had a short time ago, the address of a flow.
 struct SearchedServices {
     TargetGroup const* first { nullptr }; ///< service of a new flow with the same endpoints; its agents receive the caller's segments
     std::span<TargetGroup const* const> all;
@@ -44,7 +44,7 @@
 /// The agent that ranks first for a flow may have its owner recorded. If it reports that it does not, all agents of the
 /// address's services are queried for many flows at once, and receive the segment only if their target may hold the flow.
 /// If no agent there holds it, or one does not reply to the first query, those of all other services are queried too: an
-/// earlier configuration may have given them the address. The number of queries depends on the time that searches take and
+/// earlier configuration may have given them the address. They receive the segment only if they know the flow. The number of queries depends on the time that searches take and
 /// on the number of targets, not on the number of flows.
 class OwnerSearches {
 public:
@@ -165,6 +165,9 @@
     void notifyLost(OwnerSearch const& search, TimePoint now) noexcept;
     [[nodiscard]] bool isStarting(TimePoint now) const noexcept;
     [[nodiscard]] bool isStartingAfterPowerLoss(TimePoint now) const noexcept;
+    /// True if an agent that does not know whether its target holds a flow has restarted with its machine, so that the target has
+    /// lost its flows.
+    [[nodiscard]] bool haveMachinesRestarted(TimePoint now) const noexcept { return isStartingAfterPowerLoss(now) && !directory_.hasReplacedAgent(); }
     [[nodiscard]] bool isLongEnough(OwnerSearch const& search, TimePoint now) const noexcept;
     [[nodiscard]] bool isViewCurrent(OwnerSearch const& search, TimePoint now) noexcept;
 };
--- a/src/relay/TargetDirectory.cpp
+++ b/src/relay/TargetDirectory.cpp
@@ -220,6 +220,7 @@
         firstReports_.push_back(agent);
     target->load = load;
     hasSurvivor_ = hasSurvivor_ || load.isLongRunning;
+    hasReplacedAgent_ = hasReplacedAgent_ || (!load.isAssumed && !load.isLongRunning && !load.isMachineRestarted);
     // An agent that restarted beside a draining target takes it for accepting until the target's next announcement.
     target->isWithdrawn = load.isWithdrawn || (load.isAssumed && target->isWithdrawn);
     target->load.isAccepting = load.isAccepting && !target->isWithdrawn;
--- a/src/relay/TargetDirectory.h
+++ b/src/relay/TargetDirectory.h
@@ -160,6 +160,9 @@
     /// \brief True if some agent that has reported here was running long before.
     [[nodiscard]] bool hasSurvivor() const noexcept { return hasSurvivor_; }
 
+    /// \brief True if some agent that has reported here was replaced while its target kept running.
+    [[nodiscard]] bool hasReplacedAgent() const noexcept { return hasReplacedAgent_; }
+
     /// \brief Returns the agents whose subscription is due and marks them as subscribed.
     [[nodiscard]] std::vector<Endpoint> collectDueSubscriptions(TimePoint now);
 
@@ -192,6 +195,7 @@
     std::optional<TimePoint> lastTick_;
     std::vector<Endpoint> firstReports_;
     bool hasSurvivor_ { false }; ///< some machine has kept its power since this entry started
+    bool hasReplacedAgent_ { false };
     absl::flat_hash_set<std::uint64_t> sharedAgents_; ///< endpoints that several services have listed at the same time
 
     void assignAgents(TargetGroup& group, std::span<DirectoryTarget const> former);
--- a/tests/MovedAddressTests.cpp
+++ b/tests/MovedAddressTests.cpp
@@ -183,17 +183,50 @@
 
 // Processes of agents and entries are killed at the same moment after the change: nothing remembers the flows but the targets.
 BOOST_AUTO_TEST_CASE(FlowsStayOpenWhenAgentsAndEntriesAreReplacedTogether)
+{
+    MovedScene scene(2);
+    scene.configure(shared({ { mainService, 10 }, { nextService, 90 } }));
+    scene.runFor(5s);
+    for (std::size_t index = 0; index < scene.agents.size(); ++index)
+        scene.startAgent(index);
+    scene.restartEntries();
+    scene.runFor(500ms);
+    scene.checkThatAllAreServed();
+}
+
+// The agents cannot tell what their targets hold, but this entry has seen that the address was theirs.
+BOOST_AUTO_TEST_CASE(FlowsStayOpenWhenTheAddressMovesAndAgentsAreReplaced)
 {
     MovedScene scene(2, { { mainService } });
     scene.configure(shared({ { nextService } }));
     scene.runFor(5s);
     for (std::size_t index = 0; index < scene.agents.size(); ++index)
         scene.startAgent(index);
-    scene.restartEntries();
+    // The other entry knows the owners of half of the flows.
+    for (std::unique_ptr<CallerFlow> const& flow : scene.flows)
+        flow->entry = 1 - flow->entry;
     scene.runFor(500ms);
     scene.checkThatAllAreServed();
 }
 
+// Guards against segments that reach targets of a service that had their address in no configuration that this entry has seen. The
+// agents have just started and cannot tell what their targets hold: the flow is neither shown to them nor reset.
+BOOST_AUTO_TEST_CASE(SegmentsAreNotShownToTargetsOfForeignServices)
+{
+    MovedScene scene(2, { { mainService } });
+    scene.configure(shared({ { nextService } }));
+    scene.restartEntries();
+    for (std::size_t index = 0; index < scene.agents.size(); ++index)
+        scene.startAgent(index);
+    scene.runFor(500ms);
+    for (std::unique_ptr<CallerFlow> const& flow : scene.flows)
+        scene.request(*flow);
+    scene.runFor(2 * callerTimeout);
+    BOOST_TEST(scene.decisions.count("reset_lost") == 0U);
+    for (std::unique_ptr<Agent> const& agent : scene.agents)
+        BOOST_TEST((agent->service != mainService || agent->target.unknownSegments == 0U));
+}
+
 // The agent of an owner that the view lacks refuses segments that name another service.
 BOOST_AUTO_TEST_CASE(AnUnlistedOwnerReceivesSegmentsWhenTheAddressMoves)
 {
@@ -229,6 +262,53 @@
         BOOST_TEST(flow->requests.back().reset);
 }
 
+// As above, if the targets of other services have not announced themselves yet, so that their agents know nothing of them.
+BOOST_AUTO_TEST_CASE(TargetsThatHaveNotAnnouncedThemselvesDoNotDelayAResetAfterAPowerLoss)
+{
+    MovedScene scene(2);
+    for (std::size_t index = 0; index < 9; ++index)
+        scene.addAgent(otherService);
+    scene.publishView();
+    scene.runFor(1050ms);
+    restartMachines(scene);
+    for (std::unique_ptr<Agent> const& agent : scene.agents) {
+        if (agent->service != otherService)
+            continue;
+        agent->state = {};
+        agent->relay->setTargetState(agent->state, scene.now());
+    }
+    scene.runFor(400ms);
+    for (std::unique_ptr<CallerFlow> const& flow : scene.flows)
+        scene.request(*flow);
+    scene.runFor(600ms);
+    for (std::unique_ptr<CallerFlow> const& flow : scene.flows)
+        BOOST_TEST(flow->requests.back().reset);
+}
+
+// As above, if targets of other services started with their agents, and the agents did not see it.
+BOOST_AUTO_TEST_CASE(TargetsThatStartedWithTheirAgentsDoNotDelayAReset)
+{
+    MovedScene scene(2);
+    for (std::size_t index = 0; index < 9; ++index)
+        scene.addAgent(otherService);
+    scene.publishView();
+    scene.runFor(1050ms);
+    for (std::unique_ptr<Agent> const& agent : scene.agents) {
+        agent->state.isStartObserved = agent->service != otherService;
+        agent->state.hasStartedWithAgent = true;
+        agent->target.flows.clear();
+    }
+    for (std::size_t index = 0; index < scene.agents.size(); ++index)
+        scene.startAgent(index);
+    scene.restartEntries();
+    scene.runFor(400ms);
+    for (std::unique_ptr<CallerFlow> const& flow : scene.flows)
+        scene.request(*flow);
+    scene.runFor(600ms);
+    for (std::unique_ptr<CallerFlow> const& flow : scene.flows)
+        BOOST_TEST(flow->requests.back().reset);
+}
+
 // A search that the flow's own service answers costs the targets of other services nothing.
 BOOST_AUTO_TEST_CASE(OtherServicesAreNotSearchedForFlowsOfTheOwnOne)
 {
--- a/tests/OwnerSearchTests.cpp
+++ b/tests/OwnerSearchTests.cpp
@@ -37,7 +37,7 @@
     [[nodiscard]] bool isLostWithoutTheFirst() const
     {
         OwnerSearch search;
-        search.addServices(std::vector<TargetGroup const*> { group });
+        search.addAllowed(std::vector<TargetGroup const*> { group });
         search.begin(segment, now);
         for (std::size_t index = 1; index < group->targets.size(); ++index)
             search.services.front().markNotFound(index);
