Keep only services that lost an address as its former ones

Each configuration made a record for every address, 4,000 with a large one, although none had moved. No change of behaviour: MovedAddressTests passes.

--- a/src/relay/AddressRoutes.cpp
+++ b/src/relay/AddressRoutes.cpp
@@ -30,6 +30,11 @@
         return static_cast<std::size_t>(std::distance(priorities.begin(), priorities.find(priority)));
     }
 
+    bool contains(std::span<TargetGroup const* const> services, TargetGroup const* service)
+    {
+        return std::find(services.begin(), services.end(), service) != services.end();
+    }
+
     // The tightest limit of each priority of a service, the most urgent first; 0 for none.
     std::vector<std::uint16_t> tightestLimits(Service const& service, std::set<std::uint16_t> const& priorities)
     {
@@ -75,8 +80,11 @@
 void AddressRoutes::recordFormer(Routes const& replaced, TimePoint now)
 {
     for (std::pair<std::uint64_t const, AddressRoute> const& route : replaced) {
-        std::vector<FormerService>& former = former_[route.first];
+        Routes::const_iterator const current = routes_.find(route.first);
         for (RouteShare const& share : route.second.shares) {
+            if (current != routes_.end() && contains(current->second.services, share.group))
+                continue;
+            std::vector<FormerService>& former = former_[route.first];
             std::erase_if(former, [&share](FormerService const& known) { return known.group == share.group; });
             former.push_back({ share.group, now });
         }
@@ -94,7 +102,7 @@
             continue;
         std::vector<TargetGroup const*>& services = route.second.services;
         for (FormerService const& service : former->second) {
-            if (std::find(services.begin(), services.end(), service.group) == services.end())
+            if (!contains(services, service.group))
                 services.push_back(service.group);
         }
     }
