--- a/tests/MovedAddressTests.cpp
+++ b/tests/MovedAddressTests.cpp
@@ -60,6 +60,13 @@
             startEntry(index);
     }
 
+    void checkAfterRestartOfEntries()
+    {
+        restartEntries();
+        runFor(500ms);
+        checkThatAllAreServed();
+    }
+
     // Sends a request on each flow, with the retransmissions of a caller, and checks that all are answered.
     void checkThatAllAreServed()
     {
@@ -89,9 +96,7 @@
     MovedScene scene(2);
     scene.configure(shared({ { mainService, 10 }, { nextService, 90 } }));
     scene.runFor(5s);
-    scene.restartEntries();
-    scene.runFor(500ms);
-    scene.checkThatAllAreServed();
+    scene.checkAfterRestartOfEntries();
     scene.runFor(8s);
     scene.checkThatAllAreServed();
 }
@@ -101,9 +106,7 @@
 {
     MovedScene scene(2);
     scene.configure(shared({ { mainService, 9 }, { nextService, 1 } }));
-    scene.restartEntries();
-    scene.runFor(500ms);
-    scene.checkThatAllAreServed();
+    scene.checkAfterRestartOfEntries();
 }
 
 // The new configuration does not name the service whose targets hold the flows.
@@ -112,31 +115,23 @@
     MovedScene scene(2, { { mainService } });
     scene.configure(shared({ { nextService } }));
     scene.runFor(5s);
-    scene.restartEntries();
-    scene.runFor(500ms);
-    scene.checkThatAllAreServed();
+    scene.checkAfterRestartOfEntries();
 }
 
 BOOST_AUTO_TEST_CASE(FlowsStayOpenWhenAddressesSplitAndMergeAgain)
 {
     MovedScene scene(2, { { mainService } });
     scene.configure(shared({ { mainService, 50 }, { nextService, 50 } }));
-    scene.restartEntries();
-    scene.runFor(500ms);
-    scene.checkThatAllAreServed();
+    scene.checkAfterRestartOfEntries();
     scene.configure(shared({ { nextService } }));
-    scene.restartEntries();
-    scene.runFor(500ms);
-    scene.checkThatAllAreServed();
+    scene.checkAfterRestartOfEntries();
 }
 
 BOOST_AUTO_TEST_CASE(FlowsStayOpenWhenAllSharesAreZero)
 {
     MovedScene scene(2);
     scene.configure(shared({ { mainService, 0 }, { nextService, 0 } }));
-    scene.restartEntries();
-    scene.runFor(500ms);
-    scene.checkThatAllAreServed();
+    scene.checkAfterRestartOfEntries();
 }
 
 // Flows are found while the address is served, also if it was not for some time.
@@ -189,9 +184,7 @@
     scene.runFor(5s);
     for (std::size_t index = 0; index < scene.agents.size(); ++index)
         scene.startAgent(index);
-    scene.restartEntries();
-    scene.runFor(500ms);
-    scene.checkThatAllAreServed();
+    scene.checkAfterRestartOfEntries();
 }
 
 // The agents cannot tell what their targets hold, but this entry has seen that the address was theirs.
@@ -313,9 +306,7 @@
 BOOST_AUTO_TEST_CASE(OtherServicesAreNotSearchedForFlowsOfTheOwnOne)
 {
     MovedScene scene(2, { { mainService } });
-    scene.restartEntries();
-    scene.runFor(500ms);
-    scene.checkThatAllAreServed();
+    scene.checkAfterRestartOfEntries();
     BOOST_TEST(scene.decisions.count("search_widened") == 0U);
     for (std::unique_ptr<Agent> const& agent : scene.agents)
         BOOST_TEST((agent->service == mainService || agent->target.unknownSegments == 0U));
