Remember the queries of a whole round of a search

Callers would see open flows that stay silent after their address moved to another service and their entry was replaced, in an installation with more than 256 services. Cause: an entry remembered its latest 256 queries. A round of a widened search sends one for each service before the first reply arrives, so that the replies on all but 256 services were not understood, and each round sent the queries in the same order again, also those that all agents had answered.

--- a/src/relay/OwnerSearch.cpp
+++ b/src/relay/OwnerSearch.cpp
@@ -53,6 +53,15 @@
     return false;
 }
 
+bool ServiceReplies::isReplyMissing() const noexcept
+{
+    for (std::size_t index = 0; index < group_->targets.size(); ++index) {
+        if (!hasReplied(index))
+            return true;
+    }
+    return false;
+}
+
 void ServiceReplies::recordQuery(TimePoint now) noexcept
 {
     if (firstQueried_ == TimePoint {})
--- a/src/relay/OwnerSearch.h
+++ b/src/relay/OwnerSearch.h
@@ -47,6 +47,9 @@
     /// \brief True if the target's agent has replied that the target does not hold the flow.
     [[nodiscard]] bool hasReportedNotFound(std::size_t target) const noexcept { return notFound_.contains(target); }
 
+    /// \brief True if some target's agent has not replied.
+    [[nodiscard]] bool isReplyMissing() const noexcept;
+
     /// \brief Agents whose targets may hold the flow.
     [[nodiscard]] std::vector<Endpoint> possibleOwners() const;
 
--- a/src/relay/OwnerSearches.cpp
+++ b/src/relay/OwnerSearches.cpp
@@ -78,6 +78,7 @@
     , sender_(sender)
     , observer_(observer)
     , searches_(maximumSearches)
+    , queries_(rememberedQueries)
     , lastNumber_(firstQueryNumber)
 {
 }
@@ -198,8 +199,10 @@
         if (search == nullptr)
             continue;
         beginQuery(*search, now);
-        for (ServiceReplies const& replies : search->services)
-            queriedFlows[&replies.group()].push_back(hash);
+        for (ServiceReplies const& replies : search->services) {
+            if (replies.isReplyMissing())
+                queriedFlows[&replies.group()].push_back(hash);
+        }
     }
     for (std::pair<TargetGroup const* const, std::vector<std::uint64_t>> const& service : queriedFlows) {
         std::span<std::uint64_t const> flows = service.second;
--- a/src/relay/OwnerSearches.h
+++ b/src/relay/OwnerSearches.h
@@ -118,7 +118,8 @@
         std::vector<std::uint64_t> flows;
     };
 
-    static constexpr std::size_t rememberedQueries = 256;
+    // A round of a search sends a query for each service, 2,700 in the largest installations, before the first reply arrives.
+    static constexpr std::size_t rememberedQueries = 4096;
     static constexpr std::size_t queryBufferBytes = maximumRelayMessageBytes + OwnerSearch::maximumKeptSegmentBytes;
 
     Endpoint ownEndpoint_;
@@ -128,7 +129,7 @@
     HashTable<OwnerSearch> searches_;
     std::vector<std::uint64_t> queued_; ///< flows for the next queries
     std::vector<Endpoint> startedAgents_; ///< agents whose first load report has arrived since the last queries
-    std::array<Query, rememberedQueries> queries_; ///< latest queries, by number
+    std::vector<Query> queries_; ///< latest queries, by number
     std::uint32_t lastNumber_ { 0 };
     std::vector<LostFlow> lost_;
     LatencyHistogram foundTimes_;
--- a/tests/MovedAddressTests.cpp
+++ b/tests/MovedAddressTests.cpp
@@ -89,6 +89,42 @@
     }
 };
 
+/// Many services with a target each; some of them share the address and have open flows.
+struct ManyServicesScene : Scene {
+    explicit ManyServicesScene(std::size_t serviceCount)
+        : Scene(1, 3)
+    {
+        for (std::size_t index = 0; index < serviceCount; ++index)
+            names_.push_back("service-" + std::to_string(index));
+        for (std::string const& name : names_)
+            addAgent(name);
+        publishView();
+        configure(shared({ { names_.front(), 30 }, { names_[serviceCount / 2], 30 }, { names_.back(), 30 } }));
+        runFor(12s);
+        constexpr std::size_t flowCount = 12;
+        for (std::size_t index = 0; index < flowCount; ++index)
+            open(0);
+        runFor(1s);
+    }
+
+    void checkAfterTheAddressMoved()
+    {
+        configure(shared({ { mainService } }));
+        startEntry(0);
+        for (std::unique_ptr<CallerFlow> const& flow : flows)
+            request(*flow);
+        runFor(callerTimeout);
+        for (std::unique_ptr<CallerFlow> const& flow : flows) {
+            BOOST_TEST(flow->open);
+            BOOST_TEST(flow->requests.back().answered.has_value());
+        }
+        BOOST_TEST(decisions.count("reset_lost") == 0U);
+    }
+
+private:
+    std::vector<std::string> names_;
+};
+
 } // namespace
 
 BOOST_AUTO_TEST_CASE(FlowsStayOpenWhenTheWeightsChangeAndTheEntriesAreReplaced)
@@ -220,6 +256,25 @@
         BOOST_TEST((agent->service != mainService || agent->target.unknownSegments == 0U));
 }
 
+// Guards against flows that stay silent among many services: the replies of most agents arrived when the entry had forgotten
+// the query, and each round sent the queries in the same order again.
+BOOST_AUTO_TEST_CASE(FlowsAreFoundAmongThousandsOfServices)
+{
+    ManyServicesScene scene(2500);
+    scene.checkAfterTheAddressMoved();
+}
+
+// As above, with more services than remembered queries: those whose agents have replied are not queried again.
+BOOST_AUTO_TEST_CASE(FlowsAreFoundAmongMoreServicesThanRememberedQueries)
+{
+    ManyServicesScene scene(6000);
+    for (std::unique_ptr<Agent> const& agent : scene.agents) {
+        agent->state.isStartObserved = true;
+        agent->relay->setTargetState(agent->state, scene.now());
+    }
+    scene.checkAfterTheAddressMoved();
+}
+
 // The agent of an owner that the view lacks refuses segments that name another service.
 BOOST_AUTO_TEST_CASE(AnUnlistedOwnerReceivesSegmentsWhenTheAddressMoves)
 {
