End requests that stall by the time of the last byte

Cause: CURLOPT_LOW_SPEED_TIME compares an average that libcurl renews at the first event of each second of its clock. A request whose head arrives in the next second than the request has the average 0 until the second after, and was given up when a piece arrived between one second after its start and the end of that second. Ruled out: the test's own pauses; they are 250 ms with a limit of one second. Change: the time of the last byte is kept and compared in libcurl's progress callback, from the connection on.

--- a/include/plantaindrift/runtime/HttpClient.h
+++ b/include/plantaindrift/runtime/HttpClient.h
@@ -40,7 +40,7 @@
     /// \brief Sends one request and waits for the response; parameters and results as for sendHttp.
     ///
     /// \param cancelled  ends the wait within about a second once it is true; null if the request is not to be cancelled
-    /// \param stall      ends the request if nothing arrives for about this long before the timeout; 0 for no such limit
+    /// \param stall      ends the request if nothing arrives on an open connection for this long, and up to a second more; 0 for no such limit
     [[nodiscard]] absl::StatusOr<HttpResult> send(std::string const& method, std::string const& url, std::string const& body, std::chrono::milliseconds timeout, std::atomic<bool> const* cancelled = nullptr, std::chrono::seconds stall = std::chrono::seconds::zero());
 
 private:
--- a/src/runtime/HttpClient.cpp
+++ b/src/runtime/HttpClient.cpp
@@ -4,22 +4,45 @@
 
 #include <algorithm>
 #include <cctype>
+#include <chrono>
 #include <curl/curl.h>
 #include <memory>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <optional>
 #include <sys/socket.h>
+#include <utility>
 
 namespace plantaindrift {
 
 namespace {
 
+    // A response while it arrives, and what ends it early.
+    struct Transfer {
+        HttpResult result;
+        std::atomic<bool> const* cancelled { nullptr };
+        std::chrono::seconds stallTimeout { 0 };
+        std::optional<std::chrono::steady_clock::time_point> lastArrival; // unset until connected
+
+        void recordArrival() noexcept { lastArrival = std::chrono::steady_clock::now(); }
+
+        [[nodiscard]] bool isCancelled() const noexcept { return cancelled != nullptr && cancelled->load(); }
+
+        // CURLOPT_LOW_SPEED_TIME compares an average that libcurl renews once a second, which ends responses that still arrive.
+        [[nodiscard]] bool hasStalled() const noexcept
+        {
+            return stallTimeout > std::chrono::seconds::zero() && lastArrival && std::chrono::steady_clock::now() - *lastArrival >= stallTimeout;
+        }
+    };
+
     // Any other result than the number of bytes makes libcurl end the request.
     std::size_t appendBody(char* bytes, std::size_t size, std::size_t count, void* output)
     {
-        std::string& body = *static_cast<std::string*>(output);
+        Transfer& transfer = *static_cast<Transfer*>(output);
+        std::string& body = transfer.result.body;
         if (size * count > maximumResponseBytes - body.size())
             return 0;
+        transfer.recordArrival();
         body.append(bytes, size * count);
         return size * count;
     }
@@ -34,13 +57,15 @@
     // Receives one header line at a time, and the status line.
     std::size_t appendHeader(char* bytes, std::size_t size, std::size_t count, void* output)
     {
+        Transfer& transfer = *static_cast<Transfer*>(output);
+        transfer.recordArrival();
         std::string_view const line(bytes, size * count);
         std::size_t const colon = line.find(':');
         if (colon == std::string_view::npos)
             return line.size();
         std::string name(trim(line.substr(0, colon)));
         std::transform(name.begin(), name.end(), name.begin(), [](unsigned char letter) { return static_cast<char>(std::tolower(letter)); });
-        static_cast<HttpResult*>(output)->headers.emplace_back(std::move(name), trim(line.substr(colon + 1)));
+        transfer.result.headers.emplace_back(std::move(name), trim(line.substr(colon + 1)));
         return line.size();
     }
 
@@ -57,9 +82,17 @@
         return CURL_SOCKOPT_OK;
     }
 
-    int abortIfCancelled(void* cancelled, curl_off_t, curl_off_t, curl_off_t, curl_off_t)
+    int recordConnection(void* transfer, char*, char*, int, int)
     {
-        return static_cast<std::atomic<bool> const*>(cancelled)->load() ? 1 : 0;
+        static_cast<Transfer*>(transfer)->recordArrival();
+        return CURL_PREREQFUNC_OK;
+    }
+
+    // Called when something arrives, and about once a second.
+    int abortIfDue(void* output, curl_off_t, curl_off_t, curl_off_t, curl_off_t)
+    {
+        Transfer const& transfer = *static_cast<Transfer const*>(output);
+        return transfer.isCancelled() || transfer.hasStalled() ? 1 : 0;
     }
 
 } // namespace
@@ -95,7 +128,9 @@
     CURL* const handle = state_->handle.get();
     if (handle == nullptr)
         return makeError(ErrorKind::Internal, "libcurl cannot be initialized; check the installation");
-    HttpResult result;
+    Transfer transfer;
+    transfer.cancelled = cancelled;
+    transfer.stallTimeout = stall;
     curl_easy_reset(handle);
     // An answer that a server repeats late would be taken for that to the next request on the connection.
     curl_easy_setopt(handle, CURLOPT_FORBID_REUSE, 1L);
@@ -109,33 +144,30 @@
     curl_easy_setopt(handle, CURLOPT_TCP_KEEPINTVL, keepaliveIntervalSeconds);
     curl_easy_setopt(handle, CURLOPT_SOCKOPTFUNCTION, &limitKeepaliveProbes);
     curl_easy_setopt(handle, CURLOPT_TIMEOUT_MS, static_cast<long>(timeout.count()));
-    if (stall > std::chrono::seconds::zero()) {
-        curl_easy_setopt(handle, CURLOPT_LOW_SPEED_LIMIT, 1L);
-        curl_easy_setopt(handle, CURLOPT_LOW_SPEED_TIME, static_cast<long>(stall.count()));
-    }
     curl_easy_setopt(handle, CURLOPT_WRITEFUNCTION, &appendBody);
-    curl_easy_setopt(handle, CURLOPT_WRITEDATA, &result.body);
+    curl_easy_setopt(handle, CURLOPT_WRITEDATA, &transfer);
     curl_easy_setopt(handle, CURLOPT_HEADERFUNCTION, &appendHeader);
-    curl_easy_setopt(handle, CURLOPT_HEADERDATA, &result);
-    if (cancelled != nullptr) {
-        curl_easy_setopt(handle, CURLOPT_NOPROGRESS, 0L);
-        curl_easy_setopt(handle, CURLOPT_XFERINFOFUNCTION, &abortIfCancelled);
-        curl_easy_setopt(handle, CURLOPT_XFERINFODATA, cancelled);
-    }
+    curl_easy_setopt(handle, CURLOPT_HEADERDATA, &transfer);
+    curl_easy_setopt(handle, CURLOPT_PREREQFUNCTION, &recordConnection);
+    curl_easy_setopt(handle, CURLOPT_PREREQDATA, &transfer);
+    curl_easy_setopt(handle, CURLOPT_NOPROGRESS, 0L);
+    curl_easy_setopt(handle, CURLOPT_XFERINFOFUNCTION, &abortIfDue);
+    curl_easy_setopt(handle, CURLOPT_XFERINFODATA, &transfer);
     if (method != "GET") {
         curl_easy_setopt(handle, CURLOPT_HTTPHEADER, state_->headers.get());
         curl_easy_setopt(handle, CURLOPT_POSTFIELDS, body.c_str());
         curl_easy_setopt(handle, CURLOPT_POSTFIELDSIZE, static_cast<long>(body.size()));
     }
     CURLcode const code = curl_easy_perform(handle);
-    if (code == CURLE_OPERATION_TIMEDOUT)
+    bool const hasStalled = code == CURLE_ABORTED_BY_CALLBACK && !transfer.isCancelled();
+    if (code == CURLE_OPERATION_TIMEDOUT || hasStalled)
         return makeError(ErrorKind::DeadlinePassed, url + " did not answer in time; check that the process runs and is not overloaded");
     if (code == CURLE_WRITE_ERROR)
         return makeError(ErrorKind::Refused, url + ": the response is longer than " + std::to_string(maximumResponseBytes) + " bytes; check the address");
     if (code != CURLE_OK)
         return makeError(ErrorKind::Refused, url + ": " + curl_easy_strerror(code) + "; check the address and that the process runs");
-    curl_easy_getinfo(handle, CURLINFO_RESPONSE_CODE, &result.status);
-    return result;
+    curl_easy_getinfo(handle, CURLINFO_RESPONSE_CODE, &transfer.result.status);
+    return std::move(transfer.result);
 }
 
 absl::StatusOr<HttpResult> sendHttp(std::string const& method, std::string const& url, std::string const& body, std::chrono::milliseconds timeout)
--- a/tests/HttpClientTests.cpp
+++ b/tests/HttpClientTests.cpp
@@ -1,5 +1,6 @@
 // Guards against an answer that a server sends a second time, late, and that is taken for the answer to the next
 // request, and against answers that take all memory.
+#include "plantaindrift/base/Error.h"
 #include "plantaindrift/runtime/HttpClient.h"
 #include "plantaindrift/runtime/HttpServer.h"
 
@@ -98,15 +99,15 @@
     return false;
 }
 
-// Sends the head of an answer at once and its body in pieces; stops in the middle if it stalls.
+// Sends the head of an answer after a delay and its body in pieces; stops in the middle if it stalls.
 class SlowServer {
 public:
     static constexpr int pieces = 12;
     static constexpr std::chrono::milliseconds pause { 250 };
 
-    explicit SlowServer(bool stalls)
+    explicit SlowServer(bool stalls, std::chrono::milliseconds headDelay = {})
         : acceptor_(loop_, asio::ip::tcp::endpoint(asio::ip::address_v4::loopback(), 0))
-        , thread_([this, stalls] { serve(stalls); })
+        , thread_([this, stalls, headDelay] { serve(stalls, headDelay); })
     {
     }
 
@@ -122,13 +123,14 @@
     asio::ip::tcp::acceptor acceptor_;
     std::thread thread_;
 
-    void serve(bool stalls)
+    void serve(bool stalls, std::chrono::milliseconds headDelay)
     {
         asio::ip::tcp::socket connection(loop_);
         acceptor_.accept(connection);
         std::string received;
         asio::error_code error;
         asio::read_until(connection, asio::dynamic_buffer(received), "\r\n\r\n", error);
+        std::this_thread::sleep_for(headDelay);
         asio::write(connection, asio::buffer("HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(pieces) + "\r\n\r\n"), error);
         for (int piece = 0; piece < (stalls ? pieces / 2 : pieces); ++piece) {
             std::this_thread::sleep_for(pause);
@@ -182,6 +184,29 @@
     BOOST_TEST(result->body.size() == static_cast<std::size_t>(SlowServer::pieces));
 }
 
+// A response that kept arriving was given up if its head came in a later second of the clock than the request.
+BOOST_AUTO_TEST_CASE(ASlowAnswerIsReadWheneverItsHeadArrives)
+{
+    constexpr std::chrono::milliseconds headDelay { 300 };
+    SlowServer const server(false, headDelay);
+    std::this_thread::sleep_for(2s - std::chrono::steady_clock::now().time_since_epoch() % 1s - headDelay / 3);
+    absl::StatusOr<HttpResult> const result = HttpClient().send("GET", server.url(), "", 20s, nullptr, 1s);
+    BOOST_TEST_REQUIRE(result.ok());
+    BOOST_TEST(result->body.size() == static_cast<std::size_t>(SlowServer::pieces));
+}
+
+// The limit counts from the last byte that arrived.
+BOOST_AUTO_TEST_CASE(AnAnswerThatStallsIsGivenUpNoEarlierThanAskedFor)
+{
+    SlowServer const server(true);
+    constexpr std::chrono::seconds stall { 2 };
+    std::chrono::steady_clock::time_point const started = std::chrono::steady_clock::now();
+    absl::StatusOr<HttpResult> const result = HttpClient().send("GET", server.url(), "", 3600s, nullptr, stall);
+    BOOST_TEST_REQUIRE(!result.ok());
+    BOOST_TEST((errorKind(result.status()) == ErrorKind::DeadlinePassed));
+    BOOST_TEST((std::chrono::steady_clock::now() - started >= stall + SlowServer::pieces / 2 * SlowServer::pause));
+}
+
 BOOST_AUTO_TEST_CASE(AnAnswerThatStallsIsGivenUpBeforeTheTimeout)
 {
     SlowServer const server(true);
