Bound what grows in replies to heartbeats and answers with shards

Cause: a reply to a heartbeat held the whole declaration of the agent's service, and datagrams carry 60,000 bytes. A larger reply was dropped without a line in the log, and with it the monitors, the list of members, refutations and the generation of the store. In the same way no answer arrived with the shard of such a service, so that an entry that starts gave up on full state after 10 s. Ruled out: records that are lost at another time; without the restore and with 100 routes all agents keep theirs. Change: entries know the size that their transport carries. A declaration that does not fit is sent without what grows, with the hash of the whole, which the agent reports, so that nothing is sent again; a list of members that does not fit is left out; an answer leaves out services and changes that do not fit, and the peer obtains the configuration in parts. The transport logs what it drops, and the simulated network loses it. The former symptom had vanished because agents without replies read the store every 3 s.

--- a/include/plantaindrift/membership/AgentControl.h
+++ b/include/plantaindrift/membership/AgentControl.h
@@ -42,6 +42,9 @@
     /// \brief The service's declaration if it changed since the last call.
     [[nodiscard]] std::optional<Service> takeChangedService();
 
+    /// \brief False if the declaration was too large for a control message and lacks its addresses, targets and data centres.
+    [[nodiscard]] bool knowsAddresses() const noexcept;
+
     /// \brief The evacuations in force if they changed since the last call; never unless they are handled.
     [[nodiscard]] std::optional<EvacuationChange> takeChangedEvacuations();
 
--- a/include/plantaindrift/membership/EntryControl.h
+++ b/include/plantaindrift/membership/EntryControl.h
@@ -37,6 +37,7 @@
     std::chrono::milliseconds heartbeat { 1000 };
     std::uint32_t bytesPerSecond { 3000 }; ///< control budget of this node
     bool handlesEvacuations { false };
+    std::size_t maximumMessageBytes { 60'000 }; ///< size of the largest message that the transport carries
 };
 
 /// \brief Membership, gossip, anti-entropy and spread of configuration at an entry.
--- a/src/membership/AgentControl.cpp
+++ b/src/membership/AgentControl.cpp
@@ -1,6 +1,7 @@
 #include "plantaindrift/membership/AgentControl.h"
 
 #include "configuration/ProtobufConversion.h"
+#include "membership/BoundedDeclaration.h"
 #include "membership/EvacuationSpread.h"
 #include "membership/Message.h"
 #include "membership/MonitorContacts.h"
@@ -58,7 +59,7 @@
     std::uint32_t viewHashValue { 0 };
     std::optional<ServiceView> changedView;
     std::optional<Service> service;
-    std::uint32_t serviceHashValue { 0 };
+    DeclarationVersion serviceVersion;
     bool serviceChanged { false };
     bool sendsService { false }; ///< a monitor lacks the declaration
     std::uint64_t position { 0 };
@@ -175,7 +176,7 @@
     position = reply.position();
     serviceChanged = serviceChanged || service != declared;
     service = declared;
-    serviceHashValue = serviceHash(*declared);
+    serviceVersion = declarationVersion(reply, *declared);
     return true;
 }
 
@@ -234,9 +235,9 @@
         heartbeat.set_position(position);
         heartbeat.set_state(static_cast<control::State>(self.state));
         heartbeat.set_monitors_hash(one.monitorsHash);
-        heartbeat.set_service_hash(serviceHashValue);
+        heartbeat.set_service_hash(serviceVersion.hash);
         heartbeat.set_evacuations_hash(evacuations.fingerprint());
-        if (sendsService && service)
+        if (sendsService && service && serviceVersion.isWhole)
             toProtobuf(*service, *heartbeat.mutable_service());
         if (one.withRecord)
             toProtobuf(self, std::chrono::seconds { 0 }, *heartbeat.mutable_record());
@@ -316,6 +317,11 @@
     return state_->service;
 }
 
+bool AgentControl::knowsAddresses() const noexcept
+{
+    return state_->service.has_value() && state_->serviceVersion.isWhole;
+}
+
 std::optional<EvacuationChange> AgentControl::takeChangedEvacuations()
 {
     return state_->evacuations.takeChange();
--- a/src/membership/CatchUp.cpp
+++ b/src/membership/CatchUp.cpp
@@ -113,7 +113,7 @@
         if (shard.position && *shard.position >= reply.position() && shard.done)
             continue;
         shard.done = true;
-        shard.position = reply.position();
+        shard.position = reply.services_left_out() ? std::nullopt : std::optional<std::uint64_t>(reply.position());
         shard.services = std::move(services[index]);
         lastProgress_ = now;
     }
@@ -127,7 +127,7 @@
         return;
     active_ = false;
     complete_ = true;
-    assembled_ = std::all_of(shards_.begin(), shards_.end(), [this](Shard const& shard) { return shard.position == shards_.front().position; });
+    assembled_ = std::all_of(shards_.begin(), shards_.end(), [this](Shard const& shard) { return shard.position && shard.position == shards_.front().position; });
 }
 
 bool CatchUp::awaitsConfiguration(TimePoint now) const noexcept
--- a/src/membership/CatchUp.h
+++ b/src/membership/CatchUp.h
@@ -73,7 +73,7 @@
     struct Shard {
         bool done { false };
         std::optional<TimePoint> askedAt;
-        std::optional<std::uint64_t> position; ///< of the services below
+        std::optional<std::uint64_t> position; ///< of the services below; empty if some of them did not fit into the answer
         std::vector<Service> services;
     };
 
--- a/src/membership/EntryControl.cpp
+++ b/src/membership/EntryControl.cpp
@@ -2,6 +2,7 @@
 
 #include "configuration/ProtobufConversion.h"
 #include "membership/AntiEntropy.h"
+#include "membership/BoundedDeclaration.h"
 #include "membership/BudgetGovernor.h"
 #include "membership/CatchUp.h"
 #include "membership/ConfigurationExchange.h"
@@ -312,6 +313,9 @@
         return;
     for (MemberTable::Record const* const peer : table.ofService(record.service))
         toProtobuf(peer->member, MemberTable::tombstoneAge(*peer, now), *reply.add_members());
+    // Without the list the agent learns all else.
+    if (reply.ByteSizeLong() + answerBytes > options.maximumMessageBytes)
+        reply.clear_members();
     answers.take(static_cast<double>(reply.ByteSizeLong()));
 }
 
@@ -340,8 +344,9 @@
     Service const* const service = findService(spread.inForce().configuration(), record.service);
     if (service == nullptr || heartbeat.position() > spread.log().position())
         return;
-    if (heartbeat.service_hash() != serviceHash(*service))
-        toProtobuf(*service, *reply.mutable_service());
+    std::uint32_t const hash = serviceHash(*service);
+    if (heartbeat.service_hash() != hash)
+        addDeclaration(*service, hash, options.maximumMessageBytes, reply);
 }
 
 std::chrono::milliseconds EntryControl::State::heartbeatInterval() const
@@ -459,7 +464,7 @@
     if (request.services())
         addServices(request, reply);
     if (request.changes())
-        answerChanges(spread.log(), request, reply);
+        answerChanges(spread.log(), request, options.maximumMessageBytes, reply);
     answers.take(static_cast<double>(reply.ByteSizeLong()));
     outbox.send(from, answer);
     return true;
@@ -473,7 +478,7 @@
     if (!hasLog)
         reply.set_copies_position(spread.copiesPosition());
     if (!hasLog || !reply.partial())
-        answerServices(hasLog ? spread.log() : spread.inForce(), request, reply);
+        answerServices(hasLog ? spread.log() : spread.inForce(), request, options.maximumMessageBytes, reply);
 }
 
 bool EntryControl::State::onShardReply(Endpoint from, control::Envelope const& envelope, TimePoint now)
@@ -899,7 +904,8 @@
     for (ConfigurationChange const& change : applied.subspan(first)) {
         control::ConfigurationChange message;
         toProtobuf(change, message);
-        gossip.push(message, table.entries().size());
+        if (message.ByteSizeLong() + Gossip::batchBytes <= options.maximumMessageBytes)
+            gossip.push(message, table.entries().size());
     }
 }
 
@@ -909,7 +915,7 @@
     request.set_after_position(after);
     control::Envelope envelope;
     control::ShardReply& reply = *envelope.mutable_shard_reply();
-    answerChanges(spread.log(), request, reply);
+    answerChanges(spread.log(), request, options.maximumMessageBytes, reply);
     reply.set_position(spread.log().position());
     answers.take(static_cast<double>(reply.ByteSizeLong()));
     outbox.send(to, envelope);
--- a/src/membership/ShardExchange.cpp
+++ b/src/membership/ShardExchange.cpp
@@ -12,6 +12,9 @@
 
     constexpr unsigned halfBits = 32;
 
+    // Tag and length of a field, and of the reply in its envelope.
+    constexpr std::size_t framingBytes = 16;
+
     using Versions = std::unordered_map<std::uint32_t, std::uint32_t>;
 
     [[nodiscard]] Versions readVersions(control::ShardRequest const& request)
@@ -83,26 +86,40 @@
         reply.add_wanted(key);
 }
 
-void answerServices(ChangeLog const& log, control::ShardRequest const& request, control::ShardReply& reply)
+void answerServices(ChangeLog const& log, control::ShardRequest const& request, std::size_t maximumBytes, control::ShardReply& reply)
 {
+    std::size_t bytes = reply.ByteSizeLong() + framingBytes;
     std::vector<bool> asked(shardCount);
     for (std::uint32_t const shard : request.shards())
         asked[shard] = true;
     for (Service const& service : log.configuration().services) {
-        if (asked[shardOf(service.name)])
-            toProtobuf(service, *reply.add_services());
+        if (!asked[shardOf(service.name)])
+            continue;
+        control::Service message;
+        toProtobuf(service, message);
+        std::size_t const added = message.ByteSizeLong() + framingBytes;
+        if (bytes + added > maximumBytes) {
+            reply.set_services_left_out(true);
+            continue;
+        }
+        bytes += added;
+        *reply.add_services() = std::move(message);
     }
 }
 
-void answerChanges(ChangeLog const& log, control::ShardRequest const& request, control::ShardReply& reply)
+void answerChanges(ChangeLog const& log, control::ShardRequest const& request, std::size_t maximumBytes, control::ShardReply& reply)
 {
+    std::size_t const otherBytes = reply.ByteSizeLong() + framingBytes;
     std::size_t bytes = 0;
     for (ConfigurationChange const& change : log.changesAfter(request.after_position())) {
         if (bytes >= answerBytes)
             break;
-        control::ConfigurationChange& message = *reply.add_changes();
+        control::ConfigurationChange message;
         toProtobuf(change, message);
-        bytes += message.ByteSizeLong();
+        bytes += message.ByteSizeLong() + framingBytes;
+        if (otherBytes + bytes > maximumBytes)
+            break;
+        *reply.add_changes() = std::move(message);
     }
 }
 
--- a/src/membership/ShardExchange.h
+++ b/src/membership/ShardExchange.h
@@ -32,10 +32,11 @@
 /// \brief Adds the records that the request asks for, and the keys of those that this node lacks.
 void answerMembers(MemberTable const& table, control::ShardRequest const& request, TimePoint now, control::ShardReply& reply);
 
-/// \brief Adds the services of the requested shards to a reply.
-void answerServices(ChangeLog const& log, control::ShardRequest const& request, control::ShardReply& reply);
+/// \brief Adds the services of the requested shards to a reply, and sets services_left_out if some do not fit into the message.
+void answerServices(ChangeLog const& log, control::ShardRequest const& request, std::size_t maximumBytes, control::ShardReply& reply);
 
-/// \brief Adds the changes after the requested position, oldest first, up to answerBytes.
-void answerChanges(ChangeLog const& log, control::ShardRequest const& request, control::ShardReply& reply);
+/// \brief Adds the changes after the requested position, oldest first, up to answerBytes, and none from the first on that does not fit
+/// into the message: a requester that gets no change requests the whole configuration.
+void answerChanges(ChangeLog const& log, control::ShardRequest const& request, std::size_t maximumBytes, control::ShardReply& reply);
 
 } // namespace plantaindrift
--- a/src/runtime/AgentDaemon.cpp
+++ b/src/runtime/AgentDaemon.cpp
@@ -283,7 +283,7 @@
 
         [[nodiscard]] bool belongsToService(FlowKey const& flow) const
         {
-            if (!service_)
+            if (!service_ || !control_.knowsAddresses())
                 return true;
             return std::any_of(service_->addresses.begin(), service_->addresses.end(), [&flow](ServiceAddress const& address) { return address.endpoint == flow.destination && address.protocol == flow.protocol; });
         }
--- a/src/runtime/ControlSocket.cpp
+++ b/src/runtime/ControlSocket.cpp
@@ -19,7 +19,6 @@
 
     constexpr int sendQueueMessages = 256;
     constexpr int receiveQueueMessages = 4096;
-    constexpr std::int64_t maximumMessageBytes = 1 << 20;
     constexpr std::chrono::milliseconds lingerTimeout { 500 };
     constexpr std::chrono::seconds idleTimeout { 60 };
 
@@ -188,7 +187,7 @@
         router.emplace(context, zmq::socket_type::router);
         router->set(zmq::sockopt::linger, 0);
         router->set(zmq::sockopt::rcvhwm, receiveQueueMessages);
-        router->set(zmq::sockopt::maxmsgsize, maximumMessageBytes);
+        router->set(zmq::sockopt::maxmsgsize, static_cast<std::int64_t>(maximumMessageBytes));
         // A peer may reconnect before the end of its old connection is detected; the new one takes over its identity.
         router->set(zmq::sockopt::router_handover, true);
         if (!keys.empty()) {
--- a/src/runtime/ControlSocket.h
+++ b/src/runtime/ControlSocket.h
@@ -20,6 +20,9 @@
 /// Queues are bounded: a message to a peer whose queue is full is dropped and counted. Runs on one event loop.
 class ControlSocket final : public ControlTransport {
 public:
+    /// \brief Maximum message size; the connection of a peer that sends a longer one is closed.
+    static constexpr std::size_t maximumMessageBytes = 1U << 20U;
+
     /// \param keys  if empty, there is no encryption and no authentication
     ControlSocket(asio::io_context& loop, Endpoint self, FleetKeys keys, Receiver receiver);
     ~ControlSocket() override;
--- a/src/runtime/ControlTransport.h
+++ b/src/runtime/ControlTransport.h
@@ -6,6 +6,7 @@
 #include "absl/status/status.h"
 
 #include <asio/io_context.hpp>
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -49,6 +50,9 @@
     [[nodiscard]] virtual ControlTransportCounts const& counts() const noexcept = 0;
 };
 
+/// \brief Size in bytes of the largest message that a transport carries.
+[[nodiscard]] std::size_t maximumControlMessageBytes(ControlTransportKind kind) noexcept;
+
 /// \brief Creates the transport that the settings select.
 ///
 /// \param keys  if empty, peers are not authenticated
--- a/src/runtime/DatagramControl.cpp
+++ b/src/runtime/DatagramControl.cpp
@@ -2,10 +2,14 @@
 
 #include "packet/Tag.h"
 #include "packet/Wire.h"
+#include "plantaindrift/runtime/Log.h"
 #include "runtime/ControlSocket.h"
 #include "runtime/DaemonCore.h"
 
+#include <algorithm>
 #include <array>
+#include <chrono>
+#include <utility>
 #include <vector>
 
 namespace plantaindrift {
@@ -48,6 +52,7 @@
 {
     if (bytes.size() > maximumMessageBytes) {
         ++counts_.dropped;
+        longestDropped_ = std::max(longestDropped_, bytes.size());
         return;
     }
     std::span<std::byte const> const message = std::as_bytes(std::span(bytes.data(), bytes.size()));
@@ -86,8 +91,13 @@
     return absl::OkStatus();
 }
 
-void DatagramControl::tick(TimePoint /*now*/)
+void DatagramControl::tick(TimePoint now)
 {
+    constexpr std::chrono::seconds logInterval { 1 };
+    if (longestDropped_ == 0 || now - lastLogged_ < logInterval)
+        return;
+    lastLogged_ = now;
+    logEvent(LogLevel::Warning, "control_message_too_long", { { "bytes", std::exchange(longestDropped_, 0) }, { "maximum", maximumMessageBytes } });
 }
 
 void DatagramControl::stop()
@@ -95,6 +105,11 @@
     socket_.stop();
 }
 
+std::size_t maximumControlMessageBytes(ControlTransportKind kind) noexcept
+{
+    return kind == ControlTransportKind::Datagram ? DatagramControl::maximumMessageBytes : ControlSocket::maximumMessageBytes;
+}
+
 std::unique_ptr<ControlTransport> makeControlTransport(asio::io_context& loop, CommonSettings const& settings, FleetKeys keys, ControlTransport::Receiver receiver)
 {
     if (settings.controlTransport == ControlTransportKind::Datagram)
--- a/src/runtime/DatagramControl.h
+++ b/src/runtime/DatagramControl.h
@@ -13,7 +13,7 @@
 /// Contents are not encrypted. There is no connection to restore after a peer restarts or stops responding.
 class DatagramControl final : public ControlTransport {
 public:
-    /// \brief Maximum message size; longer messages are dropped and counted.
+    /// \brief Maximum message size; longer messages are dropped, counted and logged.
     static constexpr std::size_t maximumMessageBytes = 60'000;
 
     /// \param keys  if empty, the publicly known key of insecure processes is used
@@ -32,6 +32,8 @@
     KeyRing keys_;
     Receiver receiver_;
     ControlTransportCounts counts_;
+    std::size_t longestDropped_ { 0 }; ///< bytes of the longest message that was dropped since the last line of the log
+    TimePoint lastLogged_;
 
     void receive(std::span<std::byte const> datagram, Endpoint from);
 };
--- a/src/runtime/EntryDaemon.cpp
+++ b/src/runtime/EntryDaemon.cpp
@@ -48,6 +48,7 @@
         options.seeds = settings.seeds;
         options.randomSeed = mixHash(hashText(settings.common.name), firstIncarnation());
         options.bytesPerSecond = settings.controlBytesPerSecond;
+        options.maximumMessageBytes = maximumControlMessageBytes(settings.common.controlTransport);
         return options;
     }
 
--- a/src/runtime/RelayEntryDaemon.cpp
+++ b/src/runtime/RelayEntryDaemon.cpp
@@ -62,6 +62,7 @@
         options.randomSeed = mixHash(hashText(self.name), self.incarnation);
         options.bytesPerSecond = settings.controlBytesPerSecond;
         options.handlesEvacuations = settings.handlesEvacuations;
+        options.maximumMessageBytes = maximumControlMessageBytes(settings.common.controlTransport);
         return options;
     }
 
--- a/tests/ControlFleet.h
+++ b/tests/ControlFleet.h
@@ -117,6 +117,10 @@
     /// \brief Called for each message that is sent.
     std::function<void(Member const& from, Member const& to, std::string const& bytes)> observe;
 
+    /// \brief Larger messages are lost, as they do not fit into a datagram.
+    std::size_t maximumMessageBytes { 60'000 };
+    std::size_t tooLargeMessages { 0 };
+
     /// \brief Called after each step.
     std::function<void()> afterStep;
 
@@ -338,6 +342,10 @@
         Member const& to = nodes_.at(name->second).self;
         if (observe)
             observe(from, to, message.bytes);
+        if (message.bytes.size() > maximumMessageBytes) {
+            ++tooLargeMessages;
+            return;
+        }
         bool const separated = side_ && side_(from) != side_(to);
         if (separated || (blocked_ && blocked_(from, to)) || chance(options_.loss))
             return;
