Split the verdict on lost flows from the searches

What decides that a flow which was not found counts as lost (lists that are complete and recent, the minimum time of a search, the assumption of a power loss) is a topic of its own: LostVerdict.

--- a/src/relay/EntryRelay.cpp
+++ b/src/relay/EntryRelay.cpp
@@ -106,22 +106,22 @@
 
 void EntryRelay::setViewsComplete(bool complete) noexcept
 {
-    state_->searches.setViewsComplete(complete);
+    state_->searches.verdict().setViewsComplete(complete);
 }
 
 void EntryRelay::requireMemberRead() noexcept
 {
-    state_->searches.requireMemberRead();
+    state_->searches.verdict().requireMemberRead();
 }
 
 bool EntryRelay::needsMemberRead() const noexcept
 {
-    return state_->searches.needsMemberRead();
+    return state_->searches.verdict().needsMemberRead();
 }
 
 void EntryRelay::recordMemberRead(TimePoint started) noexcept
 {
-    state_->searches.recordMemberRead(started);
+    state_->searches.verdict().recordMemberRead(started);
 }
 
 void EntryRelay::setKeys(KeyRing const& keys)
--- a/src/relay/OwnerSearch.h
+++ b/src/relay/OwnerSearch.h
@@ -122,9 +122,6 @@
     /// \brief True if every target that may be running has reported that it does not hold the flow.
     [[nodiscard]] bool isNotFoundEverywhere(TargetDirectory const& directory, TimePoint now) const noexcept { return findPossibleOwner(directory, now) == nullptr; }
 
-    /// \brief True if some target has neither reported that it does not hold the flow nor that it has ended.
-    [[nodiscard]] bool hasSilentTarget() const noexcept;
-
     /// \brief Maximum length of a segment that is kept: the maximum of the platforms' formats.
     static constexpr std::size_t maximumKeptSegmentBytes = 1280;
 
--- a/src/relay/OwnerSearches.cpp
+++ b/src/relay/OwnerSearches.cpp
@@ -1,7 +1,5 @@
 #include "relay/OwnerSearches.h"
 
-#include "plantaindrift/membership/JoinDelay.h"
-
 #include <algorithm>
 #include <chrono>
 #include <utility>
@@ -25,23 +23,6 @@
 
     constexpr std::size_t maximumSearches = 8192;
 
-    // Gossip propagates a join to all entries within this time.
-    constexpr std::chrono::milliseconds viewSettleDelay { 300 };
-
-    // A running entry may lack a target whose record is delayed by the control budget, so it declares a flow lost only
-    // after the search has lasted this long. A newly started entry has read the members from the store, and after a
-    // power loss most searches are for lost flows.
-    constexpr std::chrono::seconds startupPeriod { 10 };
-    constexpr std::chrono::seconds minimumLostSearchTime { 3 };
-
-    // If other machines kept running, the store may have lost records of some of them, and a newly started entry has no other
-    // list. Agents that lost all entries notice it within 3 s and write their records again.
-    constexpr std::chrono::seconds minimumStartingSearchTime { 5 };
-
-    // A machine that starts after the others may open a flow before its first load report arrives here. Its agent replies to a
-    // query within this time.
-    constexpr std::chrono::milliseconds minimumReplyTime { 80 };
-
     // Most searches for open flows have ended after this time, so that they cause no read of the member list.
     constexpr std::chrono::milliseconds memberReadDelay { 100 };
 
@@ -77,6 +58,7 @@
     , directory_(directory)
     , sender_(sender)
     , observer_(observer)
+    , verdict_(directory)
     , searches_(maximumSearches)
     , queries_(rememberedQueries)
     , lastNumber_(firstQueryNumber)
@@ -157,7 +139,7 @@
             continue;
         FlowPossession const possession = possessionOf(reply, index);
         bool const isUnknown = possession == FlowPossession::Possible || possession == FlowPossession::Improbable;
-        bool const isUnlikely = possession == FlowPossession::Improbable || haveMachinesRestarted(now);
+        bool const isUnlikely = possession == FlowPossession::Improbable || verdict_.haveMachinesRestarted(now);
         bool const isNotFound = possession == FlowPossession::None || (isUnknown && isUnlikely && !replies->isAllowed());
         // An agent of a service that never had the address receives no segment on suspicion; it is queried again until it knows.
         if (possession == FlowPossession::Held || (isUnknown && replies->isAllowed()))
@@ -285,8 +267,7 @@
 
 void OwnerSearches::tick(TimePoint now, RelaySigningContext const& signing)
 {
-    if (firstTick_ == TimePoint {})
-        firstTick_ = now;
+    verdict_.recordTick(now);
     searches_.forEach([this, now, &signing](OwnerSearch& search) { continueSearch(search, now, signing); });
     sendQueries(now, signing);
     constexpr std::chrono::seconds sweepInterval { 1 };
@@ -308,9 +289,9 @@
     }
     endIfLost(search, now);
     // The list is read while agents reply, because reads are a second apart.
-    bool const isReadDue = !search.isLost && isStarting(now) && now - search.started >= memberReadDelay;
+    bool const isReadDue = !search.isLost && verdict_.isStarting(now) && now - search.started >= memberReadDelay;
     if (isReadDue)
-        (void)isViewCurrent(search, now);
+        (void)verdict_.isViewCurrent(search, now);
     if (search.isLost || now - search.queried < search.queryInterval)
         return;
     if (search.queryInterval == maximumQueryInterval)
@@ -437,85 +418,14 @@
         return;
     if (!search.isWide)
         widen(search, now);
-    bool const isNotFound = search.isNotFoundEverywhere(directory_, now) && areViewsSettled(search, now);
-    if (!isNotFound || !isViewCurrent(search, now) || !isLongEnough(search, now))
+    if (!search.isNotFoundEverywhere(directory_, now) || !verdict_.mayEnd(search, now))
         return;
     search.isLost = true;
     lostTimes_.observe(now - search.started);
-    notifyLost(search, now);
+    observer_.onFlowLost(verdict_.describe(search, now));
     lost_.push_back({ search.hash, search.segment });
 }
 
-bool OwnerSearches::areViewsSettled(OwnerSearch const& search, TimePoint now) const noexcept
-{
-    return viewsComplete_ && std::all_of(search.services.begin(), search.services.end(), [now](ServiceReplies const& replies) {
-        return now - replies.group().viewChanged >= viewSettleDelay;
-    });
-}
-
-void OwnerSearches::notifyLost(OwnerSearch const& search, TimePoint now) noexcept
-{
-    LostFlowEvidence evidence;
-    evidence.flow = { search.segment.source, search.segment.destination };
-    evidence.searchTime = std::chrono::duration_cast<std::chrono::milliseconds>(now - search.started);
-    Duration shortest = Duration::max();
-    for (ServiceReplies const& replies : search.services) {
-        std::vector<DirectoryTarget> const& targets = replies.group().targets;
-        for (std::size_t index = 0; index < targets.size(); ++index) {
-            if (replies.hasReportedNotFound(index)) {
-                ++evidence.repliedTargets;
-            } else if (targets[index].load.hasEnded) {
-                ++evidence.endedTargets;
-            } else {
-                ++evidence.silentTargets;
-                shortest = std::min<Duration>(shortest, now - (targets[index].hasReported ? targets[index].lastReport : targets[index].added));
-            }
-        }
-    }
-    if (evidence.silentTargets > 0)
-        evidence.shortestSilence = std::chrono::duration_cast<std::chrono::milliseconds>(shortest);
-    observer_.onFlowLost(evidence);
-}
-
-bool OwnerSearches::isLongEnough(OwnerSearch const& search, TimePoint now) const noexcept
-{
-    if (!isStartingAfterPowerLoss(now))
-        return now - search.started >= (isStarting(now) ? minimumStartingSearchTime : minimumLostSearchTime);
-    return std::all_of(search.services.begin(), search.services.end(), [now](ServiceReplies const& replies) {
-        bool const wasQueriedLongAgo = replies.firstQueried() != TimePoint {} && now - replies.firstQueried() >= minimumReplyTime;
-        return !replies.hasSilentTarget() || wasQueriedLongAgo;
-    });
-}
-
-bool OwnerSearches::isStarting(TimePoint now) const noexcept
-{
-    return now - firstTick_ < startupPeriod;
-}
-
-bool OwnerSearches::isStartingAfterPowerLoss(TimePoint now) const noexcept
-{
-    return isStarting(now) && !directory_.hasSurvivor();
-}
-
-// The records of targets that joined may be delayed by the control budget or by a cut for longer than any fixed time. A
-// flow may also have been opened at such a target after a power loss. As targets that join admit flows only some time after
-// their records were written, a list that is a little older than the search has all that may hold its flow; it counts while
-// most searches are for lost flows.
-bool OwnerSearches::isViewCurrent(OwnerSearch const& search, TimePoint now) noexcept
-{
-    Duration const permittedAge = isStartingAfterPowerLoss(now) ? recordedJoinTime : std::chrono::milliseconds::zero();
-    bool const isCurrent = !isMemberReadRequired_ || (membersRead_ && *membersRead_ + permittedAge >= search.started);
-    needsMemberRead_ = needsMemberRead_ || !isCurrent;
-    return isCurrent;
-}
-
-void OwnerSearches::recordMemberRead(TimePoint started) noexcept
-{
-    membersRead_ = std::max(membersRead_.value_or(started), started);
-    // Searches that began later ask again.
-    needsMemberRead_ = false;
-}
-
 std::vector<LostFlow> OwnerSearches::takeLostFlows()
 {
     return std::exchange(lost_, {});
--- a/src/relay/OwnerSearches.h
+++ b/src/relay/OwnerSearches.h
@@ -6,6 +6,7 @@
 #include "plantaindrift/relay/RelaySender.h"
 #include "plantaindrift/relay/Segment.h"
 #include "relay/HashTable.h"
+#include "relay/LostVerdict.h"
 #include "relay/OwnerSearch.h"
 #include "relay/TargetDirectory.h"
 
@@ -54,15 +55,9 @@
     /// \param observer  receives searches that wait for an agent
     OwnerSearches(Endpoint ownEndpoint, std::uint32_t firstQueryNumber, TargetDirectory const& directory, RelaySender& sender, RelayObserver& observer);
 
-    /// \brief Makes verdicts wait for a member list that was read after the search began, or in the first seconds at most
-    /// recordedJoinTime earlier. Without a store there is no such list.
-    void requireMemberRead() noexcept { isMemberReadRequired_ = true; }
-
-    /// \brief True if a search can only be ended by a new member list.
-    [[nodiscard]] bool needsMemberRead() const noexcept { return needsMemberRead_; }
-
-    /// \brief Records that the view includes all members that were registered when a read of the member list started.
-    void recordMemberRead(TimePoint started) noexcept;
+    /// \brief When a flow that was not found counts as lost.
+    [[nodiscard]] LostVerdict& verdict() noexcept { return verdict_; }
+    [[nodiscard]] LostVerdict const& verdict() const noexcept { return verdict_; }
 
     /// \brief Starts or continues the search for a flow with a segment of the caller.
     [[nodiscard]] SearchStep advance(SearchedServices const& services, Segment const& segment, std::span<std::byte const> datagram, std::uint64_t hash, TimePoint now);
@@ -89,9 +84,6 @@
     /// \brief Follows a change of a service's target list.
     void renumberTargets(TargetGroup const& group, std::span<std::uint32_t const> newIndices);
 
-    /// \brief Sets whether the views contain every target that the store or a peer knows of.
-    void setViewsComplete(bool complete) noexcept { viewsComplete_ = complete; }
-
     /// \brief Sends queued queries unless some were sent a moment ago.
     void sendQueries(TimePoint now, RelaySigningContext const& signing);
 
@@ -126,6 +118,7 @@
     TargetDirectory const& directory_;
     RelaySender& sender_;
     RelayObserver& observer_;
+    LostVerdict verdict_;
     HashTable<OwnerSearch> searches_;
     std::vector<std::uint64_t> queued_; ///< flows for the next queries
     std::vector<Endpoint> startedAgents_; ///< agents whose first load report has arrived since the last queries
@@ -135,15 +128,10 @@
     LatencyHistogram foundTimes_;
     LatencyHistogram lostTimes_;
     std::array<std::byte, queryBufferBytes> buffer_ {};
-    TimePoint firstTick_;
     TimePoint lastSweep_;
     TimePoint queriesSent_;
     std::uint64_t messageCount_ { 0 };
     std::uint64_t widenedCount_ { 0 };
-    bool viewsComplete_ { false };
-    bool isMemberReadRequired_ { false };
-    bool needsMemberRead_ { false };
-    std::optional<TimePoint> membersRead_; ///< start of the last read of the member list
 
     void send(Endpoint to, std::size_t bytes) noexcept;
     void queue(OwnerSearch& search);
@@ -162,15 +150,6 @@
     void sendWithSegment(OwnerSearch const& search, Endpoint to, std::size_t headerBytes) noexcept;
     void notifyObserver(std::string_view outcome, OwnerSearch const& search, TimePoint now) noexcept;
     void endIfLost(OwnerSearch& search, TimePoint now);
-    [[nodiscard]] bool areViewsSettled(OwnerSearch const& search, TimePoint now) const noexcept;
-    void notifyLost(OwnerSearch const& search, TimePoint now) noexcept;
-    [[nodiscard]] bool isStarting(TimePoint now) const noexcept;
-    [[nodiscard]] bool isStartingAfterPowerLoss(TimePoint now) const noexcept;
-    /// True if an agent that does not know whether its target holds a flow has restarted with its machine, so that the target has
-    /// lost its flows.
-    [[nodiscard]] bool haveMachinesRestarted(TimePoint now) const noexcept { return isStartingAfterPowerLoss(now) && !directory_.hasReplacedAgent(); }
-    [[nodiscard]] bool isLongEnough(OwnerSearch const& search, TimePoint now) const noexcept;
-    [[nodiscard]] bool isViewCurrent(OwnerSearch const& search, TimePoint now) noexcept;
 };
 
 } // namespace plantaindrift
--- a/tests/RelayScene.h
+++ b/tests/RelayScene.h
@@ -194,7 +194,14 @@
 
     std::function<std::optional<Duration>(Bytes const&)> linkRule; ///< delay of a datagram; empty if it is lost
     [[nodiscard]] TimePoint now() const { return now_; }
-    [[nodiscard]] ServiceView const& view() const { return views_.at(std::string(mainService)); }
+    [[nodiscard]] ServiceView const& view(std::string_view service = mainService) const { return views_.at(std::string(service)); }
+
+    [[nodiscard]] static KeyRing keys()
+    {
+        KeyRing ring;
+        ring.count = 1;
+        return ring;
+    }
 
     /// \brief Number of datagrams that entries, agents and targets have sent.
     [[nodiscard]] std::uint64_t deliveredCount() const { return deliveredCount_; }
@@ -408,13 +415,6 @@
     // The sequence numbers of real targets are random, so that those of two targets are not adjacent.
     static constexpr std::uint32_t targetSequenceStep = 1000;
 
-    static KeyRing keys()
-    {
-        KeyRing ring;
-        ring.count = 1;
-        return ring;
-    }
-
     static Configuration mainConfiguration()
     {
         Service service;
