--- a/include/plantaindrift/relay/RelayObserver.h
+++ b/include/plantaindrift/relay/RelayObserver.h
@@ -6,6 +6,7 @@
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <string_view>
 
 namespace plantaindrift {
@@ -31,6 +32,11 @@
     std::size_t endedTargets { 0 }; ///< announced their end, and did not reply
     std::size_t silentTargets { 0 }; ///< silent for so long that they are considered gone
     std::chrono::milliseconds shortestSilence { 0 }; ///< of the silent targets
+    std::size_t searchedServices { 0 }; ///< services to which the targets belong
+    std::chrono::milliseconds viewAge { 0 }; ///< since a target was last added to the view of one of these services
+    std::optional<std::chrono::milliseconds> memberListAge; ///< since the last read of the member list started; unset without one
+    std::chrono::milliseconds entryUptime { 0 }; ///< since the start of the entry
+    bool isAfterPowerLoss { false }; ///< the entry takes its start for that after a power loss
 };
 
 /// \brief Receives relay decisions, for logging. Must not block.
--- a/src/relay/LostVerdict.cpp
+++ b/src/relay/LostVerdict.cpp
@@ -92,8 +92,15 @@
     LostFlowEvidence evidence;
     evidence.flow = { search.segment.source, search.segment.destination };
     evidence.searchTime = duration_cast<milliseconds>(now - search.started);
+    evidence.searchedServices = search.services.size();
+    evidence.isAfterPowerLoss = isStartingAfterPowerLoss(now);
+    evidence.entryUptime = duration_cast<milliseconds>(now - started_.value_or(now));
+    if (membersRead_)
+        evidence.memberListAge = duration_cast<milliseconds>(now - *membersRead_);
     Duration shortest = Duration::max();
+    Duration newestView = Duration::max();
     for (ServiceReplies const& replies : search.services) {
+        newestView = std::min<Duration>(newestView, now - replies.group().viewChanged);
         std::vector<DirectoryTarget> const& targets = replies.group().targets;
         for (std::size_t index = 0; index < targets.size(); ++index) {
             if (replies.hasReportedNotFound(index)) {
@@ -106,6 +113,8 @@
             }
         }
     }
+    if (!search.services.empty())
+        evidence.viewAge = duration_cast<milliseconds>(newestView);
     if (evidence.silentTargets > 0)
         evidence.shortestSilence = duration_cast<milliseconds>(shortest);
     return evidence;
--- a/src/runtime/DecisionLog.cpp
+++ b/src/runtime/DecisionLog.cpp
@@ -18,7 +18,8 @@
 {
     if (!consume(lostFlows_))
         return;
-    logEvent(LogLevel::Info, "flow_lost", { { "caller", formatEndpoint(evidence.flow.caller) }, { "address", formatEndpoint(evidence.flow.serviceEndpoint) }, { "search_ms", evidence.searchTime.count() }, { "replied", evidence.repliedTargets }, { "ended", evidence.endedTargets }, { "silent", evidence.silentTargets }, { "shortest_silence_ms", evidence.shortestSilence.count() } });
+    constexpr std::chrono::milliseconds noList { -1 };
+    logEvent(LogLevel::Info, "flow_lost", { { "caller", formatEndpoint(evidence.flow.caller) }, { "address", formatEndpoint(evidence.flow.serviceEndpoint) }, { "search_ms", evidence.searchTime.count() }, { "replied", evidence.repliedTargets }, { "ended", evidence.endedTargets }, { "silent", evidence.silentTargets }, { "shortest_silence_ms", evidence.shortestSilence.count() }, { "services", evidence.searchedServices }, { "view_age_ms", evidence.viewAge.count() }, { "list_age_ms", evidence.memberListAge.value_or(noList).count() }, { "uptime_ms", evidence.entryUptime.count() }, { "power_loss", evidence.isAfterPowerLoss } });
 }
 
 bool DecisionLog::consume(Quota& quota)
--- a/src/runtime/RelayAgentDaemon.cpp
+++ b/src/runtime/RelayAgentDaemon.cpp
@@ -168,13 +168,15 @@
             }
             TimePoint const now = std::chrono::steady_clock::now();
             bool const wasAccepting = announcements_.targetState(now).isAccepting;
+            bool const wasHeard = announcements_.newest().has_value();
             AnnouncementOutcome const outcome = announcements_.processAnnouncement(*announcement, now);
             if (outcome == AnnouncementOutcome::AcceptedNewTarget)
                 relay_.handleTargetReplacement(startOf(*announcement, now));
             applyTarget(now);
-            bool const isAccepting = announcements_.targetState(now).isAccepting;
-            if (outcome != AnnouncementOutcome::Accepted || wasAccepting != isAccepting)
-                logEvent(LogLevel::Info, "target_announced", { { "id", announcement->id }, { "outcome", announcementOutcomeName(outcome) }, { "sequence", announcement->sequence }, { "started_ms", announcement->startTimeMs }, { "draining", announcement->isDraining }, { "leaving", announcement->isLeaving } });
+            TargetState const state = targetState(now);
+            bool const isNews = !wasHeard || wasAccepting != announcements_.targetState(now).isAccepting;
+            if (outcome != AnnouncementOutcome::Accepted || isNews)
+                logEvent(LogLevel::Info, "target_announced", { { "id", announcement->id }, { "outcome", announcementOutcomeName(outcome) }, { "sequence", announcement->sequence }, { "started_ms", announcement->startTimeMs }, { "draining", announcement->isDraining }, { "leaving", announcement->isLeaving }, { "start_observed", state.isStartObserved }, { "started_with_agent", state.hasStartedWithAgent } });
             return { 200, "{}", "application/json" };
         }
 
@@ -186,14 +188,19 @@
         }
 
         void applyTarget(TimePoint now)
+        {
+            control_.setDraining(!announcements_.targetState(now).isAccepting, now);
+            relay_.setTargetState(targetState(now), now);
+            core_.sendControl(control_.takeMessages());
+        }
+
+        [[nodiscard]] TargetState targetState(TimePoint now) const
         {
             TargetState state = announcements_.targetState(now);
-            control_.setDraining(!state.isAccepting, now);
             state.hasStartedWithAgent = announcements_.hasStartedWith(static_cast<std::int64_t>(self_.incarnation));
             // Entries that do not know this agent yet could not find its flows.
             state.isAccepting = state.isAccepting && joinDelay_.isOver(now);
-            relay_.setTargetState(state, now);
-            core_.sendControl(control_.takeMessages());
+            return state;
         }
 
         void receiveControl(Endpoint from, std::span<std::byte const> bytes)
