Take only restarts that agents report for a power loss

Callers of open flows were reset by entries that had just started, 0.1 to 0.3 s after their first segment. An entry took its start for that after a power loss as long as no agent had reported that it runs for 10 s or longer: also if it had heard no agent yet, if all agents were younger, and if none knew when its target had started. It then judged at once, by lists that could be short, and took what agents of services without the address did not know for lost.

An entry now assumes a power loss only if some agent reports that it started with its target, and agents report how long they have run, in the two free bits of a load report: one that started 2 s or more before the entry shows that not all machines lost power.

--- a/include/plantaindrift/relay/RelayMessage.h
+++ b/include/plantaindrift/relay/RelayMessage.h
@@ -39,6 +39,10 @@
 /// \brief Unit of TargetLoad::answerUnits; the field covers answers of up to 16 MB.
 inline constexpr std::uint32_t answerUnitBytes = 256;
 
+/// \brief Unit of TargetLoad::uptimeSteps.
+inline constexpr std::chrono::milliseconds agentUptimeStep { 2500 };
+inline constexpr std::uint8_t maximumUptimeSteps = 3;
+
 /// \brief Load of a target, as measured by its agent.
 struct TargetLoad {
     bool isAccepting { false }; ///< accepts new flows
@@ -55,6 +59,7 @@
     std::uint16_t coldAllowance { 0 }; ///< new flows a second that the target takes while it is cold; 0 for no limit
     bool isAssumed { false }; ///< the target has not announced itself since its agent started
     bool isLongRunning { false }; ///< the agent did not start a short time ago, so that its machine kept its power
+    std::uint8_t uptimeSteps { 0 }; ///< time since the agent's start, in whole steps of agentUptimeStep, at most maximumUptimeSteps
 
     friend bool operator==(TargetLoad const&, TargetLoad const&) = default;
 };
--- a/src/relay/AgentRelay.cpp
+++ b/src/relay/AgentRelay.cpp
@@ -74,6 +74,7 @@
     // Queries reach a running agent, so that only its last report has to say this.
     load.hasEnded = isStopping && (target.hasLeft || isTargetUnresponsive(currentTime));
     load.isLongRunning = currentTime - started >= restartPeriod;
+    load.uptimeSteps = static_cast<std::uint8_t>(std::clamp<std::int64_t>((currentTime - started) / agentUptimeStep, 0, maximumUptimeSteps));
     load.isMachineRestarted = (target.isStartObserved || target.hasStartedWithAgent) && !load.isLongRunning;
     load.isWithdrawn = target.isAnnounced && !target.isAccepting;
     load.isAssumed = !target.isAnnounced;
--- a/src/relay/LostVerdict.cpp
+++ b/src/relay/LostVerdict.cpp
@@ -48,9 +48,10 @@
     return !started_ || now - *started_ < startupPeriod;
 }
 
+// An entry that has heard no agent, or only such as do not know when their targets started, does not know of a power loss.
 bool LostVerdict::isStartingAfterPowerLoss(TimePoint now) const noexcept
 {
-    return isStarting(now) && !directory_.hasSurvivor();
+    return isStarting(now) && directory_.hasRestartedMachine() && !directory_.hasSurvivor();
 }
 
 // The records of targets that joined may be delayed by the control budget or by a cut for longer than any fixed time. A
--- a/src/relay/LostVerdict.h
+++ b/src/relay/LostVerdict.h
@@ -38,7 +38,7 @@
     /// \brief True in the first seconds of this entry.
     [[nodiscard]] bool isStarting(TimePoint now) const noexcept;
 
-    /// \brief True in the first seconds if no machine is known to have kept its power.
+    /// \brief True in the first seconds if machines restarted with this entry and none is known to have kept its power.
     [[nodiscard]] bool isStartingAfterPowerLoss(TimePoint now) const noexcept;
 
     /// \brief True if an agent that does not know whether its target holds a flow has restarted with its machine, so that the target
--- a/src/relay/RelayMessageFields.h
+++ b/src/relay/RelayMessageFields.h
@@ -62,6 +62,7 @@
 inline constexpr std::uint8_t withdrawnFlag = 8;
 inline constexpr std::uint8_t assumedFlag = 16;
 inline constexpr std::uint8_t longRunningFlag = 32;
+inline constexpr unsigned uptimeShift = 6; ///< position of TargetLoad::uptimeSteps in the two highest bits
 
 struct EntryStatusField {
     wire::big_uint32_buf_t name;
@@ -136,6 +137,7 @@
     flags |= load.isWithdrawn ? withdrawnFlag : 0U;
     flags |= load.isAssumed ? assumedFlag : 0U;
     flags |= load.isLongRunning ? longRunningFlag : 0U;
+    flags |= std::min<unsigned>(load.uptimeSteps, maximumUptimeSteps) << uptimeShift;
     field.flags = static_cast<std::uint8_t>(flags);
     field.slots = load.slots;
     field.busy = load.activeRequests;
@@ -158,6 +160,7 @@
     load.isWithdrawn = (flags & withdrawnFlag) != 0;
     load.isAssumed = (flags & assumedFlag) != 0;
     load.isLongRunning = (flags & longRunningFlag) != 0;
+    load.uptimeSteps = static_cast<std::uint8_t>(flags >> uptimeShift);
     load.slots = field.slots.value();
     load.activeRequests = field.busy.value();
     load.openFlows = field.flows.value();
--- a/src/relay/TargetDirectory.cpp
+++ b/src/relay/TargetDirectory.cpp
@@ -37,6 +37,9 @@
     // once. With the time until an entry knows all targets, callers are reset within a second of its start.
     constexpr std::chrono::milliseconds restartedReportTimeout { 700 };
 
+    // Start of an agent before that of an entry that does not come from a power loss, which ends for all machines within 1.5 s.
+    constexpr std::chrono::milliseconds maximumStartDifference { 2000 };
+
     // Targets report several times in this period, also those that start after a power loss.
     constexpr std::chrono::milliseconds minimumReceptionPeriod { 1000 };
 
@@ -219,7 +222,8 @@
     if (!target->hasReported)
         firstReports_.push_back(agent);
     target->load = load;
-    hasSurvivor_ = hasSurvivor_ || load.isLongRunning;
+    hasSurvivor_ = hasSurvivor_ || load.isLongRunning || hasStartedBefore(load, now);
+    hasRestartedMachine_ = hasRestartedMachine_ || load.isMachineRestarted;
     hasReplacedAgent_ = hasReplacedAgent_ || (!load.isAssumed && !load.isLongRunning && !load.isMachineRestarted);
     // An agent that restarted beside a draining target takes it for accepting until the target's next announcement.
     target->isWithdrawn = load.isWithdrawn || (load.isAssumed && target->isWithdrawn);
@@ -231,6 +235,12 @@
     target->oldestUnanswered = {};
 }
 
+bool TargetDirectory::hasStartedBefore(TargetLoad const& load, TimePoint now) const noexcept
+{
+    Duration const ownUptime = now - firstTick_.value_or(now);
+    return load.uptimeSteps * agentUptimeStep >= ownUptime + maximumStartDifference;
+}
+
 std::chrono::milliseconds TargetDirectory::loadInterval() const noexcept
 {
     double const seconds = static_cast<double>(agentGroups_.size()) * loadMessageBytes / loadBytesPerSecond;
@@ -263,6 +273,7 @@
 {
     Duration const passed = now - lastTick_.value_or(now);
     lastTick_ = now;
+    firstTick_ = firstTick_.value_or(now);
     for (std::pair<std::string const, TargetGroup>& group : groups_) {
         updateMeans(group.second, now);
         group.second.remote.update(remoteInputsOf(group.second, now));
--- a/src/relay/TargetDirectory.h
+++ b/src/relay/TargetDirectory.h
@@ -157,9 +157,12 @@
     /// has been running for longer.
     [[nodiscard]] bool wasPowerLost(TargetGroup const& group) const noexcept;
 
-    /// \brief True if some agent that has reported here was running long before.
+    /// \brief True if some agent that has reported here was running long before, or started well before this entry.
     [[nodiscard]] bool hasSurvivor() const noexcept { return hasSurvivor_; }
 
+    /// \brief True if some agent that has reported here started together with its target a short time ago.
+    [[nodiscard]] bool hasRestartedMachine() const noexcept { return hasRestartedMachine_; }
+
     /// \brief True if some agent that has reported here was replaced while its target kept running.
     [[nodiscard]] bool hasReplacedAgent() const noexcept { return hasReplacedAgent_; }
 
@@ -192,14 +195,17 @@
     std::map<std::string, TargetGroup, std::less<>> groups_;
     std::vector<TargetGroup const*> services_; ///< of groups_
     absl::flat_hash_map<std::uint64_t, TargetGroup*> agentGroups_; ///< by agent endpoint
+    std::optional<TimePoint> firstTick_;
     std::optional<TimePoint> lastTick_;
     std::vector<Endpoint> firstReports_;
     bool hasSurvivor_ { false }; ///< some machine has kept its power since this entry started
     bool hasReplacedAgent_ { false };
+    bool hasRestartedMachine_ { false };
     absl::flat_hash_set<std::uint64_t> sharedAgents_; ///< endpoints that several services have listed at the same time
 
     void assignAgents(TargetGroup& group, std::span<DirectoryTarget const> former);
     void assignSharedAgent(Endpoint agent);
+    [[nodiscard]] bool hasStartedBefore(TargetLoad const& load, TimePoint now) const noexcept;
     [[nodiscard]] Duration goneTimeout() const noexcept;
     [[nodiscard]] bool receivesFromMostTargets(TimePoint now) const noexcept;
     [[nodiscard]] bool isSilent(DirectoryTarget const& target, TimePoint now) const noexcept;
--- a/tests/AgentRelayTests.cpp
+++ b/tests/AgentRelayTests.cpp
@@ -50,6 +50,8 @@
 {
     for (std::size_t index = 0; index < scene.agents.size(); ++index) {
         scene.agents[index]->target.flows.clear();
+        // The agents compare the start in the first announcement with their own.
+        scene.agents[index]->state.hasStartedWithAgent = true;
         scene.startAgent(index);
     }
 }
--- a/tests/RelayMessageTests.cpp
+++ b/tests/RelayMessageTests.cpp
@@ -191,7 +191,7 @@
 BOOST_AUTO_TEST_CASE(EveryStatementOfALoadReportIsKept)
 {
     Bytes buffer(maximumRelayMessageBytes);
-    for (unsigned bits = 0; bits < 64; ++bits) {
+    for (unsigned bits = 0; bits < 256; ++bits) {
         TargetLoad stated = load;
         stated.isAccepting = (bits & 1U) != 0;
         stated.hasEnded = (bits & 2U) != 0;
@@ -199,6 +199,7 @@
         stated.isWithdrawn = (bits & 8U) != 0;
         stated.isAssumed = (bits & 16U) != 0;
         stated.isLongRunning = (bits & 32U) != 0;
+        stated.uptimeSteps = static_cast<std::uint8_t>(bits >> 6U);
         std::size_t const bytes = writeRelayLoadReport(ServiceHash { 5 }, stated, { keys, wallSeconds }, buffer);
         BOOST_TEST((decodeRelayMessage(std::span(buffer).first(bytes), keys, wallSeconds).load == stated));
     }
