Query all agents again before a flow counts as lost

Callers of open flows were reset after a search of 3 s or 5 s because one reply of the owner's agent was wrong or outdated: once an agent was marked as not holding the flow, it was never asked again. An agent that has just started and whose target does not answer for half a second replies so, and a late report of an earlier search does the same.

When every agent has replied that its target does not hold the flow, and the search has lasted long enough, the entry now discards the replies and queries all agents once more; only what they reply then ends the search. A report that contradicts an agent's reply that its target holds the flow leads to a new query. After a power loss, when most searches are for lost flows, the first replies count.

--- a/src/relay/OwnerSearch.cpp
+++ b/src/relay/OwnerSearch.cpp
@@ -1,6 +1,7 @@
 #include "relay/OwnerSearch.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace plantaindrift {
 
@@ -8,20 +9,41 @@
 {
     notFound_.insert(target);
     possible_.erase(target);
+    held_.erase(target);
 }
 
-bool ServiceReplies::markPossible(std::size_t target)
+void ServiceReplies::recordNotFoundReport(std::size_t target)
+{
+    if (!held_.contains(target)) {
+        markNotFound(target);
+        return;
+    }
+    held_.erase(target);
+    possible_.erase(target);
+}
+
+bool ServiceReplies::markPossible(std::size_t target, bool isHeld)
 {
     if (hasReplied(target))
         return false;
     possible_.insert(target);
+    if (isHeld)
+        held_.insert(target);
     return true;
 }
 
+void ServiceReplies::forgetReplies() noexcept
+{
+    notFound_ = {};
+    possible_ = {};
+    held_ = {};
+}
+
 void ServiceReplies::renumber(std::span<std::uint32_t const> newIndices)
 {
     notFound_.renumber(newIndices);
     possible_.renumber(newIndices);
+    held_.renumber(newIndices);
 }
 
 std::vector<Endpoint> ServiceReplies::possibleOwners() const
@@ -108,6 +130,17 @@
     return count;
 }
 
+bool OwnerSearch::beginConfirmation() noexcept
+{
+    if (std::exchange(isConfirming, true))
+        return false;
+    for (ServiceReplies& replies : services)
+        replies.forgetReplies();
+    directlySent = 0;
+    needsForwarder = false;
+    return true;
+}
+
 DirectoryTarget const* OwnerSearch::findPossibleOwner(TargetDirectory const& directory, TimePoint now) const noexcept
 {
     for (ServiceReplies const& replies : services) {
--- a/src/relay/OwnerSearch.h
+++ b/src/relay/OwnerSearch.h
@@ -31,10 +31,19 @@
     /// \brief Records that a target does not hold the flow.
     void markNotFound(std::size_t target);
 
+    /// \brief Processes the report that a target does not hold the flow, which may answer an earlier segment.
+    ///
+    /// An agent that has replied that its target holds the flow is queried again instead.
+    void recordNotFoundReport(std::size_t target);
+
     /// \brief Records that a target may hold the flow, so that its agent has to receive the segment.
     ///
+    /// \param isHeld  the agent knows that the target holds it
     /// \returns false if that was known or if the target has reported that it does not hold the flow
-    bool markPossible(std::size_t target);
+    bool markPossible(std::size_t target, bool isHeld);
+
+    /// \brief Discards what the agents replied, so that they are queried again.
+    void forgetReplies() noexcept;
 
     /// \brief Follows a change of the service's target list.
     ///
@@ -71,6 +80,7 @@
     TimePoint firstQueried_;
     TargetSet notFound_;
     TargetSet possible_;
+    TargetSet held_; ///< part of the possible ones
 };
 
 /// \brief Search of an entry for the owner of a flow, with what the agents of the searched services replied.
@@ -87,6 +97,7 @@
     bool wasQueried { false };
     bool needsForwarder { false }; ///< more agents have to receive the segment than the entry sends it to
     bool isWide { false }; ///< all services are searched
+    bool isConfirming { false }; ///< all agents had replied that no target holds the flow, and are queried again
     std::uint8_t rank { 0 }; ///< rank of the agent that receives the caller's segments
     TargetGroup const* group { nullptr }; ///< service whose agents receive the caller's segments
     std::vector<ServiceReplies> services; ///< the searched services
@@ -122,6 +133,11 @@
     /// \brief True if every target that may be running has reported that it does not hold the flow.
     [[nodiscard]] bool isNotFoundEverywhere(TargetDirectory const& directory, TimePoint now) const noexcept { return findPossibleOwner(directory, now) == nullptr; }
 
+    /// \brief Discards all replies, so that no reply to the queries before counts any more.
+    ///
+    /// \returns false if that was done before
+    bool beginConfirmation() noexcept;
+
     /// \brief Maximum length of a segment that is kept: the maximum of the platforms' formats.
     static constexpr std::size_t maximumKeptSegmentBytes = 1280;
 
--- a/src/relay/OwnerSearches.cpp
+++ b/src/relay/OwnerSearches.cpp
@@ -118,7 +118,7 @@
     std::size_t const target = TargetDirectory::indexOf(replies->group(), agent);
     if (target == replies->group().targets.size())
         return;
-    replies->markNotFound(target);
+    replies->recordNotFoundReport(target);
     if (!search->wasQueried)
         queue(*search);
     endIfLost(*search, now);
@@ -143,7 +143,7 @@
         bool const isNotFound = possession == FlowPossession::None || (isUnknown && isUnlikely && !replies->isAllowed());
         // An agent of a service that never had the address receives no segment on suspicion; it is queried again until it knows.
         if (possession == FlowPossession::Held || (isUnknown && replies->isAllowed()))
-            addPossibleOwner(*search, *replies, target, signing);
+            addPossibleOwner(*search, *replies, target, possession == FlowPossession::Held, signing);
         if (isNotFound) {
             replies->markNotFound(target);
             endIfLost(*search, now);
@@ -331,9 +331,9 @@
 }
 
 // The entry sends the segment to a few agents itself; an agent forwards it to more of them.
-void OwnerSearches::addPossibleOwner(OwnerSearch& search, ServiceReplies& replies, std::size_t target, RelaySigningContext const& signing)
+void OwnerSearches::addPossibleOwner(OwnerSearch& search, ServiceReplies& replies, std::size_t target, bool isHeld, RelaySigningContext const& signing)
 {
-    if (!replies.markPossible(target))
+    if (!replies.markPossible(target, isHeld))
         return;
     if (search.directlySent == maximumDirectAgents) {
         search.needsForwarder = true;
@@ -410,16 +410,20 @@
     sender_.send(to, std::span<std::byte const>(buffer_).first(bytes));
 }
 
-// A flow is lost if no target of a complete view of any service holds it. The search is kept, so that the caller's next
-// segments are answered at once.
+// A flow is lost if no target of a complete view of any service holds it. All agents are queried once more, because an agent that
+// started a short time ago, or whose target was slow, may know more by now than when it replied. The search is kept, so that the
+// caller's next segments are answered at once.
 void OwnerSearches::endIfLost(OwnerSearch& search, TimePoint now)
 {
     if (!search.isNotFoundEverywhere(directory_, now))
         return;
-    if (!search.isWide)
-        widen(search, now);
+    widen(search, now);
     if (!search.isNotFoundEverywhere(directory_, now) || !verdict_.mayEnd(search, now))
         return;
+    if (!verdict_.isStartingAfterPowerLoss(now) && search.beginConfirmation()) {
+        queue(search);
+        return;
+    }
     search.isLost = true;
     lostTimes_.observe(now - search.started);
     observer_.onFlowLost(verdict_.describe(search, now));
--- a/src/relay/OwnerSearches.h
+++ b/src/relay/OwnerSearches.h
@@ -142,7 +142,7 @@
     [[nodiscard]] bool isReplyMissing(std::span<std::uint64_t const> flows, TargetGroup const& group, std::size_t target) noexcept;
     void continueSearch(OwnerSearch& search, TimePoint now, RelaySigningContext const& signing);
     void widen(OwnerSearch& search, TimePoint now);
-    void addPossibleOwner(OwnerSearch& search, ServiceReplies& replies, std::size_t target, RelaySigningContext const& signing);
+    void addPossibleOwner(OwnerSearch& search, ServiceReplies& replies, std::size_t target, bool isHeld, RelaySigningContext const& signing);
     [[nodiscard]] bool hasEveryoneReplied(OwnerSearch const& search, TimePoint now) const noexcept;
     void sendToPossibleOwners(OwnerSearch& search, TimePoint now, RelaySigningContext const& signing);
     void sendThroughForwarder(OwnerSearch const& search, TargetGroup const& service, std::span<Endpoint const> agents, TimePoint now, RelaySigningContext const& signing);
--- a/tests/LostVerdictTests.cpp
+++ b/tests/LostVerdictTests.cpp
@@ -48,6 +48,14 @@
         return std::any_of(affectedAgents.begin(), affectedAgents.end(), [this, name](std::size_t index) { return agents[index]->name == name; });
     }
 
+    void sendNotFound(Agent const& from, CallerFlow const& flow)
+    {
+        std::array<std::byte, maximumRelayHeaderBytes> message;
+        std::size_t const bytes = writeRelayFlowNotFound(hashService(from.service), { flow.caller, serviceAddress }, { keys(), wallClockSeconds }, message);
+        for (std::unique_ptr<Entry> const& entry : entries)
+            deliver(from.data, entry->data, Bytes(message.begin(), message.begin() + static_cast<std::ptrdiff_t>(bytes)));
+    }
+
     /// The targets keep running, so that the new agents have not observed their starts.
     void replaceAgents()
     {
@@ -102,6 +110,21 @@
     scene.replaceAgents();
 }
 
+void slowTargets(VerdictScene& scene)
+{
+    scene.replaceAgents();
+    for (std::unique_ptr<Agent> const& agent : scene.agents) {
+        TargetState assumed = agent->state;
+        assumed.isAnnounced = false;
+        agent->relay->setTargetState(assumed, scene.now());
+        agent->target.up = false;
+        scene.after(1200ms, [&scene, &agent = *agent] {
+            agent.target.up = true;
+            agent.relay->setTargetState(agent.state, scene.now());
+        });
+    }
+}
+
 void pauseAgents(VerdictScene& scene)
 {
     for (std::size_t const index : VerdictScene::affectedAgents) {
@@ -123,15 +146,30 @@
     scene.after(5s, [&scene] { scene.linkRule = {}; });
 }
 
-constexpr std::array<WrongInput, 8> wrongInputs { {
+// Reports of the owners, as of an earlier search, arrive during this one.
+void sendOutdatedReports(VerdictScene& scene)
+{
+    for (Duration const wait : { 502ms, 800ms, 1500ms }) {
+        scene.after(wait, [&scene] {
+            for (std::unique_ptr<Agent> const& agent : scene.agents) {
+                for (std::unique_ptr<CallerFlow> const& flow : scene.flows)
+                    scene.sendNotFound(*agent, *flow);
+            }
+        });
+    }
+}
+
+constexpr std::array<WrongInput, 10> wrongInputs { {
     { "targets missing in the views", doNothing, hideTargets },
     { "views without targets", doNothing, hideServices },
     { "targets listed as dead", doNothing, listAsDead },
     { "former configuration", doNothing, useFormerConfiguration },
     { "agents replaced", replaceAgents, doNothing },
+    { "targets slow", slowTargets, doNothing },
     { "agents paused", doNothing, pauseAgents },
     { "datagrams lost", doNothing, loseDatagrams },
     { "datagrams late", doNothing, delayDatagrams },
+    { "outdated reports", doNothing, sendOutdatedReports },
 } };
 
 std::size_t resetCount(Scene const& scene)
--- a/tests/OwnerSearchTests.cpp
+++ b/tests/OwnerSearchTests.cpp
@@ -228,8 +228,8 @@
     ServiceReplies replies(*service.group);
     replies.markNotFound(1);
     replies.markNotFound(129);
-    BOOST_TEST(replies.markPossible(3));
-    BOOST_TEST(!replies.markPossible(3));
+    BOOST_TEST(replies.markPossible(3, false));
+    BOOST_TEST(!replies.markPossible(3, false));
     ServiceView view;
     view.service = "desk";
     view.targets.push_back({ "target-new", "north", { 0x0A030001U, 8172 } });
