Wait for targets that a new agent has not heard

An agent took its target for gone when 3 s had passed without an announcement and without a segment, also if it had only just started and heard nothing at all: it then replied that the target does not hold flows of which it knows nothing. Callers were reset although the targets lived and their announcements were only late.

Such an agent replies for 7 s that it has not heard its target: longer than machines are frozen or cut off. The target receives the segments of its service, and what it answers or returns decides. After a power loss, entries take the reply for a target that did not return, as before (AnAgentWithoutATargetDoesNotKeepAFlow; its entry must not hear a load report of the processes before the loss, which were under way when the scene replaced them).

--- a/include/plantaindrift/relay/RelayMessage.h
+++ b/include/plantaindrift/relay/RelayMessage.h
@@ -151,6 +151,10 @@
 inline constexpr std::uint8_t improbableFlowFlag = 0x40;
 static_assert(maximumQueriedFlows <= improbableFlowFlag);
 
+/// \brief In a FlowQueryReply, added to the index of a flow that the agent does not know, if it started a short time ago and has not
+/// heard its target since: the target may be slow, or did not return after a power loss.
+inline constexpr std::uint8_t unheardTargetFlag = heldFlowFlag | improbableFlowFlag;
+
 /// \brief Maximum length of a relay datagram that carries no segment.
 inline constexpr std::size_t maximumRelayMessageBytes = maximumRelayHeaderBytes + maximumFlowOwners * 18;
 
@@ -234,8 +238,8 @@
 [[nodiscard]] std::size_t writeRelayFlowQuery(ServiceHash service, std::uint32_t number, std::span<std::uint64_t const> flows, RelaySigningContext const& seal, std::span<std::byte> output) noexcept;
 
 /// \param number  number of the query
-/// \param possible  indices of the query's flows that the target may hold, at most maximumQueriedFlows, with heldFlowFlag or
-///                  improbableFlowFlag; it holds no other
+/// \param possible  indices of the query's flows that the target may hold, at most maximumQueriedFlows, with heldFlowFlag,
+///                  improbableFlowFlag or unheardTargetFlag; it holds no other
 /// \param output  at least maximumRelayMessageBytes
 [[nodiscard]] std::size_t writeRelayFlowQueryReply(ServiceHash service, std::uint32_t number, std::span<std::uint8_t const> possible, RelaySigningContext const& seal, std::span<std::byte> output) noexcept;
 
--- a/src/relay/AgentRelayState.h
+++ b/src/relay/AgentRelayState.h
@@ -129,6 +129,10 @@
     /// After a restart of this process, only the target knows its older flows. After a power loss both are new, and
     /// every lost flow is searched for at all agents.
     [[nodiscard]] bool mayTargetHoldOldFlows(TimePoint now) const noexcept;
+    /// True if the target has announced itself or sent a segment since this process started.
+    [[nodiscard]] bool isTargetHeard() const noexcept { return target.isAnnounced || lastTargetSegment != TimePoint {}; }
+    /// Why the target may not hold a flow that this process does not know, in replies to queries.
+    [[nodiscard]] std::uint8_t doubtFlag() const noexcept;
     /// Replies which of the flows the target may hold; their segments are to be sent here.
     void replyToQuery(DecodedRelayMessage const& decoded, Endpoint entry, TimePoint now, std::uint32_t nowSeconds);
     /// Forwards the segment to agents whose targets may hold the flow. Agents do this for entries because they have
--- a/src/relay/AgentSegments.cpp
+++ b/src/relay/AgentSegments.cpp
@@ -20,6 +20,9 @@
     // Announcements of a target that still serves may be late; segments of its flows are more frequent.
     constexpr std::chrono::seconds targetSilenceTimeout { 3 };
 
+    // A target that this process has not heard yet may be frozen or cut off, for up to 6 s.
+    constexpr std::chrono::seconds unheardTargetTimeout { 7 };
+
 } // namespace
 
 // ---- verdicts ----
@@ -123,10 +126,18 @@
 {
     bool const isRecentlyStarted = now - started < platformFlowTimeout;
     // A target that is gone returns nothing, and the search would wait for it.
-    bool const isGone = target.isGone && now - lastTargetSegment >= targetSilenceTimeout;
+    Duration const silence = isTargetHeard() ? now - lastTargetSegment : now - started;
+    bool const isGone = target.isGone && silence >= (isTargetHeard() ? targetSilenceTimeout : unheardTargetTimeout);
     return isRecentlyStarted && !isGone && !isTargetUnresponsive(now);
 }
 
+std::uint8_t AgentRelay::State::doubtFlag() const noexcept
+{
+    if (target.isGone && !isTargetHeard())
+        return unheardTargetFlag;
+    return target.hasStartedWithAgent ? improbableFlowFlag : std::uint8_t { 0 };
+}
+
 void AgentRelay::State::replyToQuery(DecodedRelayMessage const& decoded, Endpoint entry, TimePoint now, std::uint32_t nowSeconds)
 {
     std::vector<std::uint64_t> const queried = decoded.queriedFlows();
@@ -138,7 +149,7 @@
         if (record != nullptr && !record->isLost)
             possible.push_back(listed | heldFlowFlag);
         else if (record == nullptr && isAnyPossible)
-            possible.push_back(target.hasStartedWithAgent ? listed | improbableFlowFlag : listed);
+            possible.push_back(listed | doubtFlag());
     }
     std::array<std::byte, maximumRelayMessageBytes> message;
     std::size_t const bytes = writeRelayFlowQueryReply(service, decoded.queryNumber, possible, { options.keys, nowSeconds }, message);
--- a/src/relay/OwnerSearches.cpp
+++ b/src/relay/OwnerSearches.cpp
@@ -33,6 +33,7 @@
     enum class FlowPossession : std::uint8_t {
         None,
         Improbable, ///< the agent does not know, and its target started with it
+        Unheard, ///< the agent started a short time ago and has not heard its target
         Possible, ///< the agent started a short time ago and does not know
         Held
     };
@@ -48,6 +49,8 @@
             return FlowPossession::Held;
         if (isListed(reply.possibleFlowBytes, index, improbableFlowFlag))
             return FlowPossession::Improbable;
+        if (isListed(reply.possibleFlowBytes, index, unheardTargetFlag))
+            return FlowPossession::Unheard;
         return isListed(reply.possibleFlowBytes, index, 0) ? FlowPossession::Possible : FlowPossession::None;
     }
 
@@ -138,12 +141,16 @@
         if (replies == nullptr || search->isLost)
             continue;
         FlowPossession const possession = possessionOf(reply, index);
-        bool const isUnknown = possession == FlowPossession::Possible || possession == FlowPossession::Improbable;
-        bool const isUnlikely = possession == FlowPossession::Improbable || verdict_.haveMachinesRestarted(now);
-        bool const isNotFound = possession == FlowPossession::None || (isUnknown && isUnlikely && !replies->isAllowed());
+        bool const isHeld = possession == FlowPossession::Held;
+        bool const haveMachinesRestarted = verdict_.haveMachinesRestarted(now);
+        // After a power loss, a target that is silent did not return.
+        bool const isNone = possession == FlowPossession::None || (possession == FlowPossession::Unheard && haveMachinesRestarted);
+        bool const isUnknown = !isHeld && !isNone;
+        bool const isUnlikely = possession == FlowPossession::Improbable || haveMachinesRestarted;
+        bool const isNotFound = isNone || (isUnknown && isUnlikely && !replies->isAllowed());
         // An agent of a service that never had the address receives no segment on suspicion; it is queried again until it knows.
-        if (possession == FlowPossession::Held || (isUnknown && replies->isAllowed()))
-            addPossibleOwner(*search, *replies, target, possession == FlowPossession::Held, signing);
+        if (isHeld || (isUnknown && replies->isAllowed()))
+            addPossibleOwner(*search, *replies, target, isHeld, signing);
         if (isNotFound) {
             replies->markNotFound(target);
             endIfLost(*search, now);
--- a/tests/AgentRelayTests.cpp
+++ b/tests/AgentRelayTests.cpp
@@ -297,7 +297,8 @@
 {
     Scene scene(1, 4);
     CallerFlow& flow = scene.open(0);
-    scene.runFor(1s);
+    // No load report of the former processes is under way when the new ones start.
+    scene.runFor(1050ms);
     restartTargetsAndAgents(scene);
     Agent& lone = *scene.agents[2];
     lone.target.up = false;
--- a/tests/LostVerdictTests.cpp
+++ b/tests/LostVerdictTests.cpp
@@ -110,6 +110,20 @@
     scene.replaceAgents();
 }
 
+void delayAnnouncements(VerdictScene& scene)
+{
+    scene.replaceAgents();
+    for (std::unique_ptr<Agent> const& agent : scene.agents) {
+        TargetState const known = agent->state;
+        TargetState assumed = known;
+        assumed.isAnnounced = false;
+        assumed.isAccepting = false;
+        assumed.isGone = true;
+        agent->relay->setTargetState(assumed, scene.now());
+        scene.after(shortListTime, [&scene, &agent = *agent, known] { agent.relay->setTargetState(known, scene.now()); });
+    }
+}
+
 void slowTargets(VerdictScene& scene)
 {
     scene.replaceAgents();
@@ -159,12 +173,13 @@
     }
 }
 
-constexpr std::array<WrongInput, 10> wrongInputs { {
+constexpr std::array<WrongInput, 11> wrongInputs { {
     { "targets missing in the views", doNothing, hideTargets },
     { "views without targets", doNothing, hideServices },
     { "targets listed as dead", doNothing, listAsDead },
     { "former configuration", doNothing, useFormerConfiguration },
     { "agents replaced", replaceAgents, doNothing },
+    { "announcements late", delayAnnouncements, doNothing },
     { "targets slow", slowTargets, doNothing },
     { "agents paused", doNothing, pauseAgents },
     { "datagrams lost", doNothing, loseDatagrams },
--- a/tests/RelayMessageTests.cpp
+++ b/tests/RelayMessageTests.cpp
@@ -68,7 +68,7 @@
     datagrams.back().insert(datagrams.back().end(), segment.begin(), segment.end());
     std::vector<std::uint64_t> const hashes { 1, 0x1122334455667788ULL };
     datagrams.emplace_back(buffer.begin(), buffer.begin() + static_cast<std::ptrdiff_t>(writeRelayFlowQuery(ServiceHash { 5 }, 77, hashes, seal, buffer)));
-    std::vector<std::uint8_t> const possible { 1, 0 | heldFlowFlag, 63 | improbableFlowFlag };
+    std::vector<std::uint8_t> const possible { 1, 0 | heldFlowFlag, 63 | improbableFlowFlag, 5 | unheardTargetFlag };
     datagrams.emplace_back(buffer.begin(), buffer.begin() + static_cast<std::ptrdiff_t>(writeRelayFlowQueryReply(ServiceHash { 5 }, 77, possible, seal, buffer)));
     std::vector<EntryLoad> const statuses(2, narrowStatus);
     datagrams.emplace_back(buffer.begin(), buffer.begin() + static_cast<std::ptrdiff_t>(writeRelayEntryStatus(statuses, seal, buffer)));
@@ -119,8 +119,8 @@
     BOOST_TEST((query.queriedFlows() == std::vector<std::uint64_t> { 1, 0x1122334455667788ULL }));
     DecodedRelayMessage const reply = decodeRelayMessage(datagrams[8], keys, wallSeconds);
     BOOST_TEST((reply.kind == RelayMessageKind::FlowQueryReply && reply.serviceHash == ServiceHash { 5 } && reply.queryNumber == 77U));
-    BOOST_TEST((reply.possibleFlowBytes.size() == 3U && reply.possibleFlowBytes[0] == std::byte { 1 }));
-    BOOST_TEST((reply.possibleFlowBytes[1] == std::byte { 0x80 } && reply.possibleFlowBytes[2] == std::byte { 0x7F }));
+    BOOST_TEST((reply.possibleFlowBytes.size() == 4U && reply.possibleFlowBytes[0] == std::byte { 1 }));
+    BOOST_TEST((reply.possibleFlowBytes[1] == std::byte { 0x80 } && reply.possibleFlowBytes[2] == std::byte { 0x7F } && reply.possibleFlowBytes[3] == std::byte { 0xC5 }));
 }
 
 BOOST_AUTO_TEST_CASE(AnEntryStatusKeepsItsFieldsWithinTheirUnits)
