Follow recorded owners in services without the address

A flow stayed silent if its route had moved away from its service as a whole, and then its agent and all entries were replaced within a minute: the new agent does not know what its target holds, no entry has seen that the address was the service's, and segments are shown to no target of a foreign service on suspicion.

Entries send the owners of flows to two other agents of the owner's service, which keep them for 50 s. If an agent of a service without the address replies that it does not know, the entry now sends the caller's segment to the three agents of that service that rank first for the flow, in a mode in which they pass it on to the recorded owner and do nothing without one. No other target receives it. Cost: three segments for each such service and round of a search, only while an agent replies so. The flow stays silent, as before, if all agents that have the owner recorded were replaced as well.

--- a/include/plantaindrift/relay/RelayMessage.h
+++ b/include/plantaindrift/relay/RelayMessage.h
@@ -33,7 +33,8 @@
     Start, ///< send the packet to the recorded owner; without one, report to the entry that the flow is not found here
     FollowOnly, ///< send the packet to the recorded owner; without one, do nothing: another packet of the flow started a search
     ReportOnly, ///< report to the entry that the flow is not found here
-    OwnerKnown ///< as Start; the entry already takes this agent for the owner, so that an owner sends no notice
+    OwnerKnown, ///< as Start; the entry already takes this agent for the owner, so that an owner sends no notice
+    RecordedOwner ///< send the packet to the recorded owner; without one, do nothing: the target may be of a service without the address
 };
 
 /// \brief Unit of TargetLoad::answerUnits; the field covers answers of up to 16 MB.
--- a/src/relay/AgentRelay.cpp
+++ b/src/relay/AgentRelay.cpp
@@ -91,7 +91,8 @@
 void AgentRelay::State::notifyObserver(SegmentContext const& context, AgentRelayOutcome outcome, Endpoint to) noexcept
 {
     bool const isFrequent = outcome == AgentRelayOutcome::ForwardedUnverified || outcome == AgentRelayOutcome::DroppedUnknownFlow;
-    if (context.route.searchMode == RelaySearchMode::ReportOnly && isFrequent)
+    bool const isForAllAgents = context.route.searchMode == RelaySearchMode::ReportOnly || context.route.searchMode == RelaySearchMode::RecordedOwner;
+    if (isForAllAgents && isFrequent)
         return;
     RelayDecision decision;
     decision.outcome = agentRelayOutcomeName(outcome);
--- a/src/relay/AgentSegments.cpp
+++ b/src/relay/AgentSegments.cpp
@@ -117,6 +117,8 @@
         context.route.candidateCount = 0;
         return forward(context, *recordedOwner, AgentRelayOutcome::ForwardedToOwner);
     }
+    if (context.route.searchMode == RelaySearchMode::RecordedOwner && context.route.hops == 0)
+        return drop(context, AgentRelayOutcome::DroppedUnknownFlow);
     bool const isFlowSetKnown = target.isStartObserved && context.route.searchMode == RelaySearchMode::ReportOnly;
     bool const mayHoldFlow = mayTargetHoldOldFlows(context.now) && !isFlowSetKnown;
     return mayHoldFlow ? deliver(context, AgentRelayOutcome::ForwardedUnverified, true) : reportNotFound(context);
--- a/src/relay/OwnerSearch.cpp
+++ b/src/relay/OwnerSearch.cpp
@@ -86,6 +86,7 @@
 
 void ServiceReplies::recordQuery(TimePoint now) noexcept
 {
+    isInDoubt_ = false;
     if (firstQueried_ == TimePoint {})
         firstQueried_ = now;
 }
--- a/src/relay/OwnerSearch.h
+++ b/src/relay/OwnerSearch.h
@@ -68,6 +68,12 @@
     /// \brief True if some target has neither reported that it does not hold the flow nor that it has ended.
     [[nodiscard]] bool hasSilentTarget() const noexcept;
 
+    /// \brief Records that some agent does not know whether its target holds the flow, and may not show it the segment.
+    void setInDoubt() noexcept { isInDoubt_ = true; }
+
+    /// \brief True if some agent replied so to the last query.
+    [[nodiscard]] bool isInDoubt() const noexcept { return isInDoubt_; }
+
     /// \brief Records that the agents that have not replied are queried.
     void recordQuery(TimePoint now) noexcept;
 
@@ -77,6 +83,7 @@
 private:
     TargetGroup const* group_;
     bool isAllowed_ { false };
+    bool isInDoubt_ { false };
     TimePoint firstQueried_;
     TargetSet notFound_;
     TargetSet possible_;
--- a/src/relay/OwnerSearches.cpp
+++ b/src/relay/OwnerSearches.cpp
@@ -21,6 +21,9 @@
     // 43 agents of a service for each of its flows fill 10 Mbit/s.
     constexpr std::size_t maximumDirectAgents = 4;
 
+    // The two agents that have the owner recorded are among these, whether the owner ranks before them or not.
+    constexpr std::size_t recordingRanks = 3;
+
     constexpr std::size_t maximumSearches = 8192;
 
     // Most searches for open flows have ended after this time, so that they cause no read of the member list.
@@ -151,6 +154,8 @@
         // An agent of a service that never had the address receives no segment on suspicion; it is queried again until it knows.
         if (isHeld || (isUnknown && replies->isAllowed()))
             addPossibleOwner(*search, *replies, target, isHeld, signing);
+        else if (!isNotFound)
+            replies->setInDoubt();
         if (isNotFound) {
             replies->markNotFound(target);
             endIfLost(*search, now);
@@ -304,6 +309,7 @@
     if (search.queryInterval == maximumQueryInterval)
         notifyObserver("search_waits", search, now);
     sendToPossibleOwners(search, now, signing);
+    sendToRecordedOwners(search, now, signing);
     widen(search, now);
     queue(search);
 }
@@ -347,7 +353,7 @@
         return;
     }
     ++search.directlySent;
-    sendSegment(search, replies.group().hash, replies.group().targets[target].agent, signing);
+    sendSegment(search, replies.group().hash, replies.group().targets[target].agent, RelaySearchMode::ReportOnly, signing);
 }
 
 bool OwnerSearches::hasEveryoneReplied(OwnerSearch const& search, TimePoint now) const noexcept
@@ -373,7 +379,22 @@
             continue;
         }
         for (Endpoint const agent : agents)
-            sendSegment(search, replies.group().hash, agent, signing);
+            sendSegment(search, replies.group().hash, agent, RelaySearchMode::ReportOnly, signing);
+    }
+}
+
+// An agent that was replaced does not know what its target holds, but others of its service may have the owner recorded. Entries
+// send owners to the agents that rank first for the flow.
+void OwnerSearches::sendToRecordedOwners(OwnerSearch const& search, TimePoint now, RelaySigningContext const& signing)
+{
+    for (ServiceReplies const& replies : search.services) {
+        if (replies.isAllowed() || !replies.isInDoubt())
+            continue;
+        TargetGroup const& group = replies.group();
+        for (std::size_t rank = 0; rank < std::min(recordingRanks, group.targets.size()); ++rank) {
+            if (DirectoryTarget const* const target = directory_.findRanked(group, search.hash, rank, now))
+                sendSegment(search, group.hash, target->agent, RelaySearchMode::RecordedOwner, signing);
+        }
     }
 }
 
@@ -391,14 +412,14 @@
     }
 }
 
-void OwnerSearches::sendSegment(OwnerSearch const& search, ServiceHash service, Endpoint agent, RelaySigningContext const& signing)
+void OwnerSearches::sendSegment(OwnerSearch const& search, ServiceHash service, Endpoint agent, RelaySearchMode mode, RelaySigningContext const& signing)
 {
     if (search.keptSegment().empty())
         return;
     RelayRoute route;
     route.serviceHash = service;
     route.entry = ownEndpoint_;
-    route.searchMode = RelaySearchMode::ReportOnly;
+    route.searchMode = mode;
     sendWithSegment(search, agent, writeRelayPacket(route, search.keptSegment(), signing, buffer_));
 }
 
--- a/src/relay/OwnerSearches.h
+++ b/src/relay/OwnerSearches.h
@@ -146,7 +146,8 @@
     [[nodiscard]] bool hasEveryoneReplied(OwnerSearch const& search, TimePoint now) const noexcept;
     void sendToPossibleOwners(OwnerSearch& search, TimePoint now, RelaySigningContext const& signing);
     void sendThroughForwarder(OwnerSearch const& search, TargetGroup const& service, std::span<Endpoint const> agents, TimePoint now, RelaySigningContext const& signing);
-    void sendSegment(OwnerSearch const& search, ServiceHash service, Endpoint agent, RelaySigningContext const& signing);
+    void sendToRecordedOwners(OwnerSearch const& search, TimePoint now, RelaySigningContext const& signing);
+    void sendSegment(OwnerSearch const& search, ServiceHash service, Endpoint agent, RelaySearchMode mode, RelaySigningContext const& signing);
     void sendWithSegment(OwnerSearch const& search, Endpoint to, std::size_t headerBytes) noexcept;
     void notifyObserver(std::string_view outcome, OwnerSearch const& search, TimePoint now) noexcept;
     void endIfLost(OwnerSearch& search, TimePoint now);
--- a/src/relay/RelayMessage.cpp
+++ b/src/relay/RelayMessage.cpp
@@ -139,7 +139,7 @@
         decoded.route.serviceHash = ServiceHash { fields.service.value() };
         decoded.route.entry = fromField(fields.entry);
         decoded.route.hops = fields.hops.value();
-        if (fields.search.value() > static_cast<std::uint8_t>(RelaySearchMode::OwnerKnown))
+        if (fields.search.value() > static_cast<std::uint8_t>(RelaySearchMode::RecordedOwner))
             return false;
         decoded.route.searchMode = static_cast<RelaySearchMode>(fields.search.value());
         decoded.route.latencyLimitTenthMs = fields.limitTenths.value();
--- a/tests/MovedAddressTests.cpp
+++ b/tests/MovedAddressTests.cpp
@@ -160,6 +160,20 @@
     scene.checkThatAllAreServed();
 }
 
+// Guards against flows that stay silent: the new agent does not know what its target holds, and no entry has seen that the address was
+// the service's. Other agents of the service have the owner recorded.
+BOOST_AUTO_TEST_CASE(FlowsAreFoundThroughRecordedOwnersWhenAnAgentAndAllEntriesAreReplaced)
+{
+    MovedScene scene(2, { { mainService } });
+    scene.configure(shared({ { nextService } }));
+    scene.runFor(5s);
+    scene.startAgent(0);
+    scene.checkAfterRestartOfEntries();
+    for (std::unique_ptr<Agent> const& agent : scene.agents)
+        BOOST_TEST((agent->service != nextService || agent->target.unknownSegments > 0U));
+    BOOST_TEST(scene.agents[1]->target.unknownSegments + scene.agents[2]->target.unknownSegments == 0U);
+}
+
 // Guards against segments that reach targets of a service that had their address in no configuration that this entry has seen. The
 // agents have just started and cannot tell what their targets hold: the flow is neither shown to them nor reset.
 BOOST_AUTO_TEST_CASE(SegmentsAreNotShownToTargetsOfForeignServices)
