Write queries only if an agent receives them

An entry that searches among thousands of services could forget its queries before the replies arrived: each first load report of a starting agent wrote a query for each searched service, though at most one agent received one, and 4,096 queries are remembered. Flows stayed silent while agents started. The two places that divided flows into queries are one function now, which collects the receivers first. MovedAddressTests/FlowsAreFoundAmongThousandsOfServicesWhoseAgentsReportOneByOne before: 11 of 12 flows without an answer.

--- a/src/relay/OwnerSearches.cpp
+++ b/src/relay/OwnerSearches.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <numeric>
 #include <utility>
 
 namespace plantaindrift {
@@ -199,12 +200,9 @@
         }
     }
     for (std::pair<TargetGroup const* const, std::vector<std::uint64_t>> const& service : queriedFlows) {
-        std::span<std::uint64_t const> flows = service.second;
-        while (!flows.empty()) {
-            std::span<std::uint64_t const> const part = flows.first(std::min(flows.size(), maximumQueriedFlows));
-            sendQuery(*service.first, part, signing);
-            flows = flows.subspan(part.size());
-        }
+        std::vector<std::size_t> targets(service.first->targets.size());
+        std::iota(targets.begin(), targets.end(), std::size_t { 0 });
+        queryTargets(*service.first, targets, service.second, signing);
     }
 }
 
@@ -222,17 +220,31 @@
     });
     std::vector<Endpoint> const agents = std::exchange(startedAgents_, {});
     for (std::pair<TargetGroup const* const, std::vector<std::uint64_t>> const& service : searched) {
-        std::span<std::uint64_t const> flows = service.second;
-        while (!flows.empty()) {
-            std::span<std::uint64_t const> const part = flows.first(std::min(flows.size(), maximumQueriedFlows));
-            std::size_t const bytes = writeQuery(*service.first, part, signing);
-            for (Endpoint const agent : agents) {
-                std::size_t const target = TargetDirectory::indexOf(*service.first, agent);
-                if (target < service.first->targets.size() && isReplyMissing(part, *service.first, target))
-                    send(agent, bytes);
-            }
-            flows = flows.subspan(part.size());
+        std::vector<std::size_t> targets;
+        for (Endpoint const agent : agents) {
+            std::size_t const target = TargetDirectory::indexOf(*service.first, agent);
+            if (target < service.first->targets.size())
+                targets.push_back(target);
+        }
+        queryTargets(*service.first, targets, service.second, signing);
+    }
+}
+
+// Queries those of the targets whose reply is missing. A query without receivers would push another out of the remembered ones.
+void OwnerSearches::queryTargets(TargetGroup const& group, std::span<std::size_t const> targets, std::span<std::uint64_t const> flows, RelaySigningContext const& signing)
+{
+    std::span<std::uint64_t const> rest = flows;
+    while (!rest.empty()) {
+        std::span<std::uint64_t const> const part = rest.first(std::min(rest.size(), maximumQueriedFlows));
+        rest = rest.subspan(part.size());
+        std::vector<Endpoint> receivers;
+        for (std::size_t const target : targets) {
+            if (isReplyMissing(part, group, target))
+                receivers.push_back(group.targets[target].agent);
         }
+        std::size_t const bytes = receivers.empty() ? 0 : writeQuery(group, part, signing);
+        for (Endpoint const agent : receivers)
+            send(agent, bytes);
     }
 }
 
@@ -259,15 +271,6 @@
         replies.recordQuery(now);
 }
 
-void OwnerSearches::sendQuery(TargetGroup const& group, std::span<std::uint64_t const> flows, RelaySigningContext const& signing)
-{
-    std::size_t const bytes = writeQuery(group, flows, signing);
-    for (std::size_t target = 0; target < group.targets.size(); ++target) {
-        if (isReplyMissing(flows, group, target))
-            send(group.targets[target].agent, bytes);
-    }
-}
-
 bool OwnerSearches::isReplyMissing(std::span<std::uint64_t const> flows, TargetGroup const& group, std::size_t target) noexcept
 {
     return std::any_of(flows.begin(), flows.end(), [this, &group, target](std::uint64_t flow) {
--- a/src/relay/OwnerSearches.h
+++ b/src/relay/OwnerSearches.h
@@ -138,7 +138,7 @@
     void queryStartedAgents(RelaySigningContext const& signing);
     [[nodiscard]] std::size_t writeQuery(TargetGroup const& group, std::span<std::uint64_t const> flows, RelaySigningContext const& signing);
     void beginQuery(OwnerSearch& search, TimePoint now);
-    void sendQuery(TargetGroup const& group, std::span<std::uint64_t const> flows, RelaySigningContext const& signing);
+    void queryTargets(TargetGroup const& group, std::span<std::size_t const> targets, std::span<std::uint64_t const> flows, RelaySigningContext const& signing);
     [[nodiscard]] bool isReplyMissing(std::span<std::uint64_t const> flows, TargetGroup const& group, std::size_t target) noexcept;
     void continueSearch(OwnerSearch& search, TimePoint now, RelaySigningContext const& signing);
     void widen(OwnerSearch& search, TimePoint now);
--- a/tests/MovedAddressTests.cpp
+++ b/tests/MovedAddressTests.cpp
@@ -211,6 +211,20 @@
     scene.checkAfterTheAddressMoved();
 }
 
+// Guards against queries that are forgotten while agents start: each first load report repeated the queries of all services.
+BOOST_AUTO_TEST_CASE(FlowsAreFoundAmongThousandsOfServicesWhoseAgentsReportOneByOne)
+{
+    ManyServicesScene scene(2500);
+    constexpr std::size_t kindOffset = 1;
+    scene.linkRule = [random = std::mt19937(5)](Bytes const& datagram) mutable -> std::optional<Duration> {
+        if (datagram[kindOffset] == std::byte { static_cast<std::uint8_t>(RelayMessageKind::LoadReport) })
+            return std::chrono::milliseconds { random() % 2000 };
+        bool const isReply = datagram[kindOffset] == std::byte { static_cast<std::uint8_t>(RelayMessageKind::FlowQueryReply) };
+        return isReply ? Duration(100ms) : Duration(linkDelay);
+    };
+    scene.checkAfterTheAddressMoved();
+}
+
 // The agent of an owner that the view lacks refuses segments that name another service.
 BOOST_AUTO_TEST_CASE(AnUnlistedOwnerReceivesSegmentsWhenTheAddressMoves)
 {
