--- a/src/runtime/DaemonCore.cpp
+++ b/src/runtime/DaemonCore.cpp
@@ -1,6 +1,7 @@
 #include "runtime/DaemonCore.h"
 
 #include "plantaindrift/base/Error.h"
+#include "plantaindrift/runtime/Version.h"
 
 #include <chrono>
 #include <csignal>
@@ -59,7 +60,7 @@
         ports_.front()->stalledSince = readUptime();
     for (std::size_t port = packetsHeld_ ? 1 : 0; port < ports_.size(); ++port)
         waitForPackets(*ports_[port]);
-    logEvent(LogLevel::Info, "started", { { "name", settings_.name }, { "data_centre", settings_.dataCentre }, { "data", formatEndpoint(settings_.data) }, { "control", formatEndpoint(settings_.control) }, { "http", formatEndpoint(settings_.http) }, { "insecure", settings_.insecure } });
+    logEvent(LogLevel::Info, "started", { { "name", settings_.name }, { "data_centre", settings_.dataCentre }, { "data", formatEndpoint(settings_.data) }, { "control", formatEndpoint(settings_.control) }, { "http", formatEndpoint(settings_.http) }, { "insecure", settings_.insecure }, { "sources", sourceDigest() } });
     runLoop();
     logEvent(LogLevel::Info, "ended", { { "name", settings_.name }, { "status", result_.ok() ? "ok" : statusMessage(result_) } });
     return result_;
