Query an agent that contradicts itself only once more

An agent replies that its target may hold a flow which it was only offered, and reports that it does not when a segment shows it: queried again each time, the search of a lost flow would not have ended for up to 60 s. The second report counts. Found by reading; OwnerSearchTests/AnAgentThatContradictsItselfIsQueriedAgainOnce.

--- a/src/relay/OwnerSearch.cpp
+++ b/src/relay/OwnerSearch.cpp
@@ -14,10 +14,11 @@
 
 void ServiceReplies::recordNotFoundReport(std::size_t target)
 {
-    if (!held_.contains(target)) {
+    if (!held_.contains(target) || contradicted_.contains(target)) {
         markNotFound(target);
         return;
     }
+    contradicted_.insert(target);
     held_.erase(target);
     possible_.erase(target);
 }
@@ -37,6 +38,7 @@
     notFound_ = {};
     possible_ = {};
     held_ = {};
+    contradicted_ = {};
 }
 
 void ServiceReplies::renumber(std::span<std::uint32_t const> newIndices)
@@ -44,6 +46,7 @@
     notFound_.renumber(newIndices);
     possible_.renumber(newIndices);
     held_.renumber(newIndices);
+    contradicted_.renumber(newIndices);
 }
 
 std::vector<Endpoint> ServiceReplies::possibleOwners() const
--- a/src/relay/OwnerSearch.h
+++ b/src/relay/OwnerSearch.h
@@ -33,7 +33,7 @@
 
     /// \brief Processes the report that a target does not hold the flow, which may answer an earlier segment.
     ///
-    /// An agent that has replied that its target holds the flow is queried again instead.
+    /// An agent that has replied that its target holds the flow is queried again instead, once.
     void recordNotFoundReport(std::size_t target);
 
     /// \brief Records that a target may hold the flow, so that its agent has to receive the segment.
@@ -88,6 +88,7 @@
     TargetSet notFound_;
     TargetSet possible_;
     TargetSet held_; ///< part of the possible ones
+    TargetSet contradicted_; ///< reported that they do not hold the flow after a reply that they do
 };
 
 /// \brief Search of an entry for the owner of a flow, with what the agents of the searched services replied.
--- a/tests/OwnerSearchTests.cpp
+++ b/tests/OwnerSearchTests.cpp
@@ -243,6 +243,24 @@
     BOOST_TEST((replies.possibleOwners() == std::vector<Endpoint> { Service::agent(3) }));
 }
 
+// Guards against searches that never end: an agent whose target was only offered the flow replies that it may be there, and its target
+// does not know it.
+BOOST_AUTO_TEST_CASE(AnAgentThatContradictsItselfIsQueriedAgainOnce)
+{
+    Service service(2);
+    ServiceReplies replies(*service.group);
+    BOOST_TEST(replies.markPossible(0, true));
+    replies.recordNotFoundReport(0);
+    BOOST_TEST(!replies.hasReplied(0));
+    BOOST_TEST(replies.markPossible(0, true));
+    replies.recordNotFoundReport(0);
+    BOOST_TEST(replies.hasReportedNotFound(0));
+    // One that cannot tell what its target holds is taken at its word.
+    BOOST_TEST(replies.markPossible(1, false));
+    replies.recordNotFoundReport(1);
+    BOOST_TEST(replies.hasReportedNotFound(1));
+}
+
 BOOST_AUTO_TEST_CASE(ASegmentThatIsTooLongIsNotKept)
 {
     OwnerSearch search;
