--- a/src/relay/OwnerSearches.h
+++ b/src/relay/OwnerSearches.h
@@ -45,8 +45,10 @@
 /// The agent that ranks first for a flow may have its owner recorded. If it reports that it does not, all agents of the
 /// address's services are queried for many flows at once, and receive the segment only if their target may hold the flow.
 /// If no agent there holds it, or one does not reply to the first query, those of all other services are queried too: an
-/// earlier configuration may have given them the address. They receive the segment only if they know the flow. The number of queries depends on the time that searches take and
-/// on the number of targets, not on the number of flows.
+/// earlier configuration may have given them the address. They receive the segment only if they know the flow, or another
+/// agent of their service has them recorded as the owner. A flow is lost if LostVerdict permits it, and all agents have
+/// replied to a second round of queries that they do not hold it. The number of queries depends on the time that searches
+/// take and on the number of targets, not on the number of flows.
 class OwnerSearches {
 public:
     /// \param ownEndpoint  receives the agents' replies
@@ -55,7 +57,7 @@
     /// \param observer  receives searches that wait for an agent
     OwnerSearches(Endpoint ownEndpoint, std::uint32_t firstQueryNumber, TargetDirectory const& directory, RelaySender& sender, RelayObserver& observer);
 
-    /// \brief When a flow that was not found counts as lost.
+    /// \brief Decides when a flow that was not found counts as lost; receives what is known of the lists of targets.
     [[nodiscard]] LostVerdict& verdict() noexcept { return verdict_; }
     [[nodiscard]] LostVerdict const& verdict() const noexcept { return verdict_; }
 
--- a/tests/LostVerdictTests.cpp
+++ b/tests/LostVerdictTests.cpp
@@ -1,5 +1,5 @@
 // Guards against resets of open flows because one or two of the inputs of a search are wrong: a list is short or outdated, an agent
-// is slow, or what it says does not hold. Callers of review/7 were reset by entries that had searched too few targets.
+// is slow, or what it says does not hold.
 #include "MovedScene.h"
 
 #include <boost/test/unit_test.hpp>
